Serve a statement from end to end through an entry and an emulated endpoint

Cause: the whole path has to run as separate processes before its parts grow. Change: checked INI settings with findings, HTTP server and client over POCO, JSON codecs for callers and endpoints, `auburnrail-entry`, `auburnrail-standin` and `make demo`. Found on the way: POCO applies a session's timeout on a later connect only, so an exchange on an open connection waited without limit; the socket's own timeouts are set now. POCO's bind() with address reuse also sets port reuse, so a port in use was not refused; port reuse is off now.

--- /dev/null
+++ b/libs/callers/src/CallerCodec.cpp
@@ -0,0 +1,202 @@
+#include <callers/CallerCodec.h>
+
+#include "HttpStatusTable.h"
+
+#include <http/JsonReader.h>
+#include <http/JsonWriter.h>
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_split.h>
+#include <absl/strings/strip.h>
+
+#include <vector>
+
+namespace auburnrail {
+
+namespace {
+
+constexpr auto PATH_PREFIX = std::string_view("/v1/services/");
+constexpr auto BEARER_PREFIX = "Bearer ";
+constexpr auto DEFAULT_DEADLINE_MS = std::int64_t(5000);
+constexpr auto MAX_DEADLINE_MS = std::int64_t(60000);
+
+auto header(const HttpHeaders &headers, std::string_view name) -> std::string
+{
+    const auto found = headers.find(name);
+    return found == headers.end() ? "" : found->second;
+}
+
+auto refuse(ReasonCode reason, std::string message) -> CallerAnswer
+{
+    auto answer = CallerAnswer();
+    answer.reason = reason;
+    answer.message = std::move(message);
+    return answer;
+}
+
+/// Fills service, kind and transaction from the path. False when no operation has that path.
+auto parsePath(const std::string &target, CallerRequest &request) -> bool
+{
+    if (!target.starts_with(PATH_PREFIX))
+        return false;
+    const auto rest = target.substr(PATH_PREFIX.size());
+    const auto parts = std::vector<std::string>(absl::StrSplit(rest, '/'));
+    request.service = parts[0];
+    if (parts.size() == 2 && parts[1] == "statements")
+        return true;
+    if (parts.size() == 2 && parts[1] == "transactions") {
+        request.kind = RequestKind::Begin;
+        return true;
+    }
+    if (parts.size() != 4 || parts[1] != "transactions" || parts[2].empty())
+        return false;
+    request.transaction = parts[2];
+    if (parts[3] == "statements")
+        request.kind = RequestKind::Statement;
+    else if (parts[3] == "commit")
+        request.kind = RequestKind::Commit;
+    else if (parts[3] == "rollback")
+        request.kind = RequestKind::Rollback;
+    else
+        return false;
+    return true;
+}
+
+auto parseDeadline(const std::string &value, TimePoint now) -> std::optional<TimePoint>
+{
+    auto millis = DEFAULT_DEADLINE_MS;
+    if (!value.empty() && !absl::SimpleAtoi(value, &millis))
+        return std::nullopt;
+    if (millis <= 0)
+        return std::nullopt;
+    return now + std::chrono::milliseconds(std::min(millis, MAX_DEADLINE_MS));
+}
+
+auto parseBody(const HttpRequest &source, CallerRequest &request) -> std::string
+{
+    auto reader = JsonReader(source.body.empty() ? "{}" : source.body, "body");
+    request.mode = readEnum(reader, "mode", AccessMode::Read);
+    if (request.kind == RequestKind::Statement)
+        request.statement = reader.requiredText("statement");
+    if (reader.has("max_age_ms")) {
+        const auto millis = reader.integer("max_age_ms", -1);
+        if (millis < 0 || millis > std::numeric_limits<std::int32_t>::max())
+            reader.fault("max_age_ms", "must be a number of milliseconds, 0 or more");
+        else
+            request.maxAge = std::chrono::milliseconds(millis);
+    }
+    return reader.findings().toString();
+}
+
+auto pathOf(const CallerRequest &request) -> std::string
+{
+    auto path = std::string(PATH_PREFIX) + request.service;
+    if (request.kind == RequestKind::Begin)
+        return path + "/transactions";
+    if (!request.transaction.empty())
+        path += "/transactions/" + request.transaction;
+    if (request.kind == RequestKind::Statement)
+        return path + "/statements";
+    return path + "/" + std::string(nameOf(request.kind));
+}
+
+} // namespace
+
+auto decodeCallerRequest(const HttpRequest &source, std::string fallbackRequestId, TimePoint now)
+    -> std::variant<CallerRequest, CallerAnswer>
+{
+    auto request = CallerRequest();
+    request.requestId = header(source.headers, "x-request-id");
+    if (request.requestId.empty())
+        request.requestId = std::move(fallbackRequestId);
+    if (source.method != "POST" || !parsePath(source.target, request))
+        return refuse(ReasonCode::UnknownPath, "no operation has this method and path");
+    const auto authorization = header(source.headers, "authorization");
+    request.key = std::string(absl::StripPrefix(authorization, BEARER_PREFIX));
+    request.idempotencyKey = header(source.headers, "idempotency-key");
+    request.sessionToken = header(source.headers, "x-auburnrail-session");
+    const auto deadline = parseDeadline(header(source.headers, "x-auburnrail-deadline-ms"), now);
+    if (!deadline) {
+        return refuse(ReasonCode::MalformedRequest,
+                      "X-Auburnrail-Deadline-Ms must be a positive number of milliseconds");
+    }
+    request.deadline = *deadline;
+    if (auto faults = parseBody(source, request); !faults.empty())
+        return refuse(ReasonCode::MalformedRequest, std::move(faults));
+    return request;
+}
+
+auto encodeCallerAnswer(const CallerAnswer &answer, const std::string &requestId) -> HttpResponse
+{
+    auto writer = JsonWriter();
+    writer.text("outcome", nameOf(answer.outcome));
+    writer.text("reason", nameOf(answer.reason));
+    writer.text("request_id", requestId);
+    if (!answer.message.empty())
+        writer.text("message", answer.message);
+    if (answer.reason == ReasonCode::Completed)
+        writer.text("result", answer.result);
+    if (!answer.transaction.empty())
+        writer.text("transaction", answer.transaction);
+    if (!answer.endpoint.empty())
+        writer.text("endpoint", answer.endpoint);
+    writer.boolean("replica", answer.servedByReplica);
+    if (answer.duplicate)
+        writer.boolean("duplicate", true);
+    if (answer.retryAfter)
+        writer.integer("retry_after_ms", toMillis(*answer.retryAfter));
+    auto response = HttpResponse{
+        .status = httpStatusOf(answer.reason), .headers = {}, .body = writer.toString()};
+    response.headers.emplace("X-Request-Id", requestId);
+    if (!answer.sessionToken.empty())
+        response.headers.emplace("X-Auburnrail-Session", answer.sessionToken);
+    return response;
+}
+
+auto encodeCallerRequest(const CallerRequest &request, TimePoint now) -> HttpRequest
+{
+    auto writer = JsonWriter();
+    writer.text("mode", nameOf(request.mode));
+    if (request.kind == RequestKind::Statement)
+        writer.text("statement", request.statement);
+    if (request.maxAge)
+        writer.integer("max_age_ms", toMillis(*request.maxAge));
+    auto result = HttpRequest{
+        .target = pathOf(request), .headers = {}, .body = writer.toString(), .peer = {}};
+    const auto add = [&result](const char *name, const std::string &value) {
+        if (!value.empty())
+            result.headers.emplace(name, value);
+    };
+    add("x-request-id", request.requestId);
+    add("authorization", request.key.empty() ? "" : BEARER_PREFIX + request.key);
+    add("idempotency-key", request.idempotencyKey);
+    add("x-auburnrail-session", request.sessionToken);
+    add("x-auburnrail-deadline-ms",
+        std::to_string(std::max<std::int64_t>(1, toMillis(request.deadline - now))));
+    return result;
+}
+
+auto decodeCallerAnswer(const HttpResponse &response) -> CallerAnswer
+{
+    auto reader = JsonReader(response.body, "answer");
+    auto answer = CallerAnswer();
+    answer.outcome = readEnum(reader, "outcome", Outcome::Unknown);
+    answer.reason = readEnum(reader, "reason", ReasonCode::InternalError);
+    answer.message = reader.text("message");
+    answer.result = reader.text("result");
+    answer.transaction = reader.text("transaction");
+    answer.endpoint = reader.text("endpoint");
+    answer.servedByReplica = reader.boolean("replica");
+    answer.duplicate = reader.boolean("duplicate");
+    if (reader.has("retry_after_ms"))
+        answer.retryAfter = std::chrono::milliseconds(reader.integer("retry_after_ms"));
+    answer.sessionToken = header(response.headers, "x-auburnrail-session");
+    if (!reader.findings().empty()) {
+        answer = CallerAnswer();
+        answer.outcome = Outcome::Unknown;
+        answer.message = reader.findings().toString();
+    }
+    return answer;
+}
+
+} // namespace auburnrail
--- /dev/null
+++ b/libs/callers/tests/CallerCodecTest.cpp
@@ -0,0 +1,79 @@
+#include <callers/CallerCodec.h>
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+namespace auburnrail {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+struct BadRequest
+{
+    std::string fault;
+    HttpRequest request;
+    ReasonCode reason;
+};
+
+} // namespace
+
+TEST_CASE("a caller's request survives encoding")
+{
+    const auto now = TimePoint(1s);
+    const auto request = CallerRequest{.requestId = "r-1",
+                                       .service = "logs",
+                                       .key = "ar_1_secret",
+                                       .mode = AccessMode::Write,
+                                       .statement = "PUT a 1",
+                                       .transaction = "entry-1.7",
+                                       .maxAge = 30ms,
+                                       .idempotencyKey = "k",
+                                       .sessionToken = "token",
+                                       .deadline = now + 2s};
+    const auto decoded = decodeCallerRequest(encodeCallerRequest(request, now), "", now);
+    REQUIRE(std::holds_alternative<CallerRequest>(decoded));
+    const auto &result = std::get<CallerRequest>(decoded);
+    CHECK(result.key == request.key);
+    CHECK(result.transaction == request.transaction);
+    CHECK(result.maxAge == request.maxAge);
+    CHECK(result.deadline == request.deadline);
+}
+
+// Guards against a malformed request that is run or answered without an outcome.
+TEST_CASE("malformed requests are refused as not-run with their reason")
+{
+    const auto path = std::string("/v1/services/logs/statements");
+    const auto bad = GENERATE_COPY(
+        BadRequest{"other path", {.target = "/v1/other"}, ReasonCode::UnknownPath},
+        BadRequest{"other method", {.method = "GET", .target = path}, ReasonCode::UnknownPath},
+        BadRequest{"broken JSON", {.target = path, .body = "{"}, ReasonCode::MalformedRequest},
+        BadRequest{"no statement", {.target = path, .body = "{}"}, ReasonCode::MalformedRequest},
+        BadRequest{"unknown mode",
+                   {.target = path, .body = R"({"mode":"x","statement":"GET a"})"},
+                   ReasonCode::MalformedRequest},
+        BadRequest{"negative age",
+                   {.target = path, .body = R"({"statement":"GET a","max_age_ms":-1})"},
+                   ReasonCode::MalformedRequest},
+        BadRequest{"deadline",
+                   {.target = path,
+                    .headers = {{"x-auburnrail-deadline-ms", "soon"}},
+                    .body = R"({"statement":"GET a"})"},
+                   ReasonCode::MalformedRequest});
+    INFO(bad.fault);
+    const auto decoded = decodeCallerRequest(bad.request, "r", TimePoint());
+    REQUIRE(std::holds_alternative<CallerAnswer>(decoded));
+    CHECK(std::get<CallerAnswer>(decoded).reason == bad.reason);
+    CHECK(std::get<CallerAnswer>(decoded).outcome == Outcome::NotRun);
+}
+
+TEST_CASE("arbitrary bodies never crash the caller codec")
+{
+    rc::check([](const std::string &body, const std::string &tail) {
+        std::ignore = decodeCallerRequest(
+            HttpRequest{.target = "/v1/services/" + tail, .body = body}, "r", TimePoint());
+        RC_ASSERT(decodeCallerAnswer(HttpResponse{.body = body}).outcome == Outcome::Unknown);
+    });
+}
+
+} // namespace auburnrail
--- /dev/null
+++ b/libs/endpoint/include/endpoint/Announcement.h
@@ -0,0 +1,28 @@
+#ifndef AUBURNRAIL_ENDPOINT_ANNOUNCEMENT_H
+#define AUBURNRAIL_ENDPOINT_ANNOUNCEMENT_H
+
+#include <core/Labels.h>
+#include <core/Position.h>
+
+#include <string>
+
+namespace auburnrail {
+
+/// What an endpoint says of itself once a second.
+struct Announcement
+{
+    std::string endpoint; ///< Unique name.
+    std::string group;
+    std::string zone;
+    std::string address; ///< IP:port
+    Labels labels;
+    std::uint64_t term = 0;
+    Position position;
+    bool primary = false;
+    bool leaving = false;
+    std::int64_t connectionLimit = 0; ///< Connections that the endpoint accepts.
+};
+
+} // namespace auburnrail
+
+#endif
--- /dev/null
+++ b/libs/endpoint/src/EndpointCodec.cpp
@@ -0,0 +1,149 @@
+#include <endpoint/EndpointCodec.h>
+
+#include <http/JsonReader.h>
+#include <http/JsonWriter.h>
+
+#include <optional>
+
+namespace auburnrail {
+
+namespace {
+
+constexpr auto ANNOUNCEMENT_PATH = "/v1/announcements";
+
+auto writePosition(JsonWriter &writer, const std::string &member, Position position) -> void
+{
+    auto child = JsonWriter();
+    child.integer("term", static_cast<std::int64_t>(position.term));
+    child.integer("index", static_cast<std::int64_t>(position.index));
+    writer.object(member, child);
+}
+
+auto readPosition(JsonReader &reader, const std::string &member) -> Position
+{
+    auto child = reader.object(member);
+    return Position{.term = static_cast<std::uint64_t>(child.integer("term")),
+                    .index = static_cast<std::uint64_t>(child.integer("index"))};
+}
+
+auto operationOfPath(const std::string &target) -> std::optional<EndpointOperation>
+{
+    if (target.empty() || target.front() != '/')
+        return std::nullopt;
+    return parseName<EndpointOperation>(std::string_view(target).substr(1));
+}
+
+} // namespace
+
+auto encodeEndpointRequest(const EndpointRequest &request) -> HttpRequest
+{
+    auto writer = JsonWriter();
+    writer.text("exchange", request.exchangeId);
+    writer.integer("term", static_cast<std::int64_t>(request.term));
+    writer.text("mode", nameOf(request.mode));
+    writer.text("statement", request.statement);
+    writePosition(writer, "minimum_position", request.minimumPosition);
+    if (!request.idempotencyKey.empty()) {
+        writer.text("organisation", request.organisation);
+        writer.text("idempotency_key", request.idempotencyKey);
+        writer.text("fingerprint", request.fingerprint);
+    }
+    writer.integer("wait_limit_ms", toMillis(request.waitLimit));
+    return HttpRequest{.target = "/" + std::string(nameOf(request.operation)),
+                       .headers = {},
+                       .body = writer.toString(),
+                       .peer = {}};
+}
+
+auto decodeEndpointRequest(const HttpRequest &request) -> absl::StatusOr<EndpointRequest>
+{
+    const auto operation = operationOfPath(request.target);
+    if (!operation)
+        return absl::InvalidArgumentError("unknown path " + request.target);
+    auto reader = JsonReader(request.body, "body");
+    auto result = EndpointRequest();
+    result.operation = *operation;
+    result.exchangeId = reader.requiredText("exchange");
+    result.term = static_cast<std::uint64_t>(reader.integer("term"));
+    result.mode = readEnum(reader, "mode", AccessMode::Read);
+    result.statement = reader.text("statement");
+    result.minimumPosition = readPosition(reader, "minimum_position");
+    result.organisation = reader.text("organisation");
+    result.idempotencyKey = reader.text("idempotency_key");
+    result.fingerprint = reader.text("fingerprint");
+    result.waitLimit = std::chrono::milliseconds(reader.integer("wait_limit_ms"));
+    if (!reader.findings().empty())
+        return reader.findings().toStatus();
+    return result;
+}
+
+auto encodeEndpointAnswer(const EndpointAnswer &answer) -> HttpResponse
+{
+    auto writer = JsonWriter();
+    writer.text("exchange", answer.exchangeId);
+    writer.text("refusal", nameOf(answer.refusal));
+    writer.text("result", answer.result);
+    writer.boolean("duplicate", answer.duplicate);
+    writePosition(writer, "position", answer.position);
+    writer.integer("term", static_cast<std::int64_t>(answer.term));
+    writer.boolean("primary", answer.primary);
+    writer.boolean("leaving", answer.leaving);
+    writer.integer("data_age_ms", toMillis(answer.dataAge));
+    return HttpResponse{.status = 200, .headers = {}, .body = writer.toString()};
+}
+
+auto decodeEndpointAnswer(const HttpResponse &response) -> absl::StatusOr<EndpointAnswer>
+{
+    auto reader = JsonReader(response.body, "answer");
+    auto answer = EndpointAnswer();
+    answer.exchangeId = reader.requiredText("exchange");
+    answer.refusal = readEnum(reader, "refusal", EndpointRefusal::None);
+    answer.result = reader.text("result");
+    answer.duplicate = reader.boolean("duplicate");
+    answer.position = readPosition(reader, "position");
+    answer.term = static_cast<std::uint64_t>(reader.integer("term"));
+    answer.primary = reader.boolean("primary");
+    answer.leaving = reader.boolean("leaving");
+    answer.dataAge = std::chrono::milliseconds(reader.integer("data_age_ms"));
+    if (!reader.findings().empty())
+        return reader.findings().toStatus();
+    return answer;
+}
+
+auto encodeAnnouncement(const Announcement &announcement) -> HttpRequest
+{
+    auto writer = JsonWriter();
+    writer.text("endpoint", announcement.endpoint);
+    writer.text("group", announcement.group);
+    writer.text("zone", announcement.zone);
+    writer.text("address", announcement.address);
+    writer.labels("labels", announcement.labels);
+    writer.integer("term", static_cast<std::int64_t>(announcement.term));
+    writePosition(writer, "position", announcement.position);
+    writer.boolean("primary", announcement.primary);
+    writer.boolean("leaving", announcement.leaving);
+    writer.integer("connection_limit", announcement.connectionLimit);
+    return HttpRequest{
+        .target = ANNOUNCEMENT_PATH, .headers = {}, .body = writer.toString(), .peer = {}};
+}
+
+auto decodeAnnouncement(const HttpRequest &request) -> absl::StatusOr<Announcement>
+{
+    auto reader = JsonReader(request.body, "announcement");
+    auto result = Announcement();
+    result.endpoint = reader.requiredText("endpoint");
+    result.group = reader.requiredText("group");
+    result.zone = reader.requiredText("zone");
+    result.address = reader.requiredText("address");
+    result.labels = reader.labels("labels");
+    result.term = static_cast<std::uint64_t>(reader.integer("term"));
+    result.position = readPosition(reader, "position");
+    result.primary = reader.boolean("primary");
+    result.leaving = reader.boolean("leaving");
+    result.connectionLimit = reader.integer("connection_limit");
+    if (!reader.findings().empty())
+        return reader.findings().toStatus();
+    return result;
+}
+
+} // namespace auburnrail
--- /dev/null
+++ b/libs/http/include/http/HttpResponse.h
@@ -0,0 +1,22 @@
+#ifndef AUBURNRAIL_HTTP_HTTPRESPONSE_H
+#define AUBURNRAIL_HTTP_HTTPRESPONSE_H
+
+#include <http/HttpHeaders.h>
+
+#include <string>
+
+namespace auburnrail {
+
+/// One HTTP response, whole.
+struct HttpResponse
+{
+    int status = 200;
+    HttpHeaders headers;
+    std::string body;
+    std::string contentType = "application/json";
+    bool closeConnection = false; ///< The server ends the connection after this response.
+};
+
+} // namespace auburnrail
+
+#endif
--- /dev/null
+++ b/libs/http/src/HttpServer.cpp
@@ -0,0 +1,103 @@
+#include <http/HttpServer.h>
+
+#include "detail/ConnectionFactory.h"
+#include "detail/ServerState.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/HTTPServerParams.h>
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/TCPServer.h>
+#include <Poco/ThreadPool.h>
+
+#include <cassert>
+
+namespace auburnrail {
+
+namespace {
+
+constexpr auto ACCEPT_BACKLOG = 256;
+constexpr auto MAX_QUEUED_CONNECTIONS = 1024;
+
+} // namespace
+
+struct HttpServer::Impl
+{
+    Impl(HttpServerSettings serverSettings, HttpServerHooks hooks)
+        : settings(std::move(serverSettings))
+        , state(std::make_shared<detail::ServerState>(std::move(hooks), settings.maxBodyBytes))
+        , threads(1, static_cast<int>(settings.workerThreads) + 1)
+    {
+    }
+
+    HttpServerSettings settings;
+    std::shared_ptr<detail::ServerState> state;
+    Poco::ThreadPool threads;
+    std::unique_ptr<Poco::Net::TCPServer> server;
+    std::uint16_t port = 0;
+};
+
+HttpServer::HttpServer(HttpServerSettings settings, HttpServerHooks hooks)
+{
+    assert(hooks.handle && "hooks.handle must be set");
+    assert(settings.workerThreads > 0 && "workerThreads must be at least 1");
+    this->impl = std::make_unique<Impl>(std::move(settings), std::move(hooks));
+}
+
+HttpServer::~HttpServer()
+{
+    this->stop();
+}
+
+auto HttpServer::start() -> absl::Status
+{
+    try {
+        auto socket = Poco::Net::ServerSocket();
+        socket.bind(Poco::Net::SocketAddress(this->impl->settings.address), true, false);
+        socket.listen(ACCEPT_BACKLOG);
+        this->impl->port = socket.address().port();
+        auto params = Poco::AutoPtr<Poco::Net::HTTPServerParams>(new Poco::Net::HTTPServerParams);
+        params->setMaxThreads(static_cast<int>(this->impl->settings.workerThreads));
+        params->setMaxQueued(MAX_QUEUED_CONNECTIONS);
+        params->setKeepAlive(true);
+        params->setMaxKeepAliveRequests(0);
+        params->setKeepAliveTimeout(Poco::Timespan(3600, 0));
+        this->impl->server = std::make_unique<Poco::Net::TCPServer>(
+            new detail::ConnectionFactory(params, this->impl->state), this->impl->threads, socket,
+            params);
+        this->impl->server->start();
+        return absl::OkStatus();
+    } catch (const Poco::Exception &error) {
+        return absl::UnavailableError("can't listen on " + this->impl->settings.address + ": "
+                                      + error.displayText());
+    }
+}
+
+auto HttpServer::stopAccepting() -> void
+{
+    this->impl->state->draining = true;
+    if (this->impl->server != nullptr)
+        this->impl->server->stop();
+}
+
+auto HttpServer::stop() -> void
+{
+    if (this->impl->server == nullptr)
+        return;
+    this->stopAccepting();
+    this->impl->state->closeIdleConnections();
+    this->impl->threads.joinAll();
+    this->impl->server.reset();
+}
+
+auto HttpServer::port() const -> std::uint16_t
+{
+    return this->impl->port;
+}
+
+auto HttpServer::activeRequests() const -> std::size_t
+{
+    return this->impl->state->activeRequests;
+}
+
+} // namespace auburnrail
--- /dev/null
+++ b/libs/http/src/detail/RequestFactory.cpp
@@ -0,0 +1,136 @@
+#include "RequestFactory.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/HTTPRequestHandler.h>
+#include <Poco/Net/HTTPServerRequest.h>
+#include <Poco/Net/HTTPServerResponse.h>
+#include <Poco/String.h>
+
+#include <array>
+#include <istream>
+#include <optional>
+
+namespace auburnrail::detail {
+
+namespace {
+
+constexpr auto STATUS_PAYLOAD_TOO_LARGE = 413;
+constexpr auto STATUS_BAD_REQUEST = 400;
+constexpr auto READ_CHUNK_BYTES = std::size_t(16384);
+
+/// Counts a request as active for the length of a scope.
+class ActiveRequest
+{
+public:
+    explicit ActiveRequest(ServerState &serverState)
+        : state(serverState)
+    {
+        ++this->state.activeRequests;
+    }
+
+    ~ActiveRequest()
+    {
+        --this->state.activeRequests;
+    }
+
+    ActiveRequest(const ActiveRequest &) = delete;
+    auto operator=(const ActiveRequest &) -> ActiveRequest & = delete;
+
+private:
+    ServerState &state;
+};
+
+/// Body of the request, or nothing when it is longer than `limit` bytes.
+auto readBody(std::istream &input, std::size_t limit) -> std::optional<std::string>
+{
+    auto body = std::string();
+    auto chunk = std::array<char, READ_CHUNK_BYTES>();
+    while (input.read(chunk.data(), chunk.size()) || input.gcount() > 0) {
+        body.append(chunk.data(), static_cast<std::size_t>(input.gcount()));
+        if (body.size() > limit)
+            return std::nullopt;
+    }
+    return body;
+}
+
+auto toHttpRequest(Poco::Net::HTTPServerRequest &source, ServerState &state, std::string body)
+    -> HttpRequest
+{
+    auto request = HttpRequest{.method = source.getMethod(),
+                               .target = source.getURI(),
+                               .headers = {},
+                               .body = std::move(body),
+                               .peer = source.clientAddress().toString()};
+    for (const auto &[name, value] : source)
+        request.headers.insert_or_assign(Poco::toLower(name), value);
+    request.headers.insert_or_assign("x-connection",
+                                     std::to_string(state.connectionOf(request.peer)));
+    return request;
+}
+
+class RequestHandler : public Poco::Net::HTTPRequestHandler
+{
+public:
+    explicit RequestHandler(std::shared_ptr<ServerState> serverState)
+        : state(std::move(serverState))
+    {
+    }
+
+    auto handleRequest(Poco::Net::HTTPServerRequest &request,
+                       Poco::Net::HTTPServerResponse &response) -> void override
+    {
+        const auto active = ActiveRequest(*this->state);
+        auto body = readBody(request.stream(), this->state->maxBodyBytes);
+        if (!body) {
+            this->answer(response, HttpResponse{.status = STATUS_PAYLOAD_TOO_LARGE,
+                                                .body = R"({"outcome":"not-run",)"
+                                                        R"("reason":"body-too-large"})",
+                                                .closeConnection = true});
+            return;
+        }
+        if (request.hasContentLength()
+            && static_cast<std::size_t>(request.getContentLength64()) != body->size()) {
+            this->answer(response, HttpResponse{.status = STATUS_BAD_REQUEST,
+                                                .body = R"({"outcome":"not-run",)"
+                                                        R"("reason":"malformed-request"})",
+                                                .closeConnection = true});
+            return;
+        }
+        this->answer(response, this->state->hooks.handle(
+                                   toHttpRequest(request, *this->state, std::move(*body))));
+    }
+
+private:
+    auto answer(Poco::Net::HTTPServerResponse &response, const HttpResponse &content) -> void
+    {
+        response.setStatus(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(content.status));
+        response.setReason(Poco::Net::HTTPResponse::getReasonForStatus(response.getStatus()));
+        response.setContentType(content.contentType);
+        for (const auto &[name, value] : content.headers)
+            response.set(name, value);
+        if (content.closeConnection || this->state->draining)
+            response.setKeepAlive(false);
+        try {
+            response.sendBuffer(content.body.data(), content.body.size());
+        } catch (const Poco::Exception &) {
+            // The peer is gone; its connection ends with this handler.
+        }
+    }
+
+    std::shared_ptr<ServerState> state;
+};
+
+} // namespace
+
+RequestFactory::RequestFactory(std::shared_ptr<ServerState> serverState)
+    : state(std::move(serverState))
+{
+}
+
+auto RequestFactory::createRequestHandler(const Poco::Net::HTTPServerRequest & /*request*/)
+    -> Poco::Net::HTTPRequestHandler *
+{
+    return new RequestHandler(this->state);
+}
+
+} // namespace auburnrail::detail
--- /dev/null
+++ b/libs/request/include/request/EndpointRequest.h
@@ -0,0 +1,31 @@
+#ifndef AUBURNRAIL_REQUEST_ENDPOINTREQUEST_H
+#define AUBURNRAIL_REQUEST_ENDPOINTREQUEST_H
+
+#include <request/AccessMode.h>
+#include <request/EndpointOperation.h>
+
+#include <core/Position.h>
+#include <core/Time.h>
+
+#include <string>
+
+namespace auburnrail {
+
+/// One exchange with an endpoint. It has no member for the caller's key, so that none can be sent.
+struct EndpointRequest
+{
+    std::string exchangeId; ///< Must come back in the answer.
+    EndpointOperation operation = EndpointOperation::Execute;
+    std::uint64_t term = 0; ///< Term that the entry holds for the group; the endpoint checks it.
+    AccessMode mode = AccessMode::Read;
+    std::string statement;
+    Position minimumPosition; ///< A read is refused when the endpoint is behind it.
+    std::string organisation; ///< With idempotencyKey: names the idempotency marker.
+    std::string idempotencyKey;
+    std::string fingerprint; ///< Hash of the request; a marker with another one is a conflict.
+    Duration waitLimit{};    ///< Await: longest wait at the endpoint.
+};
+
+} // namespace auburnrail
+
+#endif
--- /dev/null
+++ b/libs/settings/include/settings/EntrySettings.h
@@ -0,0 +1,40 @@
+#ifndef AUBURNRAIL_SETTINGS_ENTRYSETTINGS_H
+#define AUBURNRAIL_SETTINGS_ENTRYSETTINGS_H
+
+#include <settings/SettingSpec.h>
+#include <settings/SettingsFile.h>
+
+#include <core/Findings.h>
+#include <core/Time.h>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace auburnrail {
+
+/// Settings of `auburnrail-entry`.
+struct EntrySettings
+{
+    std::string instance;                    ///< Unique name of this instance.
+    std::string zone;                        ///< Availability zone this instance stands in.
+    std::string callersAddress;              ///< IP:port for callers and endpoint announcements.
+    std::string operatorsAddress;            ///< IP:port for operators, metrics and health.
+    std::vector<std::string> controlMembers; ///< IP:port of each control member.
+    std::string clusterSecretFile;  ///< File with the secret shared by the cluster's instances.
+    std::int64_t workerThreads = 0; ///< Callers served at one time.
+    std::int64_t maxBodyBytes = 0;
+    Duration drainLimit{}; ///< Longest graceful shutdown.
+};
+
+/// Rows of every setting of an entry.
+[[nodiscard]] auto entrySettingsTable() -> SettingsTable;
+
+/// Reads an entry's INI file. Faults are added to `findings`; the result is usable only when there
+/// are none.
+[[nodiscard]] auto parseEntrySettings(const SettingsFile &file, Findings &findings)
+    -> EntrySettings;
+
+} // namespace auburnrail
+
+#endif
