--- a/cmake/AuburnrailLibrary.cmake
+++ b/cmake/AuburnrailLibrary.cmake
@@ -16,6 +16,9 @@
                                    PRIVATE ${CMAKE_CURRENT_SOURCE_DIR}/src)
         target_link_libraries(auburnrail_${NAME} PUBLIC auburnrail_options ${ARG_DEPENDS}
                               PRIVATE ${ARG_PACKAGES})
+        # Generated code is not held to the project's warnings.
+        file(GLOB GENERATED CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/src/gen/*.cpp)
+        set_source_files_properties(${GENERATED} PROPERTIES COMPILE_OPTIONS -w)
     else()
         add_library(auburnrail_${NAME} INTERFACE)
         target_include_directories(auburnrail_${NAME}
