--- /dev/null
+++ b/libs/settings/include/settings/ControlSettings.h
@@ -0,0 +1,43 @@
+#ifndef AUBURNRAIL_SETTINGS_CONTROLSETTINGS_H
+#define AUBURNRAIL_SETTINGS_CONTROLSETTINGS_H
+
+#include <settings/MemberAddress.h>
+#include <settings/SettingSpec.h>
+#include <settings/SettingsFile.h>
+
+#include <core/Findings.h>
+#include <core/Time.h>
+
+#include <string>
+#include <vector>
+
+namespace auburnrail {
+
+/// Settings of `auburnrail-control`.
+struct ControlSettings
+{
+    std::string cluster; ///< Name of the cluster; a data directory belongs to one cluster.
+    std::string member;  ///< Name of this control member.
+    std::string zone;    ///< Availability zone this member stands in.
+    std::vector<MemberAddress> members; ///< Consensus address of every member, this one included.
+    std::string entriesAddress;         ///< IP:port for the heartbeats of entries.
+    std::string operatorsAddress;       ///< IP:port for operators, metrics and health.
+    std::vector<MemberAddress> memberOperators; ///< Operators' address of every member.
+    std::string dataDirectory;
+    std::string clusterSecretFile; ///< File with the secret shared by the cluster's instances.
+    Duration heartbeatInterval{};  ///< Between messages of a consensus leader to its followers.
+    Duration minimumElectionTimeout{};
+    Duration maximumElectionTimeout{};
+};
+
+/// Rows of every setting of a control member.
+[[nodiscard]] auto controlSettingsTable() -> SettingsTable;
+
+/// Reads a control member's INI file. Faults are added to `findings`; the result is usable only
+/// when there are none.
+[[nodiscard]] auto parseControlSettings(const SettingsFile &file, Findings &findings)
+    -> ControlSettings;
+
+} // namespace auburnrail
+
+#endif
--- /dev/null
+++ b/libs/settings/src/ControlSettings.cpp
@@ -0,0 +1,111 @@
+#include <settings/ControlSettings.h>
+
+#include <algorithm>
+#include <array>
+
+namespace auburnrail {
+
+namespace {
+
+constexpr auto CONTROL_SETTINGS = std::to_array<SettingSpec>({
+    {.section = "control", .key = "cluster", .required = true, .meaning = "name of the cluster"},
+    {.section = "control", .key = "member", .required = true, .meaning = "name of this member"},
+    {.section = "control", .key = "zone", .required = true, .meaning = "availability zone"},
+    {.section = "control",
+     .key = "members",
+     .kind = SettingKind::List,
+     .required = true,
+     .meaning = "name@IP:port of every member's consensus address"},
+    {.section = "control",
+     .key = "entries_address",
+     .kind = SettingKind::Address,
+     .required = true,
+     .meaning = "where entries send their heartbeats"},
+    {.section = "control",
+     .key = "operators_address",
+     .kind = SettingKind::Address,
+     .required = true,
+     .meaning = "operators' commands, metrics and health"},
+    {.section = "control",
+     .key = "member_operators",
+     .kind = SettingKind::List,
+     .required = true,
+     .meaning = "name@IP:port of every member's operators' address"},
+    {.section = "control",
+     .key = "data_directory",
+     .required = true,
+     .meaning = "directory for the log, snapshots and identity"},
+    {.section = "consensus",
+     .key = "heartbeat_ms",
+     .kind = SettingKind::Integer,
+     .defaultValue = "100",
+     .unit = "ms",
+     .minimum = 10,
+     .maximum = 1000,
+     .meaning = "leader's heartbeat interval"},
+    {.section = "consensus",
+     .key = "election_timeout_min_ms",
+     .kind = SettingKind::Integer,
+     .defaultValue = "500",
+     .unit = "ms",
+     .minimum = 50,
+     .maximum = 10000,
+     .meaning = "shortest election timeout"},
+    {.section = "consensus",
+     .key = "election_timeout_max_ms",
+     .kind = SettingKind::Integer,
+     .defaultValue = "1000",
+     .unit = "ms",
+     .minimum = 100,
+     .maximum = 20000,
+     .meaning = "longest election timeout"},
+    {.section = "security",
+     .key = "cluster_secret_file",
+     .required = true,
+     .meaning = "file with the secret of the cluster"},
+});
+
+auto contains(const std::vector<MemberAddress> &members, const std::string &name) -> bool
+{
+    return std::any_of(members.begin(), members.end(),
+                       [&](const auto &member) { return member.name == name; });
+}
+
+} // namespace
+
+auto controlSettingsTable() -> SettingsTable
+{
+    return CONTROL_SETTINGS;
+}
+
+auto parseControlSettings(const SettingsFile &file, Findings &findings) -> ControlSettings
+{
+    auto settings = ControlSettings{
+        .cluster = file.text("control", "cluster"),
+        .member = file.text("control", "member"),
+        .zone = file.text("control", "zone"),
+        .members = parseMemberAddresses(file, "control", "members", findings),
+        .entriesAddress = file.text("control", "entries_address"),
+        .operatorsAddress = file.text("control", "operators_address"),
+        .memberOperators = parseMemberAddresses(file, "control", "member_operators", findings),
+        .dataDirectory = file.text("control", "data_directory"),
+        .clusterSecretFile = file.text("security", "cluster_secret_file"),
+        .heartbeatInterval = file.millis("consensus", "heartbeat_ms"),
+        .minimumElectionTimeout = file.millis("consensus", "election_timeout_min_ms"),
+        .maximumElectionTimeout = file.millis("consensus", "election_timeout_max_ms"),
+    };
+    if (!settings.member.empty() && !contains(settings.members, settings.member))
+        findings.add(file.place("control", "member"), "is not in members");
+    if (settings.minimumElectionTimeout < 3 * settings.heartbeatInterval) {
+        // A follower must survive two lost heartbeats without calling an election.
+        findings.add(file.place("consensus", "election_timeout_min_ms"),
+                     "must be at least 3 times heartbeat_ms");
+    }
+    if (settings.maximumElectionTimeout <= settings.minimumElectionTimeout) {
+        findings.add(file.place("consensus", "election_timeout_max_ms"),
+                     "must be greater than election_timeout_min_ms");
+    }
+    return settings;
+}
+
+} // namespace auburnrail
