--- a/libs/settings/include/settings/ControlSettings.h
+++ b/libs/settings/include/settings/ControlSettings.h
@@ -16,10 +16,11 @@
 /// Settings of `auburnrail-control`.
 struct ControlSettings
 {
-    std::string cluster; ///< Name of the cluster; a data directory belongs to one cluster.
-    std::string member;  ///< Name of this control member.
-    std::string zone;    ///< Availability zone this member stands in.
-    std::vector<MemberAddress> members; ///< Consensus address of every member, this one included.
+    std::string cluster;          ///< Name of the cluster; a data directory belongs to one cluster.
+    std::string member;           ///< Name of this control member.
+    std::string zone;             ///< Availability zone this member stands in.
+    std::string consensusAddress; ///< IP:port this member listens on for consensus messages.
+    std::vector<MemberAddress> members; ///< Where this member reaches every member; own included.
     std::string entriesAddress;         ///< IP:port for the heartbeats of entries.
     std::string operatorsAddress;       ///< IP:port for operators, metrics and health.
     std::vector<MemberAddress> memberOperators; ///< Operators' address of every member.
--- a/libs/settings/include/settings/EntrySettings.h
+++ b/libs/settings/include/settings/EntrySettings.h
@@ -1,6 +1,7 @@
 #ifndef AUBURNRAIL_SETTINGS_ENTRYSETTINGS_H
 #define AUBURNRAIL_SETTINGS_ENTRYSETTINGS_H
 
+#include <settings/MemberAddress.h>
 #include <settings/SettingSpec.h>
 #include <settings/SettingsFile.h>
 
@@ -16,11 +17,11 @@
 /// Settings of `auburnrail-entry`.
 struct EntrySettings
 {
-    std::string instance;                    ///< Unique name of this instance.
-    std::string zone;                        ///< Availability zone this instance stands in.
-    std::string callersAddress;              ///< IP:port for callers and endpoint announcements.
-    std::string operatorsAddress;            ///< IP:port for operators, metrics and health.
-    std::vector<std::string> controlMembers; ///< IP:port of each control member.
+    std::string instance;                      ///< Unique name of this instance.
+    std::string zone;                          ///< Availability zone this instance stands in.
+    std::string callersAddress;                ///< IP:port for callers and endpoint announcements.
+    std::string operatorsAddress;              ///< IP:port for operators, metrics and health.
+    std::vector<MemberAddress> controlMembers; ///< Heartbeat address of each control member.
     std::string clusterSecretFile;  ///< File with the secret shared by the cluster's instances.
     std::int64_t workerThreads = 0; ///< Callers served at one time.
     std::int64_t maxBodyBytes = 0;
--- a/libs/settings/tests/ControlSettingsTest.cpp
+++ b/libs/settings/tests/ControlSettingsTest.cpp
@@ -8,11 +8,13 @@
 
 auto controlFindings(const std::string &members, const std::string &consensus) -> std::string
 {
-    const auto text = "[control]\ncluster = c\nmember = a\nzone = z\nmembers = " + members
-                      + "\nentries_address = 127.0.0.1:1\noperators_address = 127.0.0.1:2\n"
-                        "member_operators = a@127.0.0.1:2\ndata_directory = d\n[security]\n"
-                        "cluster_secret_file = s\n[consensus]\n"
-                      + consensus;
+    const auto text =
+        "[control]\ncluster = c\nmember = a\nzone = z\nconsensus_address = 127.0.0.1:5\nmembers = "
+        + members
+        + "\nentries_address = 127.0.0.1:1\noperators_address = 127.0.0.1:2\n"
+          "member_operators = a@127.0.0.1:2\ndata_directory = d\n[security]\n"
+          "cluster_secret_file = s\n[consensus]\n"
+        + consensus;
     auto findings = Findings();
     const auto file = SettingsFile::parse(text, "c.ini", controlSettingsTable(), findings);
     std::ignore = parseControlSettings(file, findings);
--- a/libs/settings/tests/SettingsFileTest.cpp
+++ b/libs/settings/tests/SettingsFileTest.cpp
@@ -15,7 +15,7 @@
 callers_address = 127.0.0.1:7001
 operators_address = 127.0.0.1:7002
 [control]
-members = 127.0.0.1:7101, 127.0.0.1:7102
+members = a@127.0.0.1:7101, b@127.0.0.1:7102
 [security]
 cluster_secret_file = secret
 )";
@@ -44,7 +44,9 @@
     const auto settings = parseEntrySettings(file, findings);
     CHECK(findings.toString().empty());
     CHECK(settings.zone == "coast-a");
-    CHECK(settings.controlMembers == std::vector<std::string>{"127.0.0.1:7101", "127.0.0.1:7102"});
+    REQUIRE(settings.controlMembers.size() == 2);
+    CHECK(settings.controlMembers[1].name == "b");
+    CHECK(settings.controlMembers[1].address == "127.0.0.1:7102");
     CHECK(settings.drainLimit == std::chrono::seconds(10));
 }
 
--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -21,7 +21,7 @@
 callers_address = 127.0.0.1:17001
 operators_address = 127.0.0.1:17002
 [control]
-members = 127.0.0.1:17101
+members = control-1@127.0.0.1:17101
 [security]
 cluster_secret_file = $work/secret
 INI
