Split the task queue from the worker pool

Cause: a request's own thread has to run its callbacks the way a worker runs tasks. Change: TaskQueue holds the waiting; WorkerPool adds the threads.

--- a/libs/core/include/core/WorkerPool.h
+++ b/libs/core/include/core/WorkerPool.h
@@ -2,12 +2,9 @@
 #define AUBURNRAIL_CORE_WORKERPOOL_H
 
 #include <core/Executor.h>
-#include <core/RankedCondition.h>
-#include <core/RankedMutex.h>
-#include <core/TimerQueue.h>
+#include <core/TaskQueue.h>
 
 #include <cstddef>
-#include <deque>
 #include <thread>
 #include <vector>
 
@@ -33,17 +30,9 @@
     auto stop() -> void;
 
 private:
-    auto post(Task task) -> void;
-    auto postAfter(Duration delay, Task task) -> TimerId;
-    auto cancel(TimerId id) -> void;
     auto run() -> void;
-    auto takeTask() -> std::optional<Task>;
 
-    RankedMutex mutex{LockRank::WorkerQueue};
-    RankedCondition wakeUp;
-    std::deque<Task> ready ABSL_GUARDED_BY(mutex);
-    TimerQueue timers ABSL_GUARDED_BY(mutex);
-    bool stopping ABSL_GUARDED_BY(mutex) = false;
+    TaskQueue queue;
     std::vector<std::thread> workers;
 };
 
