--- a/idl/Control.thrift
+++ b/idl/Control.thrift
@@ -4,17 +4,17 @@
 struct DemandMessage {
   1: string organisation
   2: double arrivedPerSecond
-  3: double refusedPerSecond
-  4: double backlog
+  3: i64 refused
+  4: i64 backlog
 }
 
 struct ShareMessage {
   1: string organisation
-  2: double rate
-  3: double burst
+  2: i64 rate
+  3: i64 burst
 }
 
-struct EndpointMessage {
+struct AnnouncementMessage {
   1: string endpoint
   2: string group
   3: string zone
@@ -22,22 +22,14 @@
   5: map<string, string> labels
   6: i64 connectionLimit
   7: bool leaving
+  8: i64 term
+  9: bool primary
 }
 
-struct SuspicionMessage {
+struct PrimaryReportMessage {
   1: string group
   2: i64 term
-  3: i64 unreachableMillis // 0: the primary answers.
-}
-
-struct BurnBucketMessage {
-  1: string service
-  2: string organisation
-  3: string kind
-  4: string reason
-  5: i64 bucketStart
-  6: i64 good
-  7: i64 bad
+  3: optional i64 unreachableMillis
 }
 
 struct HeartbeatMessage {
@@ -47,23 +39,21 @@
   4: i64 appliedRevision
   5: i64 shareSequence
   6: list<DemandMessage> demands
-  7: list<ShareMessage> shares
-  8: list<EndpointMessage> endpoints
-  9: list<SuspicionMessage> suspicions
-  10: list<BurnBucketMessage> burn
-  11: i64 holdMillis // Longest time the answer may be held back for a newer revision.
-  12: i64 shareLeaseMillis // What is left of the lease of `shares`.
+  7: list<ShareMessage> heldShares
+  8: list<AnnouncementMessage> endpoints
+  9: list<PrimaryReportMessage> primaries
+  10: i64 holdMillis
 }
 
 struct HeartbeatAnswerMessage {
   1: i32 status
   2: string leader
   3: i64 leaseMillis
-  4: i64 revision
-  5: binary changes
-  6: binary snapshot
-  7: i64 shareSequence
-  8: list<ShareMessage> shares
+  4: optional binary update
+  5: optional binary snapshot
+  6: i64 shareSequence
+  7: list<ShareMessage> shares
+  8: i64 minimumRevision
 }
 
 service Control {
--- /dev/null
+++ b/libs/control/include/control/CommandPipeline.h
@@ -0,0 +1,58 @@
+#ifndef AUBURNRAIL_CONTROL_COMMANDPIPELINE_H
+#define AUBURNRAIL_CONTROL_COMMANDPIPELINE_H
+
+#include <control/CommandPipelineHooks.h>
+
+#include <state/Command.h>
+#include <state/CommandResult.h>
+
+#include <core/RankedMutex.h>
+#include <core/Revision.h>
+
+#include <absl/status/statusor.h>
+
+#include <cstddef>
+#include <functional>
+#include <map>
+#include <string>
+
+namespace auburnrail {
+
+/// Carries commands from a proposal to their result, and tells their senders when they are committed
+/// and when they are in force. Safe from any thread; callbacks run without its mutex.
+class CommandPipeline
+{
+public:
+    /// Gets the end of one command, once. `kUnavailable`: this member does not lead and the command
+    /// was not appended. `kUnknown`: leadership ended before its outcome was known; the sender
+    /// resends it with the same id.
+    using Done = std::function<auto(absl::StatusOr<CommandResult>)->void>;
+
+    explicit CommandPipeline(CommandPipelineHooks pipelineHooks);
+
+    /// Proposes the command; `done` is called when it is committed.
+    auto submit(const Command &command, Done done) -> void;
+
+    /// Like submit(), but `done` waits until an applied command is in force everywhere.
+    auto submitAndAccept(const Command &command, Done done) -> void;
+
+    /// The entry at `index` was committed and applied with this result.
+    auto committed(Revision index, const CommandResult &result) -> void;
+
+    /// The proposal at `index` may or may not be committed by a later leader.
+    auto lost(Revision index) -> void;
+
+private:
+    auto finish(Revision index, absl::StatusOr<CommandResult> result) -> void;
+
+    CommandPipelineHooks hooks;
+    RankedMutex mutex{LockRank::CommandPipeline};
+    std::map<Revision, Done> pending ABSL_GUARDED_BY(mutex);
+    /// Results that came before submit() had registered its callback.
+    std::map<Revision, absl::StatusOr<CommandResult>> early ABSL_GUARDED_BY(mutex);
+    std::size_t proposing ABSL_GUARDED_BY(mutex) = 0;
+};
+
+} // namespace auburnrail
+
+#endif
--- /dev/null
+++ b/libs/control/include/control/ControlTables.h
@@ -0,0 +1,72 @@
+#ifndef AUBURNRAIL_CONTROL_CONTROLTABLES_H
+#define AUBURNRAIL_CONTROL_CONTROLTABLES_H
+
+#include <control/CommandPipeline.h>
+#include <control/ControlTablesHooks.h>
+#include <control/EndpointCommander.h>
+#include <control/EndpointRegistrar.h>
+#include <control/FailoverLog.h>
+#include <control/FleetStore.h>
+#include <control/HeldAnswers.h>
+
+#include <failover/FailoverCoordinator.h>
+#include <lease/LeaseTable.h>
+#include <quota/ShareLedger.h>
+
+#include <core/Executor.h>
+#include <core/RandomSource.h>
+
+namespace auburnrail {
+
+/// The shared tables of one control member, wired to each other. Calls to endpoints run on the
+/// executor. Each table is safe from any thread; locks are taken in LockRank's order.
+class ControlTables
+{
+public:
+    /// `controlExecutor` must stop running tasks before this object goes. `secureRandom` is safe
+    /// from any thread.
+    ControlTables(Executor controlExecutor, RandomSource secureRandom,
+                  ControlTablesHooks tableHooks);
+    ControlTables(const ControlTables &) = delete;
+    auto operator=(const ControlTables &) -> ControlTables & = delete;
+
+    /// Takes a committed log entry. Called in log order.
+    auto committed(Revision index, const std::string &payload) -> void;
+
+    /// Takes a whole state from the leader.
+    auto installed(const std::string &snapshot) -> void;
+
+    auto leadershipChanged(bool leads) -> void;
+
+    /// Acts on the passing of time; called every few tens of milliseconds.
+    auto tick(TimePoint now) -> void;
+
+    /// Proposes a command of the system itself; it is repeated by whoever needs it.
+    auto submitInternal(CommandBody body) -> void;
+
+    const ControlTablesHooks hooks;
+    const Executor executor;
+    const RandomSource random;
+    FleetStore store;
+    CommandPipeline pipeline;
+    LeaseTable leases;
+    HeldAnswers held;
+    ShareLedger ledger;
+    EndpointRegistrar registrar;
+    EndpointCommander commander;
+    FailoverLog failovers;
+    FailoverCoordinator failover;
+
+private:
+    [[nodiscard]] auto makeFailoverHooks() -> FailoverHooks;
+    [[nodiscard]] auto makeCommand(CommandBody body) -> Command;
+
+    /// Tells the tables that follow the fleet state what it says now.
+    auto stateChanged(bool isWhole) -> void;
+
+    FleetObjects followed; ///< State that the tables were told last; used on the log's thread only.
+};
+
+} // namespace auburnrail
+
+#endif
--- /dev/null
+++ b/libs/control/include/control/ControlTablesHooks.h
@@ -0,0 +1,29 @@
+#ifndef AUBURNRAIL_CONTROL_CONTROLTABLESHOOKS_H
+#define AUBURNRAIL_CONTROL_CONTROLTABLESHOOKS_H
+
+#include <core/Revision.h>
+#include <core/Time.h>
+
+#include <absl/status/statusor.h>
+
+#include <functional>
+#include <string>
+
+namespace auburnrail {
+
+/// What the tables of a control member need from its consensus log.
+struct ControlTablesHooks
+{
+    /// Appends a payload; an error when this member does not lead.
+    std::function<auto(std::string payload)->absl::StatusOr<Revision>> propose;
+
+    /// Whether no other member can lead at `now`.
+    std::function<auto(TimePoint now)->bool> isLeaderWithQuorum;
+
+    /// Name of the leading member; empty when unknown.
+    std::function<auto()->std::string> leader;
+};
+
+} // namespace auburnrail
+
+#endif
--- /dev/null
+++ b/libs/control/include/control/FailoverLog.h
@@ -0,0 +1,33 @@
+#ifndef AUBURNRAIL_CONTROL_FAILOVERLOG_H
+#define AUBURNRAIL_CONTROL_FAILOVERLOG_H
+
+#include <failover/FailoverRecord.h>
+
+#include <core/RankedMutex.h>
+
+#include <cstddef>
+#include <deque>
+#include <string>
+#include <vector>
+
+namespace auburnrail {
+
+/// The last failovers of this control member, oldest first. Safe from any thread.
+class FailoverLog
+{
+public:
+    static constexpr auto CAPACITY = std::size_t(256);
+
+    auto add(FailoverRecord record) -> void;
+
+    /// Records of one group, or of all groups when `group` is empty.
+    [[nodiscard]] auto find(const std::string &group) -> std::vector<FailoverRecord>;
+
+private:
+    RankedMutex mutex{LockRank::ExplainLog};
+    std::deque<FailoverRecord> records ABSL_GUARDED_BY(mutex);
+};
+
+} // namespace auburnrail
+
+#endif
--- /dev/null
+++ b/libs/control/src/ControlTables.cpp
@@ -0,0 +1,183 @@
+#include <control/ControlTables.h>
+
+#include <absl/strings/str_cat.h>
+
+namespace auburnrail {
+
+namespace {
+
+constexpr auto MILLI = 1000.0;
+
+auto toLimits(const Organisation &organisation) -> ShareLimits
+{
+    return ShareLimits{.rate = static_cast<std::int64_t>(organisation.rate * MILLI),
+                       .burst = static_cast<std::int64_t>(organisation.burst * MILLI)};
+}
+
+auto toFailoverGroup(const FleetObjects &objects, const Group &group) -> FailoverGroup
+{
+    auto view = FailoverGroup{.name = group.name,
+                              .term = group.term,
+                              .phase = group.phase,
+                              .primary = group.primary,
+                              .endpoints = {}};
+    for (const auto &name : objects.endpointsOf(group.name)) {
+        if (const auto *endpoint = objects.find<Endpoint>(name))
+            view.endpoints.push_back(GroupEndpoint{endpoint->name, endpoint->address});
+    }
+    return view;
+}
+
+} // namespace
+
+ControlTables::ControlTables(Executor controlExecutor, RandomSource secureRandom,
+                             ControlTablesHooks tableHooks)
+    : hooks(std::move(tableHooks))
+    , executor(std::move(controlExecutor))
+    , random(std::move(secureRandom))
+    , pipeline(CommandPipelineHooks{
+          .propose = [this](std::string payload) { return this->hooks.propose(std::move(payload)); },
+          .whenInForce =
+              [this](Revision revision, std::function<auto(bool)->void> callback) {
+                  this->leases.whenInForce(revision, std::move(callback));
+                  // A revision that is in force already has no renewal to wait for.
+                  this->leases.advance(this->executor.now());
+              }})
+    , leases(LeaseTableHooks{
+          .hasQuorum = [this](TimePoint now) { return this->hooks.isLeaderWithQuorum(now); }})
+    , ledger(QuotaTiming(), ShareLedgerHooks{.grantReady =
+                                                 [this](const HolderId &holder) {
+                                                     this->held.sharesChanged(holder);
+                                                 }})
+    , commander(this->random)
+    , failover(FailoverLimits(), this->makeFailoverHooks())
+{
+}
+
+auto ControlTables::makeCommand(CommandBody body) -> Command
+{
+    auto command = Command();
+    command.header.commandId = absl::StrCat("system-", absl::Hex(this->random()),
+                                            absl::Hex(this->random()));
+    command.header.baseRevision = this->store.revision();
+    command.header.operatorName = "auburnrail";
+    command.body = std::move(body);
+    return command;
+}
+
+auto ControlTables::submitInternal(CommandBody body) -> void
+{
+    this->pipeline.submit(this->makeCommand(std::move(body)),
+                          [](const absl::StatusOr<CommandResult> &) {});
+}
+
+auto ControlTables::makeFailoverHooks() -> FailoverHooks
+{
+    auto failoverHooks = FailoverHooks();
+    failoverHooks.grantTerm = [this](const std::string &group, std::uint64_t term, auto done) {
+        this->pipeline.submit(this->makeCommand(GrantTerm{group, term}),
+                              [this, done](const absl::StatusOr<CommandResult> &result) {
+                                  const auto isApplied =
+                                      result.ok() && result->status == CommandStatus::Applied;
+                                  done(isApplied ? std::optional(result->revision) : std::nullopt,
+                                       this->executor.now());
+                              });
+    };
+    failoverHooks.fence = [this](const GroupEndpoint &endpoint, const std::string & /*group*/,
+                                 std::uint64_t term, auto done) {
+        this->executor.post([this, endpoint, term, done] {
+            done(this->commander.fence(endpoint, term), this->executor.now());
+        });
+    };
+    failoverHooks.isInForce = [this](Revision revision, TimePoint now) {
+        return this->leases.isInForce(revision, now);
+    };
+    failoverHooks.promote = [this](const GroupEndpoint &endpoint, const std::string & /*group*/,
+                                   std::uint64_t term, const std::vector<GroupEndpoint> &members,
+                                   auto done) {
+        this->executor.post([this, endpoint, term, members, done] {
+            done(this->commander.promote(endpoint, term, members), this->executor.now());
+        });
+    };
+    failoverHooks.publish = [this](const std::string &group, std::uint64_t term,
+                                   const std::string &primary, auto done) {
+        this->pipeline.submit(this->makeCommand(PublishPrimary{group, term, primary}),
+                              [this, done](const absl::StatusOr<CommandResult> &result) {
+                                  done(result.ok() && result->status == CommandStatus::Applied,
+                                       this->executor.now());
+                              });
+    };
+    failoverHooks.follow = [this](const GroupEndpoint &endpoint, const std::string & /*group*/,
+                                  std::uint64_t term, const GroupEndpoint &primary) {
+        this->executor.post([this, endpoint, term, primary] {
+            std::ignore = this->commander.follow(endpoint, term, primary);
+        });
+    };
+    failoverHooks.explain = [this](const FailoverRecord &record) { this->failovers.add(record); };
+    return failoverHooks;
+}
+
+auto ControlTables::committed(Revision index, const std::string &payload) -> void
+{
+    auto result = this->store.apply(index, payload);
+    this->stateChanged(false);
+    this->held.revisionReached(index);
+    // Senders may call back into the log, which delivers this entry now.
+    this->executor.post([this, index, result = std::move(result)] {
+        this->pipeline.committed(index, result);
+    });
+}
+
+auto ControlTables::installed(const std::string &snapshot) -> void
+{
+    const auto status = this->store.install(snapshot);
+    // A snapshot with a good checksum that can't be decoded comes from an incompatible version.
+    if (!status.ok())
+        std::abort();
+    this->stateChanged(true);
+    this->held.revisionReached(this->store.revision());
+}
+
+auto ControlTables::stateChanged(bool isWhole) -> void
+{
+    auto objects = this->store.objects();
+    const auto now = this->executor.now();
+    objects.table<Organisation>().forEach([&](const Organisation &organisation) {
+        if (isWhole || organisation.changedAt > this->followed.revision())
+            this->ledger.setLimits(organisation.name, toLimits(organisation), now);
+    });
+    this->followed.table<Organisation>().forEach([&](const Organisation &organisation) {
+        if (objects.find<Organisation>(organisation.name) == nullptr)
+            this->ledger.removeLimits(organisation.name, now);
+    });
+    objects.table<Group>().forEach([&](const Group &group) {
+        this->failover.groupChanged(toFailoverGroup(objects, group), now);
+    });
+    this->followed.table<Group>().forEach([&](const Group &group) {
+        if (objects.find<Group>(group.name) == nullptr)
+            this->failover.groupRemoved(group.name);
+    });
+    this->followed = std::move(objects);
+}
+
+auto ControlTables::leadershipChanged(bool leads) -> void
+{
+    const auto now = this->executor.now();
+    if (leads) {
+        this->leases.beginLeadership(this->store.revision(), now);
+        this->ledger.beginLeadership(now);
+        this->failover.beginLeadership(now);
+    } else {
+        this->leases.endLeadership();
+        this->failover.endLeadership(now);
+    }
+}
+
+auto ControlTables::tick(TimePoint now) -> void
+{
+    this->leases.advance(now);
+    this->ledger.expire(now);
+    this->failover.tick(now);
+}
+
+} // namespace auburnrail
--- /dev/null
+++ b/libs/control/src/HeartbeatService.cpp
@@ -0,0 +1,69 @@
+#include <control/HeartbeatService.h>
+
+#include <algorithm>
+
+namespace auburnrail {
+
+namespace {
+
+/// Bounds what an entry can ask for; a quarter of the lease leaves time for a lost answer.
+constexpr auto MAX_HOLD = LEASE_DURATION / 4;
+
+} // namespace
+
+HeartbeatService::HeartbeatService(ControlTables &controlTables)
+    : tables(controlTables)
+{
+}
+
+auto HeartbeatService::answer(const Heartbeat &heartbeat) -> HeartbeatAnswer
+{
+    auto answer = HeartbeatAnswer();
+    answer.leader = this->tables.hooks.leader();
+    const auto id = LeaseId{heartbeat.instance, heartbeat.incarnation};
+    // Renewed on arrival as well, because changes wait for the revision that it names.
+    auto now = this->tables.executor.now();
+    answer.lease = this->tables.leases.renew(id, heartbeat.appliedRevision, now);
+    if (answer.lease.status != LeaseStatus::Granted)
+        return answer;
+    std::ignore = this->tables.ledger.report(heartbeat.shares, now);
+    this->takeReports(heartbeat, now);
+    this->tables.held.hold(heartbeat.shares.holder, heartbeat.appliedRevision,
+                           now + std::clamp<Duration>(heartbeat.holdLimit, Duration(), MAX_HOLD));
+    now = this->tables.executor.now();
+    this->addChanges(heartbeat.appliedRevision, answer);
+    answer.lease = this->tables.leases.renew(id, heartbeat.appliedRevision, now);
+    if (answer.lease.status == LeaseStatus::Granted)
+        answer.shares = this->tables.ledger.grant(heartbeat.shares.holder, now);
+    return answer;
+}
+
+auto HeartbeatService::takeReports(const Heartbeat &heartbeat, TimePoint now) -> void
+{
+    for (const auto &report : heartbeat.primaries) {
+        this->tables.failover.reportSuspicion(heartbeat.instance, report.group, report.term,
+                                              report.unreachableFor, now);
+    }
+    if (heartbeat.endpoints.empty())
+        return;
+    const auto state = this->tables.store.objects();
+    for (const auto &announcement : heartbeat.endpoints) {
+        this->tables.failover.endpointSeen(announcement.group, announcement.endpoint,
+                                           announcement.term);
+        for (auto &body : this->tables.registrar.commandsFor(announcement, state, now))
+            this->tables.submitInternal(std::move(body));
+    }
+}
+
+auto HeartbeatService::addChanges(Revision applied, HeartbeatAnswer &answer) -> void
+{
+    this->tables.store.read([&](const FleetState &state) {
+        if (state.revision() <= applied)
+            return;
+        answer.update = state.changesSince(applied);
+        if (!answer.update)
+            answer.snapshot = state.entrySnapshot();
+    });
+}
+
+} // namespace auburnrail
--- a/libs/entry/include/entry/AnnouncedEndpoints.h
+++ b/libs/entry/include/entry/AnnouncedEndpoints.h
@@ -3,26 +3,41 @@
 
 #include <endpoint/Announcement.h>
 
+#include <state/FleetObjects.h>
+
 #include <core/RankedMutex.h>
+#include <core/Time.h>
 
 #include <map>
-#include <optional>
 #include <string>
+#include <vector>
 
 namespace auburnrail {
 
-/// Last announcement of each endpoint. Safe from any thread.
+/// The latest announcement of each endpoint that announced itself here, for the next heartbeat.
+/// Safe from any thread.
 class AnnouncedEndpoints
 {
 public:
-    auto record(Announcement announcement) -> void;
+    /// An announcement that was not repeated for this long is forgotten.
+    static constexpr auto LIFETIME_MS = std::chrono::milliseconds(3000);
+
+    auto record(Announcement announcement, TimePoint now) -> void;
 
-    /// The primary of `group` with the highest term, unless it is leaving.
-    [[nodiscard]] auto primaryOf(const std::string &group) -> std::optional<Announcement>;
+    /// Announcements that differ from the fleet state: arrivals, changed addresses, limits or
+    /// labels, and departures. An endpoint that the state shows as it is costs no message.
+    [[nodiscard]] auto differences(const FleetObjects &state, TimePoint now)
+        -> std::vector<Announcement>;
 
 private:
+    struct Entry
+    {
+        Announcement announcement;
+        TimePoint receivedAt;
+    };
+
     RankedMutex mutex{LockRank::EndpointTable};
-    std::map<std::string, Announcement> endpoints ABSL_GUARDED_BY(mutex);
+    std::map<std::string, Entry> endpoints ABSL_GUARDED_BY(mutex);
 };
 
 } // namespace auburnrail
--- /dev/null
+++ b/libs/entry/include/entry/EndpointConnections.h
@@ -0,0 +1,64 @@
+#ifndef AUBURNRAIL_ENTRY_ENDPOINTCONNECTIONS_H
+#define AUBURNRAIL_ENTRY_ENDPOINTCONNECTIONS_H
+
+#include <http/HttpConnection.h>
+#include <request/ConnectionHandle.h>
+#include <request/EndpointExchange.h>
+#include <request/EndpointRequest.h>
+
+#include <core/RandomSource.h>
+#include <core/RankedMutex.h>
+#include <core/Time.h>
+
+#include <absl/status/status.h>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace auburnrail {
+
+/// Where EndpointConnections finds addresses and randomness.
+struct EndpointConnectionsHooks
+{
+    /// IP:port of an endpoint; nothing when it is not known.
+    std::function<auto(const std::string &endpoint)->std::optional<std::string>> resolve;
+    RandomSource random; ///< For exchange ids.
+};
+
+/// The sockets behind the handles of a ConnectionPool. Calls block; safe from any thread, with one
+/// exchange at a time for each connection.
+class EndpointConnections
+{
+public:
+    explicit EndpointConnections(EndpointConnectionsHooks connectionHooks);
+
+    /// Connects and opens the database session of the connection. `kUnavailable` when that fails,
+    /// `kResourceExhausted` when the endpoint has no free session.
+    [[nodiscard]] auto open(const ConnectionHandle &handle, Duration timeLimit) -> absl::Status;
+
+    /// Closes the connection; an exchange under way on it fails.
+    auto close(const ConnectionHandle &handle) -> void;
+
+    /// One exchange on an open connection.
+    [[nodiscard]] auto exchange(const ConnectionHandle &handle, const EndpointRequest &request,
+                                Duration timeLimit) -> EndpointExchange;
+
+    /// One exchange on a connection of its own, for probes and awaits.
+    [[nodiscard]] auto exchangeOnce(const std::string &endpoint, EndpointRequest request,
+                                    Duration timeLimit) -> EndpointExchange;
+
+private:
+    [[nodiscard]] auto find(std::uint64_t id) -> std::shared_ptr<HttpConnection>;
+
+    EndpointConnectionsHooks hooks;
+    RankedMutex mutex{LockRank::Connection};
+    std::map<std::uint64_t, std::shared_ptr<HttpConnection>> connections ABSL_GUARDED_BY(mutex);
+};
+
+} // namespace auburnrail
+
+#endif
--- /dev/null
+++ b/libs/entry/include/entry/EntryTables.h
@@ -0,0 +1,72 @@
+#ifndef AUBURNRAIL_ENTRY_ENTRYTABLES_H
+#define AUBURNRAIL_ENTRY_ENTRYTABLES_H
+
+#include <entry/AnnouncedEndpoints.h>
+#include <entry/EndpointConnections.h>
+#include <entry/EntryIdentity.h>
+#include <entry/RateAdmission.h>
+
+#include <lease/LeaseHolder.h>
+#include <observe/BurnReport.h>
+#include <observe/ExplainLog.h>
+#include <observe/Metrics.h>
+#include <quota/ShareHolder.h>
+#include <request/ConnectionPool.h>
+#include <request/ReplicationTracker.h>
+#include <request/RetryBudget.h>
+#include <request/TransactionTable.h>
+#include <routing/EndpointTable.h>
+#include <session/SessionTokenCodec.h>
+#include <state/AppliedState.h>
+
+#include <core/Executor.h>
+#include <core/RandomSource.h>
+
+namespace auburnrail {
+
+/// The shared tables of one entry, wired to each other. Blocking work (opening connections, awaits)
+/// runs on the executor. Each table is safe from any thread; locks are taken in LockRank's order.
+class EntryTables
+{
+public:
+    /// `executor` must stop running tasks before this object goes.
+    EntryTables(const EntryIdentity &entryIdentity, Executor entryExecutor,
+                RandomSource entryRandom);
+    EntryTables(const EntryTables &) = delete;
+    auto operator=(const EntryTables &) -> EntryTables & = delete;
+
+    /// Tells the tables what the state's new revision says of groups and endpoints.
+    auto stateChanged() -> void;
+
+    /// Ends waits and transactions that are due; returns nothing. Called every few tens of
+    /// milliseconds by the executor's timer.
+    auto expire(TimePoint now) -> void;
+
+    const EntryIdentity identity;
+    const Executor executor;
+    const RandomSource random;
+    AppliedState state;
+    LeaseHolder lease;
+    ShareHolder shares;
+    RateAdmission admission;
+    EndpointTable endpoints;
+    EndpointConnections connections;
+    ConnectionPool pool;
+    ReplicationTracker replication;
+    TransactionTable transactions;
+    RetryBudget retries;
+    SessionTokenCodec sessions;
+    AnnouncedEndpoints announced;
+    ExplainLog explain;
+    BurnReport burn;
+    Metrics metrics;
+
+private:
+    auto openConnection(const ConnectionHandle &handle) -> void;
+    auto sendAwait(const std::string &group, const std::string &endpoint, Position position)
+        -> void;
+};
+
+} // namespace auburnrail
+
+#endif
--- /dev/null
+++ b/libs/entry/include/entry/HeartbeatLoop.h
@@ -0,0 +1,60 @@
+#ifndef AUBURNRAIL_ENTRY_HEARTBEATLOOP_H
+#define AUBURNRAIL_ENTRY_HEARTBEATLOOP_H
+
+#include <entry/EntryTables.h>
+#include <entry/HeartbeatLoopHooks.h>
+
+#include <settings/MemberAddress.h>
+
+#include <core/RankedCondition.h>
+#include <core/RankedMutex.h>
+
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace auburnrail {
+
+/// Keeps the entry's lease: sends a heartbeat to the control leader, waits for the answer, which may
+/// be held for a newer revision, applies it and sends the next. Runs on a thread of its own.
+class HeartbeatLoop
+{
+public:
+    /// `entryTables` must outlive this object.
+    HeartbeatLoop(EntryTables &entryTables, std::vector<MemberAddress> controlMembers,
+                  HeartbeatLoopHooks loopHooks);
+    HeartbeatLoop(const HeartbeatLoop &) = delete;
+    auto operator=(const HeartbeatLoop &) -> HeartbeatLoop & = delete;
+
+    /// Calls stop().
+    ~HeartbeatLoop();
+
+    auto start() -> void;
+
+    /// Ends the loop after the heartbeat under way.
+    auto stop() -> void;
+
+private:
+    auto run() -> void;
+
+    /// True when the lease was renewed.
+    [[nodiscard]] auto beat() -> bool;
+    [[nodiscard]] auto compose(Revision revision) -> Heartbeat;
+    [[nodiscard]] auto primaryReports(const FleetObjects &state) -> std::vector<PrimaryReport>;
+    [[nodiscard]] auto apply(const HeartbeatAnswer &answer) -> bool;
+    auto chooseMember(const std::string &leaderHint, bool granted) -> void;
+    [[nodiscard]] auto pauseUnlessStopped(Duration length) -> bool;
+
+    EntryTables &tables;
+    std::vector<MemberAddress> members;
+    HeartbeatLoopHooks hooks;
+    std::size_t current = 0; ///< Member that gets the next heartbeat; used by the thread only.
+    RankedMutex mutex{LockRank::WorkerQueue};
+    RankedCondition stopped;
+    bool stopping ABSL_GUARDED_BY(mutex) = false;
+    std::thread thread;
+};
+
+} // namespace auburnrail
+
+#endif
--- /dev/null
+++ b/libs/entry/include/entry/ProbeLoop.h
@@ -0,0 +1,27 @@
+#ifndef AUBURNRAIL_ENTRY_PROBELOOP_H
+#define AUBURNRAIL_ENTRY_PROBELOOP_H
+
+#include <entry/EntryTables.h>
+
+namespace auburnrail {
+
+/// Probes the endpoints whose answers were not seen on the request path lately.
+class ProbeLoop
+{
+public:
+    /// `entryTables` must outlive the executor's tasks.
+    explicit ProbeLoop(EntryTables &entryTables);
+
+    /// Starts the timer on the tables' executor; it ends with the executor.
+    auto start() -> void;
+
+private:
+    auto probeDueEndpoints() -> void;
+    auto probe(const std::string &group, const std::string &endpoint) -> void;
+
+    EntryTables &tables;
+};
+
+} // namespace auburnrail
+
+#endif
--- a/libs/entry/src/AnnouncedEndpoints.cpp
+++ b/libs/entry/src/AnnouncedEndpoints.cpp
@@ -2,26 +2,61 @@
 
 #include <core/RankedLock.h>
 
+#include <state/Endpoint.h>
+#include <state/Group.h>
+
 namespace auburnrail {
 
-auto AnnouncedEndpoints::record(Announcement announcement) -> void
+namespace {
+
+/// True when the endpoint missed the group's last failover and has to be told its role.
+auto isInOldTerm(const Group *group, const Announcement &announced) -> bool
+{
+    return group != nullptr && group->phase == GroupPhase::Serving && !group->primary.empty()
+        && (announced.term < group->term
+            || (announced.primary && group->primary != announced.endpoint));
+}
+
+/// True when the state does not say of the endpoint what it says of itself. Labels that operators
+/// added are not the endpoint's to remove.
+auto differs(const FleetObjects &state, const Announcement &announced) -> bool
+{
+    const auto *known = state.find<Endpoint>(announced.endpoint);
+    if (known == nullptr)
+        return !announced.leaving;
+    if (isInOldTerm(state.find<Group>(announced.group), announced))
+        return true;
+    for (const auto &[key, value] : announced.labels) {
+        const auto label = known->labels.find(key);
+        if (label == known->labels.end() || label->second != value)
+            return true;
+    }
+    return known->address != announced.address || known->zone != announced.zone
+        || known->group != announced.group || known->leaving != announced.leaving
+        || known->connectionLimit != static_cast<std::uint32_t>(announced.connectionLimit);
+}
+
+} // namespace
+
+auto AnnouncedEndpoints::record(Announcement announcement, TimePoint now) -> void
 {
     const RankedLock lock(this->mutex);
     auto name = announcement.endpoint;
-    this->endpoints.insert_or_assign(std::move(name), std::move(announcement));
+    this->endpoints.insert_or_assign(std::move(name), Entry{std::move(announcement), now});
 }
 
-auto AnnouncedEndpoints::primaryOf(const std::string &group) -> std::optional<Announcement>
+auto AnnouncedEndpoints::differences(const FleetObjects &state, TimePoint now)
+    -> std::vector<Announcement>
 {
     const RankedLock lock(this->mutex);
-    auto best = std::optional<Announcement>();
-    for (const auto &[name, announcement] : this->endpoints) {
-        const auto eligible =
-            announcement.group == group && announcement.primary && !announcement.leaving;
-        if (eligible && (!best || best->term < announcement.term))
-            best = announcement;
+    std::erase_if(this->endpoints,
+                  [&](const auto &entry) { return now - entry.second.receivedAt > LIFETIME_MS; });
+    auto result = std::vector<Announcement>();
+    for (const auto &[name, entry] : this->endpoints) {
+        if (differs(state, entry.announcement))
+            result.push_back(entry.announcement);
     }
-    return best;
+    return result;
 }
 
 } // namespace auburnrail
--- a/libs/entry/src/EntryServer.cpp
+++ b/libs/entry/src/EntryServer.cpp
@@ -2,8 +2,8 @@
 
 #include <callers/CallerCodec.h>
 #include <endpoint/EndpointCodec.h>
-#include <http/HttpConnection.h>
 
+#include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 
 namespace auburnrail {
@@ -13,41 +13,39 @@
 constexpr auto ANNOUNCEMENT_PATH = "/v1/announcements";
 constexpr auto STATUS_BAD_REQUEST = 400;
 
-auto fail(Outcome outcome, ReasonCode reason, std::string message) -> CallerAnswer
+auto connectionOf(const HttpRequest &request) -> std::uint64_t
 {
-    auto answer = CallerAnswer();
-    answer.outcome = outcome;
-    answer.reason = reason;
-    answer.message = std::move(message);
-    return answer;
+    auto number = std::uint64_t(0);
+    const auto found = request.headers.find("x-connection");
+    if (found != request.headers.end())
+        std::ignore = absl::SimpleAtoi(found->second, &number);
+    return number;
 }
 
-auto fromEndpoint(const EndpointAnswer &endpointAnswer) -> CallerAnswer
+auto refuseWhileDraining() -> CallerAnswer
 {
-    if (endpointAnswer.refusal != EndpointRefusal::None) {
-        return fail(Outcome::NotRun, ReasonCode::StatementFailed,
-                    std::string(nameOf(endpointAnswer.refusal)));
-    }
     auto answer = CallerAnswer();
-    answer.outcome = Outcome::Ran;
-    answer.reason = ReasonCode::Completed;
-    answer.result = endpointAnswer.result;
-    answer.servedByReplica = !endpointAnswer.primary;
+    answer.reason = ReasonCode::ShuttingDown;
+    answer.message = "this entry is shutting down; use another one";
     return answer;
 }
 
 } // namespace
 
-EntryServer::EntryServer(const EntrySettings &settings, Clock entryClock, RandomSource entryRandom)
-    : clock(std::move(entryClock))
-    , random(std::move(entryRandom))
-    , server(HttpServerSettings{.address = settings.callersAddress,
-                                .workerThreads = static_cast<std::size_t>(settings.workerThreads),
-                                .maxBodyBytes = static_cast<std::size_t>(settings.maxBodyBytes)},
-             HttpServerHooks{
-                 .handle = [this](const HttpRequest &request) { return this->handle(request); },
-                 .opened = {},
-                 .closed = {}})
+EntryServer::EntryServer(const EntrySettings &settings, EntryTables &entryTables)
+    : tables(entryTables)
+    , runner(entryTables)
+    , server(
+          HttpServerSettings{.address = settings.callersAddress,
+                             .workerThreads = static_cast<std::size_t>(settings.workerThreads),
+                             .maxBodyBytes = static_cast<std::size_t>(settings.maxBodyBytes)},
+          HttpServerHooks{
+              .handle = [this](const HttpRequest &request) { return this->handle(request); },
+              .opened = {},
+              .closed =
+                  [this](std::uint64_t connection) {
+                      this->tables.transactions.closeCaller(connection);
+                  }})
 {
 }
 
@@ -56,6 +54,17 @@
     return this->server.start();
 }
 
+auto EntryServer::drain() -> void
+{
+    this->draining = true;
+    this->server.stopAccepting();
+}
+
+auto EntryServer::unfinishedWork() -> std::size_t
+{
+    return this->server.activeRequests() + this->tables.transactions.size();
+}
+
 auto EntryServer::stop() -> void
 {
     this->server.stop();
@@ -65,12 +74,17 @@
 {
     if (request.target == ANNOUNCEMENT_PATH)
         return this->handleAnnouncement(request);
-    auto requestId = absl::StrCat(absl::Hex(this->random()));
-    const auto decoded = decodeCallerRequest(request, requestId, this->clock());
+    const auto requestId = absl::StrCat(absl::Hex(this->tables.random()));
+    auto decoded = decodeCallerRequest(request, requestId, this->tables.executor.now());
     if (const auto *refusal = std::get_if<CallerAnswer>(&decoded))
         return encodeCallerAnswer(*refusal, requestId);
-    const auto &callerRequest = std::get<CallerRequest>(decoded);
-    return encodeCallerAnswer(this->serve(callerRequest), callerRequest.requestId);
+    auto &callerRequest = std::get<CallerRequest>(decoded);
+    callerRequest.callerConnection = connectionOf(request);
+    const auto id = callerRequest.requestId;
+    const auto startsTransaction = callerRequest.kind == RequestKind::Begin;
+    if (this->draining && startsTransaction)
+        return encodeCallerAnswer(refuseWhileDraining(), id);
+    return encodeCallerAnswer(this->runner.serve(std::move(callerRequest)), id);
 }
 
 auto EntryServer::handleAnnouncement(const HttpRequest &request) -> HttpResponse
@@ -81,34 +95,10 @@
                             .headers = {},
                             .body = std::string(announcement.status().message())};
     }
-    this->endpoints.record(*std::move(announcement));
+    if (announcement->leaving)
+        this->tables.endpoints.markLeaving(announcement->endpoint);
+    this->tables.announced.record(*std::move(announcement), this->tables.executor.now());
     return HttpResponse{.status = 200, .headers = {}, .body = "{}"};
 }
 
-auto EntryServer::serve(const CallerRequest &request) -> CallerAnswer
-{
-    const auto primary = this->endpoints.primaryOf(request.service);
-    if (!primary)
-        return fail(Outcome::NotRun, ReasonCode::NoPrimary, "the service has no known primary");
-    const auto exchange = EndpointRequest{.exchangeId = request.requestId,
-                                          .operation = EndpointOperation::Execute,
-                                          .term = primary->term,
-                                          .mode = request.mode,
-                                          .statement = request.statement};
-    const auto result = exchangeOnce(primary->address, encodeEndpointRequest(exchange),
-                                     request.deadline - this->clock());
-    if (result.phase == ExchangePhase::Connecting)
-        return fail(Outcome::NotRun, ReasonCode::ConnectFailed, result.error);
-    if (result.phase != ExchangePhase::Answered)
-        return fail(Outcome::Unknown, ReasonCode::ConnectionLost, result.error);
-    const auto answer = decodeEndpointAnswer(result.response);
-    if (!answer.ok() || answer->exchangeId != exchange.exchangeId) {
-        return fail(Outcome::Unknown, ReasonCode::AnswerMismatched,
-                    "the answer does not belong to this request");
-    }
-    auto callerAnswer = fromEndpoint(*answer);
-    callerAnswer.endpoint = primary->endpoint;
-    return callerAnswer;
-}
-
 } // namespace auburnrail
--- /dev/null
+++ b/libs/entry/src/EntryTables.cpp
@@ -0,0 +1,141 @@
+#include <entry/EntryTables.h>
+
+#include <algorithm>
+
+namespace auburnrail {
+
+namespace {
+
+constexpr auto OPEN_TIME_LIMIT = std::chrono::milliseconds(2000);
+/// The endpoint holds an await at most this long, so that the next one can carry a later position.
+constexpr auto AWAIT_HOLD = std::chrono::milliseconds(500);
+constexpr auto AWAIT_TIME_LIMIT = std::chrono::milliseconds(1000);
+
+/// Label with which operators take an endpoint out of service; its own announcements set `leaving`.
+constexpr auto DRAIN_LABEL = "drain";
+
+auto isDrained(const Endpoint &endpoint) -> bool
+{
+    const auto label = endpoint.labels.find(DRAIN_LABEL);
+    return label != endpoint.labels.end() && label->second == "true";
+}
+
+auto describe(const Endpoint &endpoint, const Group *group) -> EndpointDescription
+{
+    auto description = EndpointDescription();
+    description.name = endpoint.name;
+    description.group = endpoint.group;
+    description.zone = endpoint.zone;
+    description.address = endpoint.address;
+    description.labels = endpoint.labels;
+    description.leaving = endpoint.leaving || isDrained(endpoint);
+    if (group != nullptr) {
+        description.term = group->term;
+        description.primary = group->phase == GroupPhase::Serving
+            && group->primary == endpoint.name;
+    }
+    return description;
+}
+
+} // namespace
+
+EntryTables::EntryTables(const EntryIdentity &entryIdentity, Executor entryExecutor,
+                         RandomSource entryRandom)
+    : identity(entryIdentity)
+    , executor(std::move(entryExecutor))
+    , random(std::move(entryRandom))
+    , shares(HolderId{identity.instance, identity.incarnation}, identity.zone, QuotaTiming())
+    , admission(RateAdmissionHooks{
+          .tryAcquire = [this](const std::string &organisation,
+                               TimePoint now) { return this->shares.tryAcquire(organisation, now); },
+          .tryAcquireQueued =
+              [this](const std::string &organisation, TimePoint now) {
+                  return this->shares.tryAcquireQueued(organisation, now);
+              },
+          .timeToToken =
+              [this](const std::string &organisation, TimePoint now) {
+                  return this->shares.timeToToken(organisation, now);
+              },
+          .setBacklog =
+              [this](const std::string &organisation, std::size_t waiting, TimePoint now) {
+                  this->shares.setBacklog(organisation, waiting, now);
+              }})
+    , endpoints(identity.zone)
+    , connections(EndpointConnectionsHooks{
+          .resolve = [this](const std::string &endpoint) -> std::optional<std::string> {
+              const auto view = this->endpoints.find(endpoint, this->executor.now());
+              return view ? std::optional(view->address) : std::nullopt;
+          },
+          .random = random})
+    , pool(ConnectionPoolHooks{
+          .open = [this](const ConnectionHandle &handle) { this->openConnection(handle); },
+          .close = [this](const ConnectionHandle &handle) { this->connections.close(handle); },
+          .makeQueue = {}})
+    , replication(ReplicationHooks{
+          .sendAwait = [this](const std::string &group, const std::string &endpoint,
+                              Position position) { this->sendAwait(group, endpoint, position); }})
+    , transactions(identity.instance,
+                   TransactionHooks{.abandon = [this](const PinnedTransaction &transaction) {
+                       this->pool.release(transaction.connection, false, this->executor.now());
+                       this->endpoints.end(transaction.connection.endpoint);
+                   }})
+    , sessions(identity.clusterSecret, random)
+{
+}
+
+auto EntryTables::openConnection(const ConnectionHandle &handle) -> void
+{
+    this->executor.post([this, handle] {
+        const auto status = this->connections.open(handle, OPEN_TIME_LIMIT);
+        if (status.ok())
+            this->pool.opened(handle, this->executor.now());
+        else
+            this->pool.openFailed(handle, status, this->executor.now());
+    });
+}
+
+auto EntryTables::sendAwait(const std::string &group, const std::string &endpoint,
+                            Position position) -> void
+{
+    this->executor.post([this, group, endpoint, position] {
+        auto request = EndpointRequest();
+        request.operation = EndpointOperation::Await;
+        request.term = position.term;
+        request.minimumPosition = position;
+        request.waitLimit = AWAIT_HOLD;
+        const auto end = this->connections.exchangeOnce(endpoint, request, AWAIT_TIME_LIMIT);
+        const auto answered = end.phase == EndpointExchangePhase::Answered;
+        this->replication.awaitEnded(group, endpoint,
+                                     answered ? std::optional(end.answer.position)
+                                              : std::nullopt);
+    });
+}
+
+auto EntryTables::stateChanged() -> void
+{
+    const auto objects = this->state.snapshot();
+    auto descriptions = std::vector<EndpointDescription>();
+    objects->table<Group>().forEach([&](const Group &group) {
+        auto names = std::vector<std::string>();
+        for (const auto &name : objects->endpointsOf(group.name)) {
+            const auto *endpoint = objects->find<Endpoint>(name);
+            if (endpoint == nullptr)
+                continue;
+            names.push_back(name);
+            descriptions.push_back(describe(*endpoint, &group));
+            this->pool.setLimit(name, endpoint->connectionLimit);
+        }
+        this->replication.setGroup(group.name, group.term, names);
+    });
+    this->endpoints.updateFromState(descriptions);
+}
+
+auto EntryTables::expire(TimePoint now) -> void
+{
+    std::ignore = this->admission.advance(now);
+    this->pool.expire(now);
+    this->replication.expire(now);
+    this->transactions.expire(now);
+}
+
+} // namespace auburnrail
--- /dev/null
+++ b/libs/entry/src/HeartbeatLoop.cpp
@@ -0,0 +1,154 @@
+#include <entry/HeartbeatLoop.h>
+
+#include <core/RankedLock.h>
+
+#include <algorithm>
+#include <cassert>
+
+namespace auburnrail {
+
+namespace {
+
+/// How long the leader may hold an answer. A quarter of the lease, so that two lost heartbeats do
+/// not end it.
+constexpr auto ANSWER_HOLD = std::chrono::milliseconds(500);
+/// Wait for an answer before another member is tried; leaves time for one within the lease.
+constexpr auto ANSWER_TIME_LIMIT = std::chrono::milliseconds(900);
+constexpr auto RETRY_PAUSE = std::chrono::milliseconds(50);
+
+} // namespace
+
+HeartbeatLoop::HeartbeatLoop(EntryTables &entryTables, std::vector<MemberAddress> controlMembers,
+                             HeartbeatLoopHooks loopHooks)
+    : tables(entryTables)
+    , members(std::move(controlMembers))
+    , hooks(std::move(loopHooks))
+{
+    assert(!this->members.empty() && "there must be at least one control member");
+    assert(this->hooks.send && "hooks.send must be set");
+}
+
+HeartbeatLoop::~HeartbeatLoop()
+{
+    this->stop();
+}
+
+auto HeartbeatLoop::start() -> void
+{
+    this->thread = std::thread([this] { this->run(); });
+}
+
+auto HeartbeatLoop::stop() -> void
+{
+    {
+        const RankedLock lock(this->mutex);
+        this->stopping = true;
+        this->stopped.notifyAll();
+    }
+    if (this->thread.joinable())
+        this->thread.join();
+}
+
+auto HeartbeatLoop::pauseUnlessStopped(Duration length) -> bool
+{
+    const auto end = this->tables.executor.now() + length;
+    const RankedLock lock(this->mutex);
+    while (!this->stopping && this->tables.executor.now() < end)
+        this->stopped.waitUntil(this->mutex, end);
+    return !this->stopping;
+}
+
+auto HeartbeatLoop::run() -> void
+{
+    auto pause = Duration();
+    while (this->pauseUnlessStopped(pause))
+        pause = this->beat() ? Duration() : RETRY_PAUSE;
+}
+
+auto HeartbeatLoop::beat() -> bool
+{
+    const auto report = this->tables.shares.beginReport(this->tables.executor.now());
+    const auto ticket = this->tables.lease.beginHeartbeat(this->tables.executor.now());
+    auto heartbeat = this->compose(ticket.revision);
+    heartbeat.shares = report;
+    const auto answer =
+        this->hooks.send(this->members[this->current].name, heartbeat, ANSWER_TIME_LIMIT);
+    if (!answer.ok()) {
+        this->chooseMember("", false);
+        return false;
+    }
+    const auto isGranted = answer->lease.status == LeaseStatus::Granted && this->apply(*answer)
+        && this->tables.lease.completeHeartbeat(ticket, answer->lease,
+                                                this->tables.executor.now());
+    if (isGranted) {
+        std::ignore = this->tables.shares.adopt(
+            answer->shares, ticket.sentAt + answer->lease.duration, this->tables.executor.now());
+    }
+    this->chooseMember(answer->leader, isGranted);
+    return isGranted;
+}
+
+auto HeartbeatLoop::compose(Revision revision) -> Heartbeat
+{
+    const auto state = this->tables.state.snapshot();
+    auto heartbeat = Heartbeat();
+    heartbeat.instance = this->tables.identity.instance;
+    heartbeat.incarnation = this->tables.identity.incarnation;
+    heartbeat.zone = this->tables.identity.zone;
+    heartbeat.appliedRevision = revision;
+    heartbeat.endpoints = this->tables.announced.differences(*state, this->tables.executor.now());
+    heartbeat.primaries = this->primaryReports(*state);
+    heartbeat.holdLimit = this->tables.lease.holds(this->tables.executor.now()) ? ANSWER_HOLD
+                                                                                : Duration();
+    return heartbeat;
+}
+
+auto HeartbeatLoop::primaryReports(const FleetObjects &state) -> std::vector<PrimaryReport>
+{
+    const auto now = this->tables.executor.now();
+    const auto suspicions = this->tables.endpoints.suspicions();
+    auto reports = std::vector<PrimaryReport>();
+    state.table<Group>().forEach([&](const Group &group) {
+        if (group.phase != GroupPhase::Serving || group.primary.empty())
+            return;
+        auto report = PrimaryReport{.group = group.name, .term = group.term, .unreachableFor = {}};
+        const auto suspicion =
+            std::find_if(suspicions.begin(), suspicions.end(), [&](const Suspicion &candidate) {
+                return candidate.group == group.name && candidate.term == group.term;
+            });
+        if (suspicion != suspicions.end())
+            report.unreachableFor = now - suspicion->since;
+        reports.push_back(std::move(report));
+    });
+    return reports;
+}
+
+auto HeartbeatLoop::apply(const HeartbeatAnswer &answer) -> bool
+{
+    if (!answer.update && !answer.snapshot)
+        return true;
+    const auto status = answer.snapshot ? this->tables.state.replace(*answer.snapshot)
+                                        : this->tables.state.applyChanges(*answer.update);
+    if (!status.ok())
+        return false;
+    // The tables that depend on the state must follow it before the revision is named to anyone.
+    this->tables.stateChanged();
+    this->tables.lease.setRevision(this->tables.state.revision());
+    return true;
+}
+
+auto HeartbeatLoop::chooseMember(const std::string &leaderHint, bool granted) -> void
+{
+    if (granted)
+        return;
+    const auto hinted = std::find_if(
+        this->members.begin(), this->members.end(),
+        [&](const MemberAddress &member) { return member.name == leaderHint; });
+    const auto index = static_cast<std::size_t>(hinted - this->members.begin());
+    if (hinted != this->members.end() && index != this->current)
+        this->current = index;
+    else
+        this->current = (this->current + 1) % this->members.size();
+}
+
+} // namespace auburnrail
--- /dev/null
+++ b/libs/heartbeat/include/heartbeat/Heartbeat.h
@@ -0,0 +1,34 @@
+#ifndef AUBURNRAIL_HEARTBEAT_HEARTBEAT_H
+#define AUBURNRAIL_HEARTBEAT_HEARTBEAT_H
+
+#include <heartbeat/PrimaryReport.h>
+
+#include <endpoint/Announcement.h>
+#include <quota/ShareReport.h>
+
+#include <core/Revision.h>
+#include <core/Time.h>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace auburnrail {
+
+/// What an entry sends to the control leader to renew its lease. It names only organisations and
+/// groups that the entry serves, so its size does not depend on the size of the fleet.
+struct Heartbeat
+{
+    std::string instance;
+    std::uint64_t incarnation = 0; ///< Drawn at each start of the entry.
+    std::string zone;
+    Revision appliedRevision = 0;
+    ShareReport shares;
+    std::vector<Announcement> endpoints; ///< Arrivals and changes that the state does not show yet.
+    std::vector<PrimaryReport> primaries;
+    Duration holdLimit{}; ///< Longest time the answer may be held for a newer revision.
+};
+
+} // namespace auburnrail
+
+#endif
--- /dev/null
+++ b/libs/heartbeat/include/heartbeat/HeartbeatAnswer.h
@@ -0,0 +1,26 @@
+#ifndef AUBURNRAIL_HEARTBEAT_HEARTBEATANSWER_H
+#define AUBURNRAIL_HEARTBEAT_HEARTBEATANSWER_H
+
+#include <lease/LeaseGrant.h>
+#include <quota/ShareGrant.h>
+#include <state/FleetSnapshot.h>
+#include <state/FleetUpdate.h>
+
+#include <optional>
+#include <string>
+
+namespace auburnrail {
+
+/// Answer to a Heartbeat.
+struct HeartbeatAnswer
+{
+    LeaseGrant lease;
+    std::string leader; ///< Name of the leading member, if it is known.
+    std::optional<FleetUpdate> update; ///< Changes after the revision that the heartbeat named.
+    std::optional<FleetSnapshot> snapshot; ///< Instead of `update` when the copy is too old.
+    ShareGrant shares;
+};
+
+} // namespace auburnrail
+
+#endif
--- /dev/null
+++ b/libs/wire/src/HeartbeatCodec.cpp
@@ -0,0 +1,202 @@
+#include "HeartbeatCodec.h"
+
+#include <wire/FleetCodec.h>
+
+#include <algorithm>
+#include <chrono>
+
+namespace auburnrail::detail {
+
+namespace {
+
+auto toShareMessages(const std::vector<Share> &shares) -> std::vector<thriftgen::ShareMessage>
+{
+    auto messages = std::vector<thriftgen::ShareMessage>();
+    for (const auto &share : shares) {
+        auto &message = messages.emplace_back();
+        message.organisation = share.organisation;
+        message.rate = share.rate;
+        message.burst = share.burst;
+    }
+    return messages;
+}
+
+auto fromShareMessages(const std::vector<thriftgen::ShareMessage> &messages) -> std::vector<Share>
+{
+    auto shares = std::vector<Share>();
+    for (const auto &message : messages)
+        shares.push_back(Share{message.organisation, message.rate, message.burst});
+    return shares;
+}
+
+auto toDemandMessages(const std::vector<Demand> &demands) -> std::vector<thriftgen::DemandMessage>
+{
+    auto messages = std::vector<thriftgen::DemandMessage>();
+    for (const auto &demand : demands) {
+        auto &message = messages.emplace_back();
+        message.organisation = demand.organisation;
+        message.arrivedPerSecond = demand.arrivedPerSecond;
+        message.refused = static_cast<std::int64_t>(demand.refused);
+        message.backlog = static_cast<std::int64_t>(demand.backlog);
+    }
+    return messages;
+}
+
+auto fromDemandMessages(const std::vector<thriftgen::DemandMessage> &messages)
+    -> std::vector<Demand>
+{
+    auto demands = std::vector<Demand>();
+    for (const auto &message : messages) {
+        demands.push_back(Demand{.organisation = message.organisation,
+                                 .arrivedPerSecond = message.arrivedPerSecond,
+                                 .refused = static_cast<std::uint64_t>(message.refused),
+                                 .backlog = static_cast<std::uint64_t>(message.backlog)});
+    }
+    return demands;
+}
+
+auto toAnnouncementMessage(const Announcement &announcement) -> thriftgen::AnnouncementMessage
+{
+    auto message = thriftgen::AnnouncementMessage();
+    message.endpoint = announcement.endpoint;
+    message.group = announcement.group;
+    message.zone = announcement.zone;
+    message.address = announcement.address;
+    message.labels.insert(announcement.labels.begin(), announcement.labels.end());
+    message.connectionLimit = announcement.connectionLimit;
+    message.leaving = announcement.leaving;
+    message.term = static_cast<std::int64_t>(announcement.term);
+    message.primary = announcement.primary;
+    return message;
+}
+
+auto fromAnnouncementMessage(const thriftgen::AnnouncementMessage &message) -> Announcement
+{
+    auto announcement = Announcement();
+    announcement.endpoint = message.endpoint;
+    announcement.group = message.group;
+    announcement.zone = message.zone;
+    announcement.address = message.address;
+    announcement.labels.insert(message.labels.begin(), message.labels.end());
+    announcement.connectionLimit = message.connectionLimit;
+    announcement.leaving = message.leaving;
+    announcement.term = static_cast<std::uint64_t>(message.term);
+    announcement.primary = message.primary;
+    return announcement;
+}
+
+auto toPrimaryMessage(const PrimaryReport &report) -> thriftgen::PrimaryReportMessage
+{
+    auto message = thriftgen::PrimaryReportMessage();
+    message.group = report.group;
+    message.term = static_cast<std::int64_t>(report.term);
+    if (report.unreachableFor)
+        message.__set_unreachableMillis(toMillis(*report.unreachableFor));
+    return message;
+}
+
+auto fromPrimaryMessage(const thriftgen::PrimaryReportMessage &message) -> PrimaryReport
+{
+    auto report = PrimaryReport{.group = message.group,
+                                .term = static_cast<std::uint64_t>(message.term),
+                                .unreachableFor = {}};
+    if (message.__isset.unreachableMillis)
+        report.unreachableFor = std::chrono::milliseconds(message.unreachableMillis);
+    return report;
+}
+
+auto decodePayloads(const thriftgen::HeartbeatAnswerMessage &message, HeartbeatAnswer &answer)
+    -> absl::Status
+{
+    if (message.__isset.update) {
+        auto update = decodeUpdate(message.update);
+        if (!update.ok())
+            return update.status();
+        answer.update = *std::move(update);
+    }
+    if (message.__isset.snapshot) {
+        auto snapshot = decodeSnapshot(message.snapshot);
+        if (!snapshot.ok())
+            return snapshot.status();
+        answer.snapshot = *std::move(snapshot);
+    }
+    return absl::OkStatus();
+}
+
+} // namespace
+
+auto toMessage(const Heartbeat &heartbeat) -> thriftgen::HeartbeatMessage
+{
+    auto message = thriftgen::HeartbeatMessage();
+    message.instance = heartbeat.instance;
+    message.incarnation = static_cast<std::int64_t>(heartbeat.incarnation);
+    message.zone = heartbeat.zone;
+    message.appliedRevision = static_cast<std::int64_t>(heartbeat.appliedRevision);
+    message.shareSequence = static_cast<std::int64_t>(heartbeat.shares.sequence);
+    message.demands = toDemandMessages(heartbeat.shares.demands);
+    message.heldShares = toShareMessages(heartbeat.shares.heldShares);
+    for (const auto &announcement : heartbeat.endpoints)
+        message.endpoints.push_back(toAnnouncementMessage(announcement));
+    for (const auto &report : heartbeat.primaries)
+        message.primaries.push_back(toPrimaryMessage(report));
+    message.holdMillis = toMillis(heartbeat.holdLimit);
+    return message;
+}
+
+auto fromMessage(const thriftgen::HeartbeatMessage &message) -> Heartbeat
+{
+    auto heartbeat = Heartbeat();
+    heartbeat.instance = message.instance;
+    heartbeat.incarnation = static_cast<std::uint64_t>(message.incarnation);
+    heartbeat.zone = message.zone;
+    heartbeat.appliedRevision = static_cast<Revision>(message.appliedRevision);
+    heartbeat.shares.holder = HolderId{heartbeat.instance, heartbeat.incarnation};
+    heartbeat.shares.zone = heartbeat.zone;
+    heartbeat.shares.sequence = static_cast<std::uint64_t>(message.shareSequence);
+    heartbeat.shares.demands = fromDemandMessages(message.demands);
+    heartbeat.shares.heldShares = fromShareMessages(message.heldShares);
+    for (const auto &announcement : message.endpoints)
+        heartbeat.endpoints.push_back(fromAnnouncementMessage(announcement));
+    for (const auto &report : message.primaries)
+        heartbeat.primaries.push_back(fromPrimaryMessage(report));
+    heartbeat.holdLimit = std::chrono::milliseconds(message.holdMillis);
+    return heartbeat;
+}
+
+auto toMessage(const HeartbeatAnswer &answer) -> thriftgen::HeartbeatAnswerMessage
+{
+    auto message = thriftgen::HeartbeatAnswerMessage();
+    message.status = static_cast<std::int32_t>(answer.lease.status);
+    message.leader = answer.leader;
+    message.leaseMillis = toMillis(answer.lease.duration);
+    message.minimumRevision = static_cast<std::int64_t>(answer.lease.minimumRevision);
+    if (answer.update)
+        message.__set_update(encodeUpdate(*answer.update));
+    if (answer.snapshot)
+        message.__set_snapshot(encodeSnapshot(*answer.snapshot));
+    message.shareSequence = static_cast<std::int64_t>(answer.shares.sequence);
+    message.shares = toShareMessages(answer.shares.shares);
+    return message;
+}
+
+auto fromMessage(const thriftgen::HeartbeatAnswerMessage &message)
+    -> absl::StatusOr<HeartbeatAnswer>
+{
+    const auto status = static_cast<LeaseStatus>(message.status);
+    const auto isKnown = std::any_of(ENUM_NAMES<LeaseStatus>.begin(), ENUM_NAMES<LeaseStatus>.end(),
+                                     [&](const auto &row) { return row.value == status; });
+    if (!isKnown)
+        return absl::DataLossError("unknown lease status " + std::to_string(message.status));
+    auto answer = HeartbeatAnswer();
+    answer.lease.status = status;
+    answer.lease.duration = std::chrono::milliseconds(message.leaseMillis);
+    answer.lease.minimumRevision = static_cast<Revision>(message.minimumRevision);
+    answer.leader = message.leader;
+    answer.shares.sequence = static_cast<std::uint64_t>(message.shareSequence);
+    answer.shares.shares = fromShareMessages(message.shares);
+    if (auto decoded = decodePayloads(message, answer); !decoded.ok())
+        return decoded;
+    return answer;
+}
+
+} // namespace auburnrail::detail
--- /dev/null
+++ b/libs/wire/src/HeartbeatCodec.h
@@ -0,0 +1,23 @@
+#ifndef AUBURNRAIL_WIRE_HEARTBEATCODEC_H
+#define AUBURNRAIL_WIRE_HEARTBEATCODEC_H
+
+#include "gen/Control_types.h"
+
+#include <heartbeat/Heartbeat.h>
+#include <heartbeat/HeartbeatAnswer.h>
+
+#include <absl/status/statusor.h>
+
+namespace auburnrail::detail {
+
+[[nodiscard]] auto toMessage(const Heartbeat &heartbeat) -> thriftgen::HeartbeatMessage;
+[[nodiscard]] auto fromMessage(const thriftgen::HeartbeatMessage &message) -> Heartbeat;
+[[nodiscard]] auto toMessage(const HeartbeatAnswer &answer) -> thriftgen::HeartbeatAnswerMessage;
+
+/// `kDataLoss` when a value is out of its table or a payload can't be decoded.
+[[nodiscard]] auto fromMessage(const thriftgen::HeartbeatAnswerMessage &message)
+    -> absl::StatusOr<HeartbeatAnswer>;
+
+} // namespace auburnrail::detail
+
+#endif
