Add the public headers of session, routing and request

Cause: the entry, the endpoint client and the codecs build on these types. CallerRequest gets the id of the caller's connection, because a transaction ends when that connection closes.

--- /dev/null
+++ b/libs/request/include/request/Authorisation.h
@@ -0,0 +1,20 @@
+#ifndef AUBURNRAIL_REQUEST_AUTHORISATION_H
+#define AUBURNRAIL_REQUEST_AUTHORISATION_H
+
+#include <cstdint>
+#include <string>
+
+namespace auburnrail {
+
+/// What a key, or an open route, allows on one service.
+struct Authorisation
+{
+    std::string organisation;
+    std::uint32_t weight = 1;
+    bool openRoute = false;     ///< The route needs no key.
+    bool isolatedReads = false; ///< Reads with a stated age are served without a lease.
+};
+
+} // namespace auburnrail
+
+#endif
--- a/libs/request/include/request/CallerRequest.h
+++ b/libs/request/include/request/CallerRequest.h
@@ -6,6 +6,7 @@
 
 #include <core/Time.h>
 
+#include <cstdint>
 #include <optional>
 #include <string>
 
@@ -25,6 +26,7 @@
     std::string idempotencyKey;     ///< Empty: the request may not be repeated.
     std::string sessionToken;       ///< Opaque token of the caller's last answer; may be empty.
     TimePoint deadline;
+    std::uint64_t callerConnection = 0; ///< Closing it ends its transactions; 0: not bound to one.
 };
 
 } // namespace auburnrail
--- /dev/null
+++ b/libs/request/include/request/GroupView.h
@@ -0,0 +1,20 @@
+#ifndef AUBURNRAIL_REQUEST_GROUPVIEW_H
+#define AUBURNRAIL_REQUEST_GROUPVIEW_H
+
+#include <cstdint>
+#include <string>
+
+namespace auburnrail {
+
+/// The group behind a service, in the revision that the entry has applied.
+struct GroupView
+{
+    std::string group;
+    std::uint64_t term = 0;
+    std::string primary;  ///< Name of the primary endpoint.
+    bool serving = false; ///< False during a failover.
+};
+
+} // namespace auburnrail
+
+#endif
--- /dev/null
+++ b/libs/request/include/request/RequestTables.h
@@ -0,0 +1,23 @@
+#ifndef AUBURNRAIL_REQUEST_REQUESTTABLES_H
+#define AUBURNRAIL_REQUEST_REQUESTTABLES_H
+
+#include <request/RetryBudget.h>
+#include <request/TransactionTable.h>
+
+#include <routing/EndpointTable.h>
+#include <session/SessionTokenCodec.h>
+
+namespace auburnrail {
+
+/// Shared tables of an entry that its RequestMachines use. They outlive every machine.
+struct RequestTables
+{
+    EndpointTable *endpoints = nullptr;
+    RetryBudget *retries = nullptr;
+    TransactionTable *transactions = nullptr;
+    const SessionTokenCodec *sessions = nullptr;
+};
+
+} // namespace auburnrail
+
+#endif
--- /dev/null
+++ b/libs/routing/include/routing/EndpointCriteria.h
@@ -0,0 +1,28 @@
+#ifndef AUBURNRAIL_ROUTING_ENDPOINTCRITERIA_H
+#define AUBURNRAIL_ROUTING_ENDPOINTCRITERIA_H
+
+#include <routing/EndpointRole.h>
+
+#include <core/Position.h>
+#include <core/Time.h>
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace auburnrail {
+
+/// Which endpoints are eligible for a piece of work.
+struct EndpointCriteria
+{
+    std::string group;
+    EndpointRole role = EndpointRole::Any;
+    std::optional<Position> minimum; ///< Least position that has been seen at the endpoint.
+    std::optional<Duration> maxAge;  ///< Greatest age of its data.
+    std::vector<std::string> only;   ///< Names to choose from; empty: all.
+    std::vector<std::string> except;
+};
+
+} // namespace auburnrail
+
+#endif
--- /dev/null
+++ b/libs/session/include/session/ReadCandidate.h
@@ -0,0 +1,22 @@
+#ifndef AUBURNRAIL_SESSION_READCANDIDATE_H
+#define AUBURNRAIL_SESSION_READCANDIDATE_H
+
+#include <core/Position.h>
+#include <core/Time.h>
+
+#include <optional>
+#include <string>
+
+namespace auburnrail {
+
+/// An eligible replica, as a read plan sees it.
+struct ReadCandidate
+{
+    std::string endpoint;
+    Position position;
+    std::optional<TimePoint> dataTime; ///< The data is known to be at least this new.
+};
+
+} // namespace auburnrail
+
+#endif
--- /dev/null
+++ b/libs/session/include/session/ReadTarget.h
@@ -0,0 +1,26 @@
+#ifndef AUBURNRAIL_SESSION_READTARGET_H
+#define AUBURNRAIL_SESSION_READTARGET_H
+
+#include <core/EnumTable.h>
+
+#include <cstdint>
+
+namespace auburnrail {
+
+/// Where a read goes next.
+enum class ReadTarget : std::uint8_t {
+    Replica, ///< To a replica that satisfies the need now.
+    Wait,    ///< To a replica that is expected to satisfy it within the wait limit.
+    Primary,
+};
+
+template <>
+inline constexpr auto ENUM_NAMES<ReadTarget> = std::to_array<EnumName<ReadTarget>>({
+    {ReadTarget::Replica, "replica"},
+    {ReadTarget::Wait, "wait"},
+    {ReadTarget::Primary, "primary"},
+});
+
+} // namespace auburnrail
+
+#endif
--- /dev/null
+++ b/libs/session/include/session/SessionGroup.h
@@ -0,0 +1,19 @@
+#ifndef AUBURNRAIL_SESSION_SESSIONGROUP_H
+#define AUBURNRAIL_SESSION_SESSIONGROUP_H
+
+#include <core/Position.h>
+
+#include <string>
+
+namespace auburnrail {
+
+/// Position that a session has seen in one group.
+struct SessionGroup
+{
+    std::string group;
+    Position position;
+};
+
+} // namespace auburnrail
+
+#endif
