Add the failover coordinator

Cause: a group whose primary fails has no component that orders a promotion. Ruled out: continuing an earlier leader's term. It may have promoted an endpoint that this leader does not know, so that a second target in the same term would give the term two primaries; a fresh term is granted instead, also when the chosen endpoint does not confirm its promotion. Ruled out: failing over on the first report. A single entry that is cut off would replace a healthy primary; reports of a majority must hold for 1 s, and reports of healthy entries have 600 ms to arrive. Change: libs/failover with FailoverCoordinator (decisions only), SuspicionTable and the account of each failover. Planned promotions let the wanted endpoint catch up from the most advanced one. Conclusion: in the simulation every fault of the table ends with one primary within 7 s.

--- /dev/null
+++ b/libs/failover/src/FailoverAttempt.cpp
@@ -0,0 +1,55 @@
+#include <failover/detail/FailoverAttempt.h>
+
+#include <algorithm>
+#include <tuple>
+
+namespace auburnrail::detail {
+
+auto FailoverAttempt::hasMajority() const -> bool
+{
+    const auto fenced = std::count_if(
+        this->view.endpoints.begin(), this->view.endpoints.end(),
+        [this](const auto &endpoint) { return this->fences.contains(endpoint.name); });
+    return static_cast<std::size_t>(fenced) * 2 > this->view.endpoints.size();
+}
+
+auto FailoverAttempt::isOldPrimaryFenced() const -> bool
+{
+    return this->view.primary.empty() || this->fences.contains(this->view.primary);
+}
+
+auto FailoverAttempt::mostAdvanced() const -> GroupEndpoint
+{
+    if (this->view.endpoints.empty())
+        return GroupEndpoint();
+    const auto rankOf = [this](const GroupEndpoint &endpoint) {
+        const auto found = this->fences.find(endpoint.name);
+        const auto fenced = found != this->fences.end();
+        return std::tuple(fenced, fenced ? found->second.position : Position(),
+                          endpoint.name == this->record.wantedPrimary,
+                          endpoint.name == this->view.primary);
+    };
+    return *std::max_element(
+        this->view.endpoints.begin(), this->view.endpoints.end(),
+        [&](const auto &left, const auto &right) { return rankOf(left) < rankOf(right); });
+}
+
+auto FailoverAttempt::isWantedBehind() const -> bool
+{
+    if (this->record.wantedPrimary.empty())
+        return false;
+    const auto wanted = this->fences.find(this->record.wantedPrimary);
+    const auto best = this->fences.find(this->mostAdvanced().name);
+    return wanted == this->fences.end() || best == this->fences.end()
+           || wanted->second.position < best->second.position;
+}
+
+auto FailoverAttempt::retryDelay(const FailoverLimits &limits) const -> Duration
+{
+    auto delay = limits.retryInitial;
+    for (auto i = std::size_t(1); i < this->tries && delay < limits.retryMaximum; ++i)
+        delay *= 2;
+    return std::min(delay, limits.retryMaximum);
+}
+
+} // namespace auburnrail::detail
--- /dev/null
+++ b/libs/failover/src/FailoverCoordinator.cpp
@@ -0,0 +1,267 @@
+#include <failover/FailoverCoordinator.h>
+
+#include <core/RankedLock.h>
+
+#include <algorithm>
+#include <cassert>
+
+namespace auburnrail {
+
+namespace {
+
+auto runAll(const std::vector<std::function<auto()->void>> &effects) -> void
+{
+    for (const auto &effect : effects)
+        effect();
+}
+
+auto findEndpoint(const GroupView &view, const std::string &name) -> const GroupEndpoint *
+{
+    const auto found =
+        std::find_if(view.endpoints.begin(), view.endpoints.end(),
+                     [&](const GroupEndpoint &endpoint) { return endpoint.name == name; });
+    return found == view.endpoints.end() ? nullptr : &*found;
+}
+
+} // namespace
+
+FailoverCoordinator::FailoverCoordinator(const FailoverLimits &failoverLimits,
+                                         FailoverHooks failoverHooks)
+    : limits(failoverLimits)
+    , hooks(std::move(failoverHooks))
+    , suspicions(failoverLimits)
+{
+    assert(this->hooks.grantTerm && this->hooks.fence && this->hooks.isInForce
+           && this->hooks.promote && this->hooks.publish && this->hooks.follow
+           && this->hooks.explain && "every failover hook must be set");
+}
+
+auto FailoverCoordinator::groupChanged(const GroupView &view, TimePoint now) -> void
+{
+    auto effects = Effects();
+    {
+        const RankedLock lock(this->mutex);
+        this->groups.insert_or_assign(view.name, view);
+        if (view.phase == GroupPhase::Fencing || view.primary.empty())
+            this->unserved.insert_or_assign(view.name, now);
+        else
+            this->unserved.erase(view.name);
+        const auto found = this->attempts.find(view.name);
+        if (found != this->attempts.end()) {
+            auto &attempt = found->second;
+            const auto served = view.phase == GroupPhase::Serving && !view.primary.empty();
+            const auto completed = served && view.term == attempt.record.term;
+            if (completed)
+                attempt.record.newPrimary = view.primary;
+            // Members and addresses may change while the fence waits for a majority.
+            if (attempt.phase == FailoverPhase::GrantingTerm
+                || attempt.phase == FailoverPhase::Fencing)
+                attempt.view.endpoints = view.endpoints;
+            // A higher term comes from another leader; a planned promotion loses against it.
+            if (completed || view.term > attempt.record.term)
+                this->finish(attempt, completed, now, effects);
+        }
+    }
+    runAll(effects);
+}
+
+auto FailoverCoordinator::groupRemoved(const std::string &group) -> void
+{
+    const RankedLock lock(this->mutex);
+    this->groups.erase(group);
+    this->unserved.erase(group);
+    this->attempts.erase(group);
+    this->suspicions.clear(group);
+}
+
+auto FailoverCoordinator::beginLeadership(TimePoint now) -> void
+{
+    auto effects = Effects();
+    {
+        const RankedLock lock(this->mutex);
+        this->leading = true;
+        this->attempts.clear();
+        this->suspicions.clearAll();
+        this->beginDue(now, effects);
+    }
+    runAll(effects);
+}
+
+auto FailoverCoordinator::endLeadership(TimePoint now) -> void
+{
+    auto effects = Effects();
+    {
+        const RankedLock lock(this->mutex);
+        this->leading = false;
+        this->suspicions.clearAll();
+        while (!this->attempts.empty()) {
+            auto &attempt = this->attempts.begin()->second;
+            attempt.record.note = "this member no longer leads";
+            this->finish(attempt, false, now, effects);
+        }
+    }
+    runAll(effects);
+}
+
+auto FailoverCoordinator::reportSuspicion(const std::string &instance, const std::string &group,
+                                          std::uint64_t term, std::optional<Duration> suspectedFor,
+                                          TimePoint now) -> void
+{
+    const RankedLock lock(this->mutex);
+    const auto found = this->groups.find(group);
+    if (!this->leading || found == this->groups.end() || found->second.term != term
+        || found->second.primary.empty() || this->attempts.contains(group))
+        return;
+    this->suspicions.report(instance, group, suspectedFor, now);
+}
+
+auto FailoverCoordinator::endpointSeen(const std::string &group, const std::string &endpoint,
+                                       std::uint64_t term) -> void
+{
+    auto effects = Effects();
+    {
+        const RankedLock lock(this->mutex);
+        const auto found = this->groups.find(group);
+        if (!this->leading || found == this->groups.end())
+            return;
+        const auto &view = found->second;
+        const auto *late = findEndpoint(view, endpoint);
+        const auto *primary = findEndpoint(view, view.primary);
+        if (view.phase != GroupPhase::Serving || term >= view.term || endpoint == view.primary
+            || late == nullptr || primary == nullptr)
+            return;
+        effects.emplace_back([this, late = *late, primary = *primary, group, term = view.term] {
+            this->hooks.follow(late, group, term, primary);
+        });
+    }
+    runAll(effects);
+}
+
+auto FailoverCoordinator::promotePlanned(const std::string &group, const std::string &target,
+                                         TimePoint now) -> absl::Status
+{
+    auto effects = Effects();
+    {
+        const RankedLock lock(this->mutex);
+        const auto found = this->groups.find(group);
+        if (!this->leading)
+            return absl::FailedPreconditionError("this control member does not lead");
+        if (found == this->groups.end() || findEndpoint(found->second, target) == nullptr)
+            return absl::NotFoundError("group " + group + " has no endpoint " + target);
+        if (this->attempts.contains(group))
+            return absl::AlreadyExistsError("a failover of group " + group + " is under way");
+        this->begin(found->second, FailoverCause::Planned, target, now, effects);
+    }
+    runAll(effects);
+    return absl::OkStatus();
+}
+
+auto FailoverCoordinator::tick(TimePoint now) -> void
+{
+    auto effects = Effects();
+    auto waiting = std::vector<std::pair<std::string, std::uint64_t>>();
+    auto revisions = std::vector<Revision>();
+    {
+        const RankedLock lock(this->mutex);
+        if (!this->leading)
+            return;
+        this->beginDue(now, effects);
+        for (auto &[group, attempt] : this->attempts) {
+            if (attempt.phase == FailoverPhase::WaitingForceOrConfirmation) {
+                waiting.emplace_back(group, attempt.number);
+                revisions.push_back(attempt.revision);
+            }
+            if (now >= attempt.nextTryAt)
+                this->issue(attempt, now, effects);
+        }
+    }
+    runAll(effects);
+    for (auto i = std::size_t(0); i < waiting.size(); ++i) {
+        if (!this->hooks.isInForce(revisions[i], now))
+            continue;
+        this->complete(waiting[i].first, waiting[i].second,
+                       FailoverPhase::WaitingForceOrConfirmation,
+                       [this, now](detail::FailoverAttempt &attempt, Effects &more)
+                           ABSL_EXCLUSIVE_LOCKS_REQUIRED(this->mutex) {
+                               attempt.oldTermEnded = true;
+                               this->promoteWhenReady(attempt, now, more);
+                           });
+    }
+}
+
+auto FailoverCoordinator::phaseOf(const std::string &group) const -> FailoverPhase
+{
+    const RankedLock lock(this->mutex);
+    const auto found = this->attempts.find(group);
+    return found == this->attempts.end() ? FailoverPhase::Watching : found->second.phase;
+}
+
+auto FailoverCoordinator::currentRecord(const std::string &group) const
+    -> std::optional<FailoverRecord>
+{
+    const RankedLock lock(this->mutex);
+    const auto found = this->attempts.find(group);
+    if (found == this->attempts.end())
+        return std::nullopt;
+    return found->second.record;
+}
+
+auto FailoverCoordinator::beginDue(TimePoint now, Effects &effects) -> void
+{
+    for (const auto &group : this->suspicions.takeConfirmed(now))
+        this->begin(this->groups[group], FailoverCause::Suspicion, "", now, effects);
+    for (const auto &[group, changedAt] : this->unserved) {
+        if (this->attempts.contains(group))
+            continue;
+        const auto &view = this->groups[group];
+        if (view.phase == GroupPhase::Fencing)
+            this->begin(view, FailoverCause::Resumed, "", now, effects);
+        else if (now - changedAt >= this->limits.initialSettle && !view.endpoints.empty())
+            this->begin(view, FailoverCause::Initial, "", now, effects);
+    }
+}
+
+auto FailoverCoordinator::finish(detail::FailoverAttempt &attempt, bool completed, TimePoint now,
+                                 Effects &effects) -> void
+{
+    auto record = attempt.record;
+    record.completed = completed;
+    record.endedAt = now;
+    if (completed)
+        this->followAll(this->groups[record.group], effects);
+    effects.emplace_back([this, record] { this->hooks.explain(record); });
+    this->suspicions.clear(record.group);
+    this->attempts.erase(record.group);
+}
+
+auto FailoverCoordinator::followAll(const GroupView &view, Effects &effects) -> void
+{
+    const auto *primary = findEndpoint(view, view.primary);
+    if (primary == nullptr)
+        return;
+    for (const auto &endpoint : view.endpoints) {
+        if (endpoint.name == view.primary)
+            continue;
+        effects.emplace_back(
+            [this, endpoint, group = view.name, term = view.term, primary = *primary] {
+                this->hooks.follow(endpoint, group, term, primary);
+            });
+    }
+}
+
+auto FailoverCoordinator::complete(const std::string &group, std::uint64_t number,
+                                   FailoverPhase phase, const Completion &change) -> void
+{
+    auto effects = Effects();
+    {
+        const RankedLock lock(this->mutex);
+        const auto found = this->attempts.find(group);
+        if (found == this->attempts.end() || found->second.number != number
+            || found->second.phase != phase)
+            return;
+        change(found->second, effects);
+    }
+    runAll(effects);
+}
+
+} // namespace auburnrail
--- /dev/null
+++ b/libs/failover/src/FailoverSteps.cpp
@@ -0,0 +1,214 @@
+// The steps of one failover; the entry points are in FailoverCoordinator.cpp.
+#include <failover/FailoverCoordinator.h>
+
+#include <algorithm>
+
+namespace auburnrail {
+
+using detail::FailoverAttempt;
+
+auto FailoverCoordinator::begin(const GroupView &view, FailoverCause cause,
+                                const std::string &wanted, TimePoint now, Effects &effects) -> void
+{
+    auto &attempt = this->attempts[view.name];
+    attempt.view = view;
+    attempt.record = FailoverRecord{
+        .group = view.name, .cause = cause, .oldPrimary = view.primary, .wantedPrimary = wanted};
+    this->restart(attempt, view.term, "", now, effects);
+}
+
+auto FailoverCoordinator::restart(FailoverAttempt &attempt, std::uint64_t highestTerm,
+                                  const std::string &note, TimePoint now, Effects &effects) -> void
+{
+    attempt.number = ++this->lastNumber;
+    attempt.view = this->groups[attempt.record.group];
+    attempt.record.term = std::max(highestTerm, attempt.view.term) + 1;
+    attempt.fences.clear();
+    attempt.oldTermEnded = false;
+    if (!note.empty())
+        attempt.record.note = note;
+    this->enter(attempt, FailoverPhase::GrantingTerm, now, effects);
+}
+
+auto FailoverCoordinator::enter(FailoverAttempt &attempt, FailoverPhase phase, TimePoint now,
+                                Effects &effects) -> void
+{
+    attempt.phase = phase;
+    attempt.tries = 0;
+    auto &phases = attempt.record.phases;
+    if (phases.size() >= this->limits.maxPhases)
+        phases.erase(phases.begin());
+    phases.push_back(PhaseTime{.phase = phase, .term = attempt.record.term, .startedAt = now});
+    if (phase == FailoverPhase::Promoting) {
+        attempt.chosen = attempt.mostAdvanced();
+        attempt.record.newPrimary = attempt.chosen.name;
+        attempt.record.position = attempt.fences[attempt.chosen.name].position;
+        if (!attempt.record.wantedPrimary.empty()
+            && attempt.record.wantedPrimary != attempt.chosen.name)
+            attempt.record.note = "the wanted endpoint was behind or did not answer";
+    }
+    this->issue(attempt, now, effects);
+}
+
+auto FailoverCoordinator::issue(FailoverAttempt &attempt, TimePoint now, Effects &effects) -> void
+{
+    ++attempt.tries;
+    attempt.nextTryAt = now + this->limits.callTimeout;
+    switch (attempt.phase) {
+    case FailoverPhase::Watching:
+        break;
+    case FailoverPhase::GrantingTerm:
+        this->issueGrant(attempt, effects);
+        break;
+    case FailoverPhase::Fencing:
+    case FailoverPhase::WaitingForceOrConfirmation:
+        // Endpoints that did not answer are asked again while the lease wait lasts: the old primary
+        // may confirm, and a more advanced endpoint may appear.
+        this->issueFences(attempt, effects);
+        attempt.nextTryAt = now + attempt.retryDelay(this->limits);
+        if (attempt.phase == FailoverPhase::WaitingForceOrConfirmation && attempt.tries > 1)
+            this->promoteWhenReady(attempt, now, effects);
+        break;
+    case FailoverPhase::Promoting:
+        this->issuePromote(attempt, now, effects);
+        break;
+    case FailoverPhase::Publishing:
+        this->issuePublish(attempt, effects);
+        break;
+    }
+}
+
+auto FailoverCoordinator::issueGrant(FailoverAttempt &attempt, Effects &effects) -> void
+{
+    const auto group = attempt.record.group;
+    const auto number = attempt.number;
+    auto done = [this, group, number](std::optional<Revision> revision, TimePoint at) {
+        this->complete(group, number, FailoverPhase::GrantingTerm,
+                       [this, revision, at](FailoverAttempt &current, Effects &more)
+                           ABSL_EXCLUSIVE_LOCKS_REQUIRED(this->mutex) {
+                               if (!revision) {
+                                   current.nextTryAt = at + current.retryDelay(this->limits);
+                                   return;
+                               }
+                               current.revision = *revision;
+                               this->enter(current, FailoverPhase::Fencing, at, more);
+                           });
+    };
+    effects.emplace_back([this, group, term = attempt.record.term, done = std::move(done)] {
+        this->hooks.grantTerm(group, term, done);
+    });
+}
+
+auto FailoverCoordinator::issueFences(FailoverAttempt &attempt, Effects &effects) -> void
+{
+    const auto group = attempt.record.group;
+    const auto number = attempt.number;
+    const auto wantedIsBehind = attempt.isWantedBehind();
+    const auto source = attempt.mostAdvanced();
+    for (const auto &endpoint : attempt.view.endpoints) {
+        const auto fenced = attempt.fences.contains(endpoint.name);
+        const auto mustCatchUp =
+            fenced && wantedIsBehind && endpoint.name == attempt.record.wantedPrimary;
+        if (mustCatchUp) {
+            effects.emplace_back([this, endpoint, group, term = attempt.record.term, source] {
+                this->hooks.follow(endpoint, group, term, source);
+            });
+        }
+        if (fenced && !mustCatchUp)
+            continue;
+        auto done = [this, group, number, name = endpoint.name](std::optional<FenceAnswer> answer,
+                                                                TimePoint at) {
+            if (!answer)
+                return;
+            const auto change = [this, &answer, &name, at](FailoverAttempt &current, Effects &more)
+                                    ABSL_EXCLUSIVE_LOCKS_REQUIRED(this->mutex) {
+                                        this->takeFence(current, name, *answer, at, more);
+                                    };
+            this->complete(group, number, FailoverPhase::Fencing, change);
+            this->complete(group, number, FailoverPhase::WaitingForceOrConfirmation, change);
+        };
+        effects.emplace_back(
+            [this, endpoint, group, term = attempt.record.term, done = std::move(done)] {
+                this->hooks.fence(endpoint, group, term, done);
+            });
+    }
+}
+
+auto FailoverCoordinator::takeFence(FailoverAttempt &attempt, const std::string &endpoint,
+                                    const FenceAnswer &answer, TimePoint now, Effects &effects)
+    -> void
+{
+    if (!answer.accepted) {
+        this->restart(attempt, std::max(answer.highestTerm, attempt.record.term),
+                      "endpoint " + endpoint + " knows a later term", now, effects);
+        return;
+    }
+    attempt.fences.insert_or_assign(endpoint, answer);
+    if (attempt.phase == FailoverPhase::Fencing && attempt.hasMajority())
+        this->enter(attempt, FailoverPhase::WaitingForceOrConfirmation, now, effects);
+    if (attempt.phase == FailoverPhase::WaitingForceOrConfirmation)
+        this->promoteWhenReady(attempt, now, effects);
+}
+
+auto FailoverCoordinator::promoteWhenReady(FailoverAttempt &attempt, TimePoint now,
+                                           Effects &effects) -> void
+{
+    const auto waitedFor = now - attempt.record.phases.back().startedAt;
+    const auto mustCatchUp = attempt.isWantedBehind() && waitedFor < this->limits.catchUpLimit;
+    if ((attempt.oldTermEnded || attempt.isOldPrimaryFenced()) && !mustCatchUp)
+        this->enter(attempt, FailoverPhase::Promoting, now, effects);
+}
+
+auto FailoverCoordinator::issuePromote(FailoverAttempt &attempt, TimePoint now, Effects &effects)
+    -> void
+{
+    if (attempt.tries > this->limits.promoteTries) {
+        this->restart(attempt, attempt.record.term,
+                      "endpoint " + attempt.chosen.name + " did not confirm its promotion", now,
+                      effects);
+        return;
+    }
+    const auto group = attempt.record.group;
+    const auto number = attempt.number;
+    auto done = [this, group, number](bool promoted, TimePoint at) {
+        this->complete(group, number, FailoverPhase::Promoting,
+                       [this, promoted, at](FailoverAttempt &current, Effects &more)
+                           ABSL_EXCLUSIVE_LOCKS_REQUIRED(this->mutex) {
+                               if (promoted)
+                                   this->enter(current, FailoverPhase::Publishing, at, more);
+                               else
+                                   current.nextTryAt = at + current.retryDelay(this->limits);
+                           });
+    };
+    effects.emplace_back([this, chosen = attempt.chosen, group, term = attempt.record.term,
+                          members = attempt.view.endpoints, done = std::move(done)] {
+        this->hooks.promote(chosen, group, term, members, done);
+    });
+}
+
+auto FailoverCoordinator::issuePublish(FailoverAttempt &attempt, Effects &effects) -> void
+{
+    const auto group = attempt.record.group;
+    const auto number = attempt.number;
+    auto done = [this, group, number](bool published, TimePoint at) {
+        this->complete(group, number, FailoverPhase::Publishing,
+                       [this, published, at](FailoverAttempt &current, Effects &more)
+                           ABSL_EXCLUSIVE_LOCKS_REQUIRED(this->mutex) {
+                               if (!published) {
+                                   current.nextTryAt = at + current.retryDelay(this->limits);
+                                   return;
+                               }
+                               auto &view = this->groups[current.record.group];
+                               view.term = current.record.term;
+                               view.phase = GroupPhase::Serving;
+                               view.primary = current.chosen.name;
+                               this->unserved.erase(view.name);
+                               this->finish(current, true, at, more);
+                           });
+    };
+    effects.emplace_back(
+        [this, group, term = attempt.record.term, primary = attempt.chosen.name,
+         done = std::move(done)] { this->hooks.publish(group, term, primary, done); });
+}
+
+} // namespace auburnrail
--- /dev/null
+++ b/libs/failover/tests/FailoverContractTest.cpp
@@ -0,0 +1,215 @@
+#include "GroupSimulation.h"
+
+#include <catch2/catch.hpp>
+
+namespace auburnrail {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A fault, and what must hold 7 s later.
+struct FaultCase
+{
+    const char *name;
+    std::function<auto(GroupSimulation &)->void> inject;
+    std::string primary;
+    std::uint64_t term;
+};
+
+auto isolatePrimary(GroupSimulation &group) -> void
+{
+    group.endpoints["a"].reachable = false;
+}
+
+/// Serves at one primary that holds its own term; no term has two primaries.
+auto checkServing(GroupSimulation &group) -> void
+{
+    CHECK(group.view.phase == GroupPhase::Serving);
+    const auto &primary = group.endpoints[group.view.primary];
+    CHECK(primary.primary);
+    CHECK(primary.term == group.view.term);
+    auto terms = std::map<std::uint64_t, std::string>();
+    for (const auto &[name, endpoint] : group.endpoints) {
+        for (const auto term : endpoint.promotedIn)
+            CHECK(terms.emplace(term, name).second);
+    }
+}
+
+const auto FAULT_CASES = std::vector<FaultCase>{
+    {"none", [](GroupSimulation &) {}, "a", 1},
+    {"primary unreachable for good", isolatePrimary, "b", 2},
+    {"primary frozen for less than the hold time",
+     [](GroupSimulation &group) {
+         isolatePrimary(group);
+         group.runFor(800ms);
+         group.endpoints["a"].reachable = true;
+     },
+     "a", 1},
+    {"primary wakes while its group is fenced",
+     [](GroupSimulation &group) {
+         isolatePrimary(group);
+         group.runFor(1300ms);
+         group.endpoints["a"].reachable = true;
+     },
+     "a", 2},
+    {"one entry is cut off from the primary",
+     [](GroupSimulation &group) { group.cutOffEntries = {"e1"}; }, "a", 1},
+    {"two of three entries are cut off from the primary",
+     [](GroupSimulation &group) {
+         group.cutOffEntries = {"e1", "e2"};
+         group.runFor(1500ms);
+         group.cutOffEntries.clear();
+     },
+     "a", 2},
+    {"the state can't be written for a while",
+     [](GroupSimulation &group) {
+         isolatePrimary(group);
+         group.stateWritable = false;
+         group.runFor(2s);
+         group.stateWritable = true;
+     },
+     "b", 2},
+    {"the chosen endpoint dies while it is promoted, and the old primary returns",
+     [](GroupSimulation &group) {
+         isolatePrimary(group);
+         group.dieOnPromotion = "b";
+         group.runFor(4s);
+         group.endpoints["a"].reachable = true;
+         group.dieOnPromotion.clear();
+     },
+     "a", 3},
+};
+
+} // namespace
+
+// Guards against a failover that does not end, that replaces a healthy primary, or that leaves two
+// primaries in one term.
+TEST_CASE("a group serves again within 7 s after a fault")
+{
+    for (const auto &fault : FAULT_CASES) {
+        INFO(fault.name);
+        auto group = GroupSimulation();
+        group.runFor(1s);
+        fault.inject(group);
+        group.runFor(7s);
+        CHECK(group.view.primary == fault.primary);
+        CHECK(group.view.term == fault.term);
+        checkServing(group);
+    }
+}
+
+// Guards against a promotion while an entry could still acknowledge for the old term.
+TEST_CASE("without confirmation the promotion waits for the lease revision")
+{
+    auto group = GroupSimulation();
+    group.leaseWait = 3s;
+    isolatePrimary(group);
+    group.runFor(4s);
+    CHECK(group.coordinator->phaseOf("logs") == FailoverPhase::WaitingForceOrConfirmation);
+    CHECK(group.endpoints["b"].promotedIn.empty());
+    group.runFor(1s);
+    REQUIRE(group.records.size() == 1);
+    const auto &record = group.records[0];
+    CHECK(record.completed);
+    CHECK(record.newPrimary == "b");
+    CHECK(record.position == Position{.term = 1, .index = 11});
+    REQUIRE(record.phases.size() == 5);
+    CHECK(record.phases[3].startedAt - record.phases[2].startedAt >= 2900ms);
+}
+
+// Guards against a promotion by a minority, which could lose acknowledged writes.
+TEST_CASE("no endpoint is promoted until a majority is fenced")
+{
+    auto group = GroupSimulation();
+    isolatePrimary(group);
+    group.endpoints["c"].reachable = false;
+    group.runFor(10s);
+    CHECK(group.coordinator->phaseOf("logs") == FailoverPhase::Fencing);
+    CHECK(group.endpoints["b"].promotedIn.empty());
+    group.endpoints["c"].reachable = true;
+    group.runFor(3s);
+    CHECK(group.view.primary == "b");
+    checkServing(group);
+}
+
+// Guards against a failover that is forgotten or done twice in one term by the next leader.
+TEST_CASE("a new leader completes the failover from every phase")
+{
+    for (const auto delay : {1000ms, 1104ms, 1108ms, 1116ms, 1500ms, 3206ms, 3212ms, 3220ms, 4000ms}) {
+        INFO("leader changed " << delay.count() << " ms after the fault");
+        auto group = GroupSimulation();
+        isolatePrimary(group);
+        group.runFor(delay);
+        group.restartLeader();
+        group.runFor(6s);
+        CHECK(group.view.primary == "b");
+        checkServing(group);
+    }
+}
+
+// Guards against an old primary that wakes after the failover and stays outside the group.
+TEST_CASE("an old primary that wakes late is told to follow")
+{
+    auto group = GroupSimulation();
+    isolatePrimary(group);
+    group.runFor(6s);
+    REQUIRE(group.view.primary == "b");
+    CHECK(group.endpoints["a"].primary);
+    group.endpoints["a"].reachable = true;
+    group.runFor(300ms);
+    CHECK_FALSE(group.endpoints["a"].primary);
+    CHECK(group.endpoints["a"].following == "b");
+    CHECK(group.endpoints["a"].position == group.endpoints["b"].position);
+}
+
+TEST_CASE("a planned promotion lets the wanted endpoint catch up")
+{
+    auto group = GroupSimulation();
+    group.runFor(1s);
+    const auto now = group.scheduler.now();
+    CHECK(group.coordinator->promotePlanned("logs", "x", now).code()
+          == absl::StatusCode::kNotFound);
+    REQUIRE(group.coordinator->promotePlanned("logs", "c", now).ok());
+    CHECK(group.coordinator->promotePlanned("logs", "b", now).code()
+          == absl::StatusCode::kAlreadyExists);
+    group.runFor(1s);
+    CHECK(group.view.primary == "c");
+    CHECK(group.endpoints["c"].position.index == 12);
+    checkServing(group);
+}
+
+TEST_CASE("a new group gets its first primary once its endpoints are settled")
+{
+    auto group = GroupSimulation();
+    group.endpoints["a"].primary = false;
+    for (auto &[name, endpoint] : group.endpoints)
+        endpoint.term = 0;
+    group.view.term = 0;
+    group.view.primary = "";
+    group.coordinator->groupChanged(group.view, group.scheduler.now());
+    group.runFor(1900ms);
+    CHECK(group.view.primary.empty());
+    group.runFor(1s);
+    CHECK(group.view.primary == "a");
+    CHECK(group.records.at(0).cause == FailoverCause::Initial);
+}
+
+// Guards against work and memory that grow with healthy groups.
+TEST_CASE("suspicion is kept for suspected groups only")
+{
+    auto table = SuspicionTable(FailoverLimits());
+    table.report("e1", "g", std::nullopt, TimePoint(0s));
+    CHECK(table.size() == 0);
+    table.report("e1", "g", 2s, TimePoint(0s));
+    CHECK(table.takeConfirmed(TimePoint(0s)).empty());
+    table.report("e2", "g", std::nullopt, TimePoint(300ms));
+    CHECK(table.takeConfirmed(TimePoint(700ms)).empty());
+    table.report("e3", "g", std::nullopt, TimePoint(700ms));
+    CHECK(table.size() == 0);
+    table.report("e1", "g", 2s, TimePoint(1s));
+    CHECK(table.takeConfirmed(TimePoint(3s)).empty());
+    CHECK(table.size() == 0);
+}
+
+} // namespace auburnrail
--- /dev/null
+++ b/libs/failover/tests/GroupSimulation.h
@@ -0,0 +1,193 @@
+#ifndef AUBURNRAIL_FAILOVER_GROUPSIMULATION_H
+#define AUBURNRAIL_FAILOVER_GROUPSIMULATION_H
+
+#include <failover/FailoverCoordinator.h>
+
+#include <core/VirtualScheduler.h>
+
+#include <map>
+#include <set>
+
+namespace auburnrail {
+
+/// A group of three endpoints, three entries and the fleet state on a virtual clock, driven by one
+/// coordinator. Every call takes 5 ms each way.
+class GroupSimulation
+{
+public:
+    struct Endpoint
+    {
+        std::uint64_t term = 1;
+        Position position{.term = 1, .index = 10};
+        bool primary = false;
+        bool reachable = true;
+        std::string following;
+        std::set<std::uint64_t> promotedIn;
+    };
+
+    GroupSimulation()
+    {
+        for (const auto *name : {"a", "b", "c"})
+            this->endpoints[name] = Endpoint();
+        this->endpoints["a"].primary = true;
+        this->endpoints["a"].position.index = 12;
+        this->endpoints["b"].position.index = 11;
+        this->view = GroupView{.name = "logs",
+                               .term = 1,
+                               .primary = "a",
+                               .endpoints = {{"a", "1"}, {"b", "2"}, {"c", "3"}}};
+        this->restartLeader();
+        this->beat();
+    }
+
+    /// A new leader without memory takes over, after the old one lost contact.
+    auto restartLeader() -> void
+    {
+        if (this->coordinator)
+            this->coordinator->endLeadership(this->scheduler.now());
+        this->retired.push_back(std::move(this->coordinator));
+        this->coordinator = std::make_unique<FailoverCoordinator>(FailoverLimits(), this->hooks());
+        this->coordinator->groupChanged(this->view, this->scheduler.now());
+        this->coordinator->beginLeadership(this->scheduler.now());
+    }
+
+    auto runFor(Duration length) -> void
+    {
+        this->scheduler.runFor(length);
+    }
+
+    VirtualScheduler scheduler;
+    std::map<std::string, Endpoint> endpoints;
+    GroupView view;
+    std::unique_ptr<FailoverCoordinator> coordinator;
+    std::vector<FailoverRecord> records;
+    std::set<std::string> cutOffEntries;
+    std::map<std::string, TimePoint> suspectedSince;
+    TimePoint inForceAt = TimePoint::max(); ///< When the newest revision is in force everywhere.
+    Duration leaseWait = std::chrono::milliseconds(2100);
+    bool stateWritable = true;
+    std::string dieOnPromotion; ///< Endpoint that applies a promotion and never answers it.
+
+private:
+    auto hooks() -> FailoverHooks
+    {
+        return FailoverHooks{
+            .grantTerm =
+                [this](const std::string &, std::uint64_t term, auto done) {
+                    this->later([this, term, done] {
+                        if (!this->stateWritable || term <= this->view.term)
+                            return done(std::nullopt, this->scheduler.now());
+                        this->view.term = term;
+                        this->view.phase = GroupPhase::Fencing;
+                        this->inForceAt = this->scheduler.now() + this->leaseWait;
+                        this->coordinator->groupChanged(this->view, this->scheduler.now());
+                        done(Revision(term), this->scheduler.now());
+                    });
+                },
+            .fence =
+                [this](const GroupEndpoint &endpoint, const std::string &, std::uint64_t term,
+                       auto done) {
+                    this->call(endpoint.name, [term, done, this](Endpoint &state) {
+                        const auto accepted =
+                            term > state.term || (term == state.term && !state.primary);
+                        const auto wasPrimary = state.primary;
+                        if (accepted) {
+                            state.term = term;
+                            state.primary = false;
+                        }
+                        const auto answer =
+                            FenceAnswer{accepted, state.position, state.term, wasPrimary};
+                        this->later([this, done, answer] { done(answer, this->scheduler.now()); });
+                    });
+                },
+            .isInForce = [this](Revision, TimePoint now) { return now >= this->inForceAt; },
+            .promote =
+                [this](const GroupEndpoint &endpoint, const std::string &, std::uint64_t term,
+                       const std::vector<GroupEndpoint> &, auto done) {
+                    this->call(endpoint.name,
+                               [this, term, done, name = endpoint.name](Endpoint &state) {
+                                   if (term == state.term) {
+                                       state.primary = true;
+                                       state.promotedIn.insert(term);
+                                   }
+                                   if (name == this->dieOnPromotion)
+                                       state.reachable = false;
+                                   else
+                                       this->later([this, done, ok = term == state.term] {
+                                           done(ok, this->scheduler.now());
+                                       });
+                               });
+                },
+            .publish =
+                [this](const std::string &, std::uint64_t term, const std::string &primary,
+                       auto done) {
+                    this->later([this, term, primary, done] {
+                        const auto valid = this->stateWritable && term == this->view.term;
+                        if (valid) {
+                            this->view.phase = GroupPhase::Serving;
+                            this->view.primary = primary;
+                            this->coordinator->groupChanged(this->view, this->scheduler.now());
+                        }
+                        done(valid, this->scheduler.now());
+                    });
+                },
+            .follow =
+                [this](const GroupEndpoint &endpoint, const std::string &, std::uint64_t term,
+                       const GroupEndpoint &primary) {
+                    this->call(endpoint.name, [this, term, primary](Endpoint &state) {
+                        if (term < state.term)
+                            return;
+                        state.term = term;
+                        state.primary = false;
+                        state.following = primary.name;
+                        state.position = this->endpoints[primary.name].position;
+                    });
+                },
+            .explain = [this](const FailoverRecord &record) { this->records.push_back(record); },
+        };
+    }
+
+    auto later(Task task) -> void
+    {
+        this->scheduler.executor().postAfter(std::chrono::milliseconds(5), std::move(task));
+    }
+
+    auto call(const std::string &name, const std::function<auto(Endpoint &)->void> &action) -> void
+    {
+        this->later([this, name, action] {
+            if (this->endpoints[name].reachable)
+                action(this->endpoints[name]);
+        });
+    }
+
+    /// Every 100 ms: reports of the entries, announcements of the endpoints, and a tick.
+    auto beat() -> void
+    {
+        const auto now = this->scheduler.now();
+        for (const auto *entry : {"e1", "e2", "e3"}) {
+            const auto &primary = this->endpoints[this->view.primary];
+            const auto healthy = primary.reachable && !this->cutOffEntries.contains(entry);
+            if (healthy)
+                this->suspectedSince.erase(entry);
+            else
+                this->suspectedSince.emplace(entry, now);
+            this->coordinator->reportSuspicion(
+                entry, "logs", this->view.term,
+                healthy ? std::nullopt : std::optional<Duration>(now - this->suspectedSince[entry]),
+                now);
+        }
+        for (const auto &[name, endpoint] : this->endpoints) {
+            if (endpoint.reachable)
+                this->coordinator->endpointSeen("logs", name, endpoint.term);
+        }
+        this->coordinator->tick(now);
+        this->scheduler.executor().postAfter(std::chrono::milliseconds(100),
+                                             [this] { this->beat(); });
+    }
+
+    std::vector<std::unique_ptr<FailoverCoordinator>> retired;
+};
+
+} // namespace auburnrail
+
+#endif
