--- a/idl/Control.thrift
+++ b/idl/Control.thrift
@@ -43,6 +43,7 @@
   8: list<AnnouncementMessage> endpoints
   9: list<PrimaryReportMessage> primaries
   10: i64 holdMillis
+  11: string operatorsAddress
 }
 
 struct HeartbeatAnswerMessage {
--- a/libs/control/src/ControlTables.cpp
+++ b/libs/control/src/ControlTables.cpp
@@ -10,7 +10,7 @@
 
 auto toLimits(const Organisation &organisation) -> ShareLimits
 {
-    return ShareLimits{.rate = static_cast<std::int64_t>(organisation.rate * MILLI),
+    return ShareLimits{.rate = static_cast<std::int64_t>(organisation.ratePerSecond * MILLI),
                        .burst = static_cast<std::int64_t>(organisation.burst * MILLI)};
 }
 
--- a/libs/control/src/HeartbeatService.cpp
+++ b/libs/control/src/HeartbeatService.cpp
@@ -1,5 +1,7 @@
 #include <control/HeartbeatService.h>
 
+#include <lease/LeaseTiming.h>
+
 #include <algorithm>
 
 namespace auburnrail {
--- a/libs/entry/include/entry/EndpointConnections.h
+++ b/libs/entry/include/entry/EndpointSockets.h
@@ -1,5 +1,5 @@
-#ifndef AUBURNRAIL_ENTRY_ENDPOINTCONNECTIONS_H
-#define AUBURNRAIL_ENTRY_ENDPOINTCONNECTIONS_H
+#ifndef AUBURNRAIL_ENTRY_ENDPOINTSOCKETS_H
+#define AUBURNRAIL_ENTRY_ENDPOINTSOCKETS_H
 
 #include <http/HttpConnection.h>
 #include <request/ConnectionHandle.h>
@@ -21,8 +21,8 @@
 
 namespace auburnrail {
 
-/// Where EndpointConnections finds addresses and randomness.
-struct EndpointConnectionsHooks
+/// Where EndpointSockets finds addresses and randomness.
+struct EndpointSocketsHooks
 {
     /// IP:port of an endpoint; nothing when it is not known.
     std::function<auto(const std::string &endpoint)->std::optional<std::string>> resolve;
@@ -31,10 +31,10 @@
 
 /// The sockets behind the handles of a ConnectionPool. Calls block; safe from any thread, with one
 /// exchange at a time for each connection.
-class EndpointConnections
+class EndpointSockets
 {
 public:
-    explicit EndpointConnections(EndpointConnectionsHooks connectionHooks);
+    explicit EndpointSockets(EndpointSocketsHooks connectionHooks);
 
     /// Connects and opens the database session of the connection. `kUnavailable` when that fails,
     /// `kResourceExhausted` when the endpoint has no free session.
@@ -54,7 +54,7 @@
 private:
     [[nodiscard]] auto find(std::uint64_t id) -> std::shared_ptr<HttpConnection>;
 
-    EndpointConnectionsHooks hooks;
+    EndpointSocketsHooks hooks;
     RankedMutex mutex{LockRank::Connection};
     std::map<std::uint64_t, std::shared_ptr<HttpConnection>> connections ABSL_GUARDED_BY(mutex);
 };
--- a/libs/entry/include/entry/EntryIdentity.h
+++ b/libs/entry/include/entry/EntryIdentity.h
@@ -12,6 +12,7 @@
     std::string instance;
     std::uint64_t incarnation = 0; ///< Drawn at each start.
     std::string zone;
+    std::string operatorsAddress; ///< IP:port
     std::string clusterSecret;
 };
 
--- a/libs/entry/include/entry/EntryTables.h
+++ b/libs/entry/include/entry/EntryTables.h
@@ -2,7 +2,7 @@
 #define AUBURNRAIL_ENTRY_ENTRYTABLES_H
 
 #include <entry/AnnouncedEndpoints.h>
-#include <entry/EndpointConnections.h>
+#include <entry/EndpointSockets.h>
 #include <entry/EntryIdentity.h>
 #include <entry/RateAdmission.h>
 
@@ -50,7 +50,7 @@
     ShareHolder shares;
     RateAdmission admission;
     EndpointTable endpoints;
-    EndpointConnections connections;
+    EndpointSockets connections;
     ConnectionPool pool;
     ReplicationTracker replication;
     TransactionTable transactions;
--- a/libs/entry/src/EndpointConnections.cpp
+++ b/libs/entry/src/EndpointSockets.cpp
@@ -1,4 +1,4 @@
-#include <entry/EndpointConnections.h>
+#include <entry/EndpointSockets.h>
 
 #include <endpoint/EndpointCodec.h>
 
@@ -51,12 +51,12 @@
 
 } // namespace
 
-EndpointConnections::EndpointConnections(EndpointConnectionsHooks connectionHooks)
+EndpointSockets::EndpointSockets(EndpointSocketsHooks connectionHooks)
     : hooks(std::move(connectionHooks))
 {
 }
 
-auto EndpointConnections::open(const ConnectionHandle &handle, Duration timeLimit) -> absl::Status
+auto EndpointSockets::open(const ConnectionHandle &handle, Duration timeLimit) -> absl::Status
 {
     const auto address = this->hooks.resolve(handle.endpoint);
     if (!address)
@@ -79,7 +79,7 @@
     return absl::OkStatus();
 }
 
-auto EndpointConnections::close(const ConnectionHandle &handle) -> void
+auto EndpointSockets::close(const ConnectionHandle &handle) -> void
 {
     auto connection = std::shared_ptr<HttpConnection>();
     {
@@ -93,14 +93,14 @@
     connection->abort();
 }
 
-auto EndpointConnections::find(std::uint64_t id) -> std::shared_ptr<HttpConnection>
+auto EndpointSockets::find(std::uint64_t id) -> std::shared_ptr<HttpConnection>
 {
     const RankedLock lock(this->mutex);
     const auto found = this->connections.find(id);
     return found == this->connections.end() ? nullptr : found->second;
 }
 
-auto EndpointConnections::exchange(const ConnectionHandle &handle, const EndpointRequest &request,
+auto EndpointSockets::exchange(const ConnectionHandle &handle, const EndpointRequest &request,
                                    Duration timeLimit) -> EndpointExchange
 {
     const auto connection = this->find(handle.id);
@@ -109,7 +109,7 @@
     return exchangeOn(*connection, request, timeLimit);
 }
 
-auto EndpointConnections::exchangeOnce(const std::string &endpoint, EndpointRequest request,
+auto EndpointSockets::exchangeOnce(const std::string &endpoint, EndpointRequest request,
                                        Duration timeLimit) -> EndpointExchange
 {
     const auto address = this->hooks.resolve(endpoint);
--- a/libs/entry/src/EntryServer.cpp
+++ b/libs/entry/src/EntryServer.cpp
@@ -22,6 +22,14 @@
     return number;
 }
 
+/// True when the answer leaves a transaction open that ends with the caller's connection.
+auto leavesTransactionOpen(const CallerRequest &request, const CallerAnswer &answer) -> bool
+{
+    if (request.kind == RequestKind::Begin)
+        return !answer.transaction.empty();
+    return request.kind == RequestKind::Statement && !request.transaction.empty();
+}
+
 auto refuseWhileDraining() -> CallerAnswer
 {
     auto answer = CallerAnswer();
@@ -80,11 +88,13 @@
         return encodeCallerAnswer(*refusal, requestId);
     auto &callerRequest = std::get<CallerRequest>(decoded);
     callerRequest.callerConnection = connectionOf(request);
-    const auto id = callerRequest.requestId;
-    const auto startsTransaction = callerRequest.kind == RequestKind::Begin;
-    if (this->draining && startsTransaction)
+    const auto &id = callerRequest.requestId;
+    if (this->draining && callerRequest.kind == RequestKind::Begin)
         return encodeCallerAnswer(refuseWhileDraining(), id);
-    return encodeCallerAnswer(this->runner.serve(std::move(callerRequest)), id);
+    const auto answer = this->runner.serve(callerRequest);
+    auto response = encodeCallerAnswer(answer, id);
+    response.keepOpen = leavesTransactionOpen(callerRequest, answer);
+    return response;
 }
 
 auto EntryServer::handleAnnouncement(const HttpRequest &request) -> HttpResponse
--- a/libs/entry/src/EntryTables.cpp
+++ b/libs/entry/src/EntryTables.cpp
@@ -61,7 +61,7 @@
                   this->shares.setBacklog(organisation, waiting, now);
               }})
     , endpoints(identity.zone)
-    , connections(EndpointConnectionsHooks{
+    , connections(EndpointSocketsHooks{
           .resolve = [this](const std::string &endpoint) -> std::optional<std::string> {
               const auto view = this->endpoints.find(endpoint, this->executor.now());
               return view ? std::optional(view->address) : std::nullopt;
--- a/libs/entry/src/HeartbeatLoop.cpp
+++ b/libs/entry/src/HeartbeatLoop.cpp
@@ -9,9 +9,9 @@
 
 namespace {
 
-/// How long the leader may hold an answer. A quarter of the lease, so that two lost heartbeats do
-/// not end it.
-constexpr auto ANSWER_HOLD = std::chrono::milliseconds(500);
+/// How long the leader may hold an answer. Also the longest wait of an organisation's first request
+/// here for a share, since a report can't be sent while an answer is held.
+constexpr auto ANSWER_HOLD = std::chrono::milliseconds(250);
 /// Wait for an answer before another member is tried; leaves time for one within the lease.
 constexpr auto ANSWER_TIME_LIMIT = std::chrono::milliseconds(900);
 constexpr auto RETRY_PAUSE = std::chrono::milliseconds(50);
@@ -95,6 +95,7 @@
     heartbeat.instance = this->tables.identity.instance;
     heartbeat.incarnation = this->tables.identity.incarnation;
     heartbeat.zone = this->tables.identity.zone;
+    heartbeat.operatorsAddress = this->tables.identity.operatorsAddress;
     heartbeat.appliedRevision = revision;
     heartbeat.endpoints = this->tables.announced.differences(*state, this->tables.executor.now());
     heartbeat.primaries = this->primaryReports(*state);
--- a/libs/failover/include/failover/FailoverCoordinator.h
+++ b/libs/failover/include/failover/FailoverCoordinator.h
@@ -3,7 +3,7 @@
 
 #include <failover/FailoverHooks.h>
 #include <failover/FailoverLimits.h>
-#include <failover/GroupView.h>
+#include <failover/FailoverGroup.h>
 #include <failover/SuspicionTable.h>
 #include <failover/detail/FailoverAttempt.h>
 
@@ -30,7 +30,7 @@
     FailoverCoordinator(const FailoverLimits &failoverLimits, FailoverHooks failoverHooks);
 
     /// Follows the fleet state, also while this member does not lead.
-    auto groupChanged(const GroupView &view, TimePoint now) -> void;
+    auto groupChanged(const FailoverGroup &view, TimePoint now) -> void;
     auto groupRemoved(const std::string &group) -> void;
 
     /// Starts to act. Groups left in phase `fencing` are resumed with a fresh term, because the
@@ -71,7 +71,7 @@
     using Completion = std::function<auto(detail::FailoverAttempt &, Effects &)->void>;
 
     ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
-    auto begin(const GroupView &view, FailoverCause cause, const std::string &wanted, TimePoint now,
+    auto begin(const FailoverGroup &view, FailoverCause cause, const std::string &wanted, TimePoint now,
                Effects &effects) -> void;
     ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
     auto beginDue(TimePoint now, Effects &effects) -> void;
@@ -100,7 +100,7 @@
     ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
     auto finish(detail::FailoverAttempt &attempt, bool completed, TimePoint now, Effects &effects)
         -> void;
-    ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex) auto followAll(const GroupView &view, Effects &) -> void;
+    ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex) auto followAll(const FailoverGroup &view, Effects &) -> void;
 
     /// Runs `change` on the attempt when it is still the one that issued the step.
     auto complete(const std::string &group, std::uint64_t number, FailoverPhase phase,
@@ -111,7 +111,7 @@
     mutable RankedMutex mutex{LockRank::Failover};
     bool leading ABSL_GUARDED_BY(mutex) = false;
     std::uint64_t lastNumber ABSL_GUARDED_BY(mutex) = 0;
-    std::map<std::string, GroupView, std::less<>> groups ABSL_GUARDED_BY(mutex);
+    std::map<std::string, FailoverGroup, std::less<>> groups ABSL_GUARDED_BY(mutex);
     /// Groups without a primary, by the time of their last change.
     std::map<std::string, TimePoint, std::less<>> unserved ABSL_GUARDED_BY(mutex);
     std::map<std::string, detail::FailoverAttempt, std::less<>> attempts ABSL_GUARDED_BY(mutex);
--- a/libs/failover/include/failover/GroupView.h
+++ b/libs/failover/include/failover/FailoverGroup.h
@@ -1,8 +1,8 @@
-#ifndef AUBURNRAIL_FAILOVER_GROUPVIEW_H
-#define AUBURNRAIL_FAILOVER_GROUPVIEW_H
+#ifndef AUBURNRAIL_FAILOVER_FAILOVERGROUP_H
+#define AUBURNRAIL_FAILOVER_FAILOVERGROUP_H
 
 #include <failover/GroupEndpoint.h>
-#include <failover/GroupPhase.h>
+#include <state/GroupPhase.h>
 
 #include <cstdint>
 #include <string>
@@ -12,7 +12,7 @@
 
 /// What the fleet state says of a group. `endpoints` holds every member, silent ones included,
 /// because majorities are counted over it.
-struct GroupView
+struct FailoverGroup
 {
     std::string name;
     std::uint64_t term = 0;
--- a/libs/failover/src/FailoverCoordinator.cpp
+++ b/libs/failover/src/FailoverCoordinator.cpp
@@ -15,7 +15,7 @@
         effect();
 }
 
-auto findEndpoint(const GroupView &view, const std::string &name) -> const GroupEndpoint *
+auto findEndpoint(const FailoverGroup &view, const std::string &name) -> const GroupEndpoint *
 {
     const auto found =
         std::find_if(view.endpoints.begin(), view.endpoints.end(),
@@ -36,7 +36,7 @@
            && this->hooks.explain && "every failover hook must be set");
 }
 
-auto FailoverCoordinator::groupChanged(const GroupView &view, TimePoint now) -> void
+auto FailoverCoordinator::groupChanged(const FailoverGroup &view, TimePoint now) -> void
 {
     auto effects = Effects();
     {
@@ -234,7 +234,7 @@
     this->attempts.erase(record.group);
 }
 
-auto FailoverCoordinator::followAll(const GroupView &view, Effects &effects) -> void
+auto FailoverCoordinator::followAll(const FailoverGroup &view, Effects &effects) -> void
 {
     const auto *primary = findEndpoint(view, view.primary);
     if (primary == nullptr)
--- a/libs/failover/src/FailoverSteps.cpp
+++ b/libs/failover/src/FailoverSteps.cpp
@@ -7,7 +7,7 @@
 
 using detail::FailoverAttempt;
 
-auto FailoverCoordinator::begin(const GroupView &view, FailoverCause cause,
+auto FailoverCoordinator::begin(const FailoverGroup &view, FailoverCause cause,
                                 const std::string &wanted, TimePoint now, Effects &effects) -> void
 {
     auto &attempt = this->attempts[view.name];
--- a/libs/failover/tests/GroupSimulation.h
+++ b/libs/failover/tests/GroupSimulation.h
@@ -32,7 +32,7 @@
         this->endpoints["a"].primary = true;
         this->endpoints["a"].position.index = 12;
         this->endpoints["b"].position.index = 11;
-        this->view = GroupView{.name = "logs",
+        this->view = FailoverGroup{.name = "logs",
                                .term = 1,
                                .primary = "a",
                                .endpoints = {{"a", "1"}, {"b", "2"}, {"c", "3"}}};
@@ -58,7 +58,7 @@
 
     VirtualScheduler scheduler;
     std::map<std::string, Endpoint> endpoints;
-    GroupView view;
+    FailoverGroup view;
     std::unique_ptr<FailoverCoordinator> coordinator;
     std::vector<FailoverRecord> records;
     std::set<std::string> cutOffEntries;
--- a/libs/heartbeat/include/heartbeat/Heartbeat.h
+++ b/libs/heartbeat/include/heartbeat/Heartbeat.h
@@ -22,6 +22,7 @@
     std::string instance;
     std::uint64_t incarnation = 0; ///< Drawn at each start of the entry.
     std::string zone;
+    std::string operatorsAddress; ///< IP:port of its operators' port.
     Revision appliedRevision = 0;
     ShareReport shares;
     std::vector<Announcement> endpoints; ///< Arrivals and changes that the state does not show yet.
--- a/libs/http/include/http/HttpResponse.h
+++ b/libs/http/include/http/HttpResponse.h
@@ -14,6 +14,7 @@
     HttpHeaders headers;
     std::string body;
     std::string contentType = "application/json";
+    bool keepOpen = false; ///< The connection stays open even while the server drains.
     bool closeConnection = false; ///< The server ends the connection after this response.
 };
 
--- a/libs/http/src/detail/RequestFactory.cpp
+++ b/libs/http/src/detail/RequestFactory.cpp
@@ -108,7 +108,7 @@
         response.setContentType(content.contentType);
         for (const auto &[name, value] : content.headers)
             response.set(name, value);
-        if (content.closeConnection || this->state->draining)
+        if (content.closeConnection || (this->state->draining && !content.keepOpen))
             response.setKeepAlive(false);
         try {
             response.sendBuffer(content.body.data(), content.body.size());
--- a/libs/request/include/request/Authorisation.h
+++ b/libs/request/include/request/CallerAuthorisation.h
@@ -1,5 +1,5 @@
-#ifndef AUBURNRAIL_REQUEST_AUTHORISATION_H
-#define AUBURNRAIL_REQUEST_AUTHORISATION_H
+#ifndef AUBURNRAIL_REQUEST_CALLERAUTHORISATION_H
+#define AUBURNRAIL_REQUEST_CALLERAUTHORISATION_H
 
 #include <cstdint>
 #include <string>
@@ -7,7 +7,7 @@
 namespace auburnrail {
 
 /// What a key, or an open route, allows on one service.
-struct Authorisation
+struct CallerAuthorisation
 {
     std::string organisation;
     std::uint32_t weight = 1;
--- a/libs/request/include/request/RequestHooks.h
+++ b/libs/request/include/request/RequestHooks.h
@@ -1,7 +1,7 @@
 #ifndef AUBURNRAIL_REQUEST_REQUESTHOOKS_H
 #define AUBURNRAIL_REQUEST_REQUESTHOOKS_H
 
-#include <request/Authorisation.h>
+#include <request/CallerAuthorisation.h>
 #include <request/CallerAnswer.h>
 #include <request/ConnectionHandle.h>
 #include <request/EndpointExchange.h>
@@ -38,7 +38,7 @@
     using ConfirmDone = std::function<auto(bool confirmed)->void>;
 
     std::function<auto(const std::string &key, const std::string &service)
-                      ->std::variant<Authorisation, ReasonCode>>
+                      ->std::variant<CallerAuthorisation, ReasonCode>>
         authorise;
     std::function<auto(const std::string &service)->std::optional<GroupView>> groupOf;
     std::function<auto()->bool> holdsLease;
--- a/libs/request/include/request/detail/RequestFacts.h
+++ b/libs/request/include/request/detail/RequestFacts.h
@@ -1,7 +1,7 @@
 #ifndef AUBURNRAIL_REQUEST_DETAIL_REQUESTFACTS_H
 #define AUBURNRAIL_REQUEST_DETAIL_REQUESTFACTS_H
 
-#include <request/Authorisation.h>
+#include <request/CallerAuthorisation.h>
 #include <request/ConnectionHandle.h>
 #include <request/EndpointRequest.h>
 #include <request/GroupView.h>
@@ -20,7 +20,7 @@
 /// What a RequestMachine has learned so far.
 struct RequestFacts
 {
-    Authorisation authorisation;
+    CallerAuthorisation authorisation;
     GroupView group; ///< As of the current attempt.
     SessionToken session;
     bool sessionKnown = false;
--- a/libs/settings/include/settings/EntrySettings.h
+++ b/libs/settings/include/settings/EntrySettings.h
@@ -25,7 +25,8 @@
     std::string clusterSecretFile;  ///< File with the secret shared by the cluster's instances.
     std::int64_t workerThreads = 0; ///< Callers served at one time.
     std::int64_t maxBodyBytes = 0;
-    Duration drainLimit{}; ///< Longest graceful shutdown.
+    Duration readyGrace{}; ///< From reporting not ready to refusing connections.
+    Duration drainLimit{}; ///< Longest wait for work under way at shutdown.
 };
 
 /// Rows of every setting of an entry.
--- a/libs/wire/src/HeartbeatCodec.cpp
+++ b/libs/wire/src/HeartbeatCodec.cpp
@@ -131,6 +131,7 @@
     message.instance = heartbeat.instance;
     message.incarnation = static_cast<std::int64_t>(heartbeat.incarnation);
     message.zone = heartbeat.zone;
+    message.operatorsAddress = heartbeat.operatorsAddress;
     message.appliedRevision = static_cast<std::int64_t>(heartbeat.appliedRevision);
     message.shareSequence = static_cast<std::int64_t>(heartbeat.shares.sequence);
     message.demands = toDemandMessages(heartbeat.shares.demands);
@@ -149,6 +150,7 @@
     heartbeat.instance = message.instance;
     heartbeat.incarnation = static_cast<std::uint64_t>(message.incarnation);
     heartbeat.zone = message.zone;
+    heartbeat.operatorsAddress = message.operatorsAddress;
     heartbeat.appliedRevision = static_cast<Revision>(message.appliedRevision);
     heartbeat.shares.holder = HolderId{heartbeat.instance, heartbeat.incarnation};
     heartbeat.shares.zone = heartbeat.zone;
