--- /dev/null
+++ b/libs/wire/src/CommandConversion.cpp
@@ -0,0 +1,181 @@
+#include "CommandConversion.h"
+
+#include "DecodeFault.h"
+#include "EnumConversion.h"
+#include "FleetConversion.h"
+
+#include <utility>
+
+namespace auburnrail::detail {
+
+namespace {
+
+auto convert(const SetObject &from, wire::CommandBody &result) -> void
+{
+    result.__set_setObject(toWire(from.object));
+}
+
+auto convert(const DeleteObject &from, wire::CommandBody &result) -> void
+{
+    auto to = wire::DeleteObject();
+    to.kind = toWireEnum(from.kind);
+    to.name = from.name;
+    result.__set_deleteObject(to);
+}
+
+auto convert(const SetLabel &from, wire::CommandBody &result) -> void
+{
+    auto to = wire::SetLabel();
+    to.kind = toWireEnum(from.kind);
+    to.name = from.name;
+    to.key = from.key;
+    to.value = from.value;
+    result.__set_setLabel(to);
+}
+
+auto convert(const RemoveLabel &from, wire::CommandBody &result) -> void
+{
+    auto to = wire::RemoveLabel();
+    to.kind = toWireEnum(from.kind);
+    to.name = from.name;
+    to.key = from.key;
+    result.__set_removeLabel(to);
+}
+
+auto convert(const WithdrawKey &from, wire::CommandBody &result) -> void
+{
+    auto to = wire::WithdrawKey();
+    to.key = from.key;
+    result.__set_withdrawKey(to);
+}
+
+auto convert(const GrantTerm &from, wire::CommandBody &result) -> void
+{
+    auto to = wire::GrantTerm();
+    to.groupName = from.group;
+    to.term = static_cast<std::int64_t>(from.term);
+    result.__set_grantTerm(to);
+}
+
+auto convert(const PublishPrimary &from, wire::CommandBody &result) -> void
+{
+    auto to = wire::PublishPrimary();
+    to.groupName = from.group;
+    to.term = static_cast<std::int64_t>(from.term);
+    to.endpoint = from.endpoint;
+    result.__set_publishPrimary(to);
+}
+
+auto convert(const LeaveEndpoint &from, wire::CommandBody &result) -> void
+{
+    auto to = wire::LeaveEndpoint();
+    to.endpoint = from.endpoint;
+    result.__set_leaveEndpoint(to);
+}
+
+auto convert(wire::CommandBody &&from) -> CommandBody
+{
+    const auto &isSet = from.__isset;
+    const auto count = int(isSet.setObject) + int(isSet.deleteObject) + int(isSet.setLabel)
+                       + int(isSet.removeLabel) + int(isSet.withdrawKey) + int(isSet.grantTerm)
+                       + int(isSet.publishPrimary) + int(isSet.leaveEndpoint);
+    if (count != 1)
+        throw DecodeFault("a command is not of exactly one kind");
+    if (isSet.setObject)
+        return SetObject{fromWire(std::move(from.setObject))};
+    if (isSet.deleteObject) {
+        return DeleteObject{fromWireEnum<ObjectKind>(from.deleteObject.kind),
+                            std::move(from.deleteObject.name)};
+    }
+    if (isSet.setLabel) {
+        return SetLabel{fromWireEnum<ObjectKind>(from.setLabel.kind), std::move(from.setLabel.name),
+                        std::move(from.setLabel.key), std::move(from.setLabel.value)};
+    }
+    if (isSet.removeLabel) {
+        return RemoveLabel{fromWireEnum<ObjectKind>(from.removeLabel.kind),
+                           std::move(from.removeLabel.name), std::move(from.removeLabel.key)};
+    }
+    if (isSet.withdrawKey)
+        return WithdrawKey{std::move(from.withdrawKey.key)};
+    if (isSet.grantTerm) {
+        return GrantTerm{std::move(from.grantTerm.groupName),
+                         static_cast<std::uint64_t>(from.grantTerm.term)};
+    }
+    if (isSet.publishPrimary) {
+        return PublishPrimary{std::move(from.publishPrimary.groupName),
+                              static_cast<std::uint64_t>(from.publishPrimary.term),
+                              std::move(from.publishPrimary.endpoint)};
+    }
+    return LeaveEndpoint{std::move(from.leaveEndpoint.endpoint)};
+}
+
+} // namespace
+
+auto toWire(const Command &command) -> wire::Command
+{
+    auto result = wire::Command();
+    result.commandId = command.header.commandId;
+    result.baseRevision = static_cast<std::int64_t>(command.header.baseRevision);
+    if (command.header.expectedRevision)
+        result.__set_expectedRevision(static_cast<std::int64_t>(*command.header.expectedRevision));
+    result.operatorName = command.header.operatorName;
+    std::visit([&result](const auto &body) -> void { convert(body, result.body); }, command.body);
+    return result;
+}
+
+auto fromWire(wire::Command &&command) -> Command
+{
+    auto result = Command{
+        CommandHeader{.commandId = std::move(command.commandId),
+                      .baseRevision = static_cast<Revision>(command.baseRevision),
+                      .expectedRevision = std::nullopt,
+                      .operatorName = std::move(command.operatorName)},
+        convert(std::move(command.body)),
+    };
+    if (command.__isset.expectedRevision)
+        result.header.expectedRevision = static_cast<Revision>(command.expectedRevision);
+    return result;
+}
+
+auto toWire(const CommandResult &result) -> wire::CommandResult
+{
+    auto to = wire::CommandResult();
+    to.status = toWireEnum(result.status);
+    to.message = result.message;
+    to.revision = static_cast<std::int64_t>(result.revision);
+    if (result.winningCommandId)
+        to.__set_winningCommandId(*result.winningCommandId);
+    return to;
+}
+
+auto fromWire(wire::CommandResult &&result) -> CommandResult
+{
+    auto to = CommandResult{.status = fromWireEnum<CommandStatus>(result.status),
+                            .message = std::move(result.message),
+                            .revision = static_cast<Revision>(result.revision)};
+    if (result.__isset.winningCommandId)
+        to.winningCommandId = std::move(result.winningCommandId);
+    return to;
+}
+
+auto toWire(const RememberedCommand &row) -> wire::RememberedCommand
+{
+    auto to = wire::RememberedCommand();
+    to.commandId = row.commandId;
+    to.revision = static_cast<std::int64_t>(row.revision);
+    to.kind = toWireEnum(row.kind);
+    to.name = row.name;
+    to.result = toWire(row.result);
+    return to;
+}
+
+auto fromWire(wire::RememberedCommand &&row) -> RememberedCommand
+{
+    return RememberedCommand{.commandId = std::move(row.commandId),
+                             .revision = static_cast<Revision>(row.revision),
+                             .kind = fromWireEnum<ObjectKind>(row.kind),
+                             .name = std::move(row.name),
+                             .result = fromWire(std::move(row.result))};
+}
+
+} // namespace auburnrail::detail
--- /dev/null
+++ b/libs/wire/src/FleetConversion.h
@@ -0,0 +1,21 @@
+#ifndef AUBURNRAIL_WIRE_FLEETCONVERSION_H
+#define AUBURNRAIL_WIRE_FLEETCONVERSION_H
+
+#include "gen/Fleet_types.h"
+
+#include <state/FleetChange.h>
+#include <state/FleetObject.h>
+
+namespace auburnrail::detail {
+
+// Domain types to and from generated ones. fromWire() throws DecodeFault.
+
+[[nodiscard]] auto toWire(const FleetObject &object) -> wire::FleetObject;
+[[nodiscard]] auto fromWire(wire::FleetObject &&object) -> FleetObject;
+
+[[nodiscard]] auto toWire(const FleetChange &change) -> wire::FleetChange;
+[[nodiscard]] auto fromWire(wire::FleetChange &&change) -> FleetChange;
+
+} // namespace auburnrail::detail
+
+#endif
