Queue requests fairly between organisations

Cause: requests wait for connections and tokens; without a rule one organisation above its rate takes the slots and waiting places of all others. Change: FairQueue, start-time fair queueing by organisation weight over bounded places. Tags are kept for each organisation instead of each waiter, so a waiter that is refused or cancelled costs its organisation nothing. When it is full, the waiter with the least time to spare of those organisations above their part of the places is refused. Without slots the queue serves for tokens (`admitNext`). Ruled out: refusing the newcomer (drop tail), which turns away organisations within their part.

--- /dev/null
+++ b/libs/quota/include/quota/Admission.h
@@ -0,0 +1,17 @@
+#ifndef AUBURNRAIL_QUOTA_ADMISSION_H
+#define AUBURNRAIL_QUOTA_ADMISSION_H
+
+#include <quota/Admitted.h>
+#include <quota/Queued.h>
+#include <quota/Refused.h>
+
+#include <variant>
+
+namespace auburnrail {
+
+/// What a FairQueue decided about a new waiter.
+using Admission = std::variant<Admitted, Queued, Refused>;
+
+} // namespace auburnrail
+
+#endif
--- /dev/null
+++ b/libs/quota/include/quota/Admitted.h
@@ -0,0 +1,13 @@
+#ifndef AUBURNRAIL_QUOTA_ADMITTED_H
+#define AUBURNRAIL_QUOTA_ADMITTED_H
+
+namespace auburnrail {
+
+/// The waiter holds a slot of the FairQueue, to be given back with `release`.
+struct Admitted
+{
+};
+
+} // namespace auburnrail
+
+#endif
--- /dev/null
+++ b/libs/quota/include/quota/detail/QueueEvents.h
@@ -0,0 +1,22 @@
+#ifndef AUBURNRAIL_QUOTA_DETAIL_QUEUEEVENTS_H
+#define AUBURNRAIL_QUOTA_DETAIL_QUEUEEVENTS_H
+
+#include <quota/WaiterId.h>
+
+#include <core/ReasonCode.h>
+
+#include <utility>
+#include <vector>
+
+namespace auburnrail::detail {
+
+/// Hook calls that a FairQueue makes after it has released its mutex.
+struct QueueEvents
+{
+    std::vector<WaiterId> admitted;
+    std::vector<std::pair<WaiterId, ReasonCode>> refused;
+};
+
+} // namespace auburnrail::detail
+
+#endif
