--- a/apps/auburnrail-entry/Main.cpp
+++ b/apps/auburnrail-entry/Main.cpp
@@ -1,6 +1,7 @@
 #include <daemon/Logging.h>
 #include <daemon/ShutdownSignal.h>
-#include <entry/EntryServer.h>
+#include <entry/EntryNode.h>
+#include <settings/ClusterSecret.h>
 
 #include <CLI/CLI.hpp>
 
@@ -11,12 +12,11 @@
 constexpr auto EXIT_BAD_SETTINGS = 2;
 constexpr auto EXIT_UNAVAILABLE = 3;
 
-auto runServer(const auburnrail::EntrySettings &settings) -> int
+auto runNode(const auburnrail::EntrySettings &settings, const std::string &secret) -> int
 {
     auto signals = auburnrail::ShutdownSignal();
-    auto server = auburnrail::EntryServer(
-        settings, [] { return std::chrono::steady_clock::now(); }, auburnrail::makeSecureRandom());
-    const auto status = server.start();
+    auto node = auburnrail::EntryNode(settings, secret);
+    const auto status = node.start();
     if (!status.ok()) {
         std::cerr << status.message() << "\n";
         return EXIT_UNAVAILABLE;
@@ -24,7 +24,9 @@
     auburnrail::logLine(auburnrail::LogLevel::Info, "entry", "started",
                         {{"instance", settings.instance}, {"address", settings.callersAddress}});
     signals.wait();
-    server.stop();
+    node.shutDown();
+    auburnrail::logLine(auburnrail::LogLevel::Info, "entry", "stopped",
+                        {{"instance", settings.instance}});
     return 0;
 }
 
@@ -38,13 +40,16 @@
     CLI11_PARSE(app, argc, argv);
 
     auto findings = auburnrail::Findings();
-    const auto file =
-        auburnrail::SettingsFile::load(path, auburnrail::entrySettingsTable(), findings);
+    const auto file = auburnrail::SettingsFile::load(path, auburnrail::entrySettingsTable(),
+                                                     findings);
     const auto settings = auburnrail::parseEntrySettings(file, findings);
+    const auto secret = auburnrail::readClusterSecret(settings.clusterSecretFile);
+    if (findings.empty() && !secret.ok())
+        findings.add(file.place("security", "cluster_secret_file"), secret.status().ToString());
     if (!findings.empty()) {
         std::cerr << findings.toString();
         return EXIT_BAD_SETTINGS;
     }
     auburnrail::setUpLogging(auburnrail::LogLevel::Info);
-    return runServer(settings);
+    return runNode(settings, *secret);
 }
--- a/libs/entry/include/entry/EntryTables.h
+++ b/libs/entry/include/entry/EntryTables.h
@@ -11,6 +11,7 @@
 #include <observe/ExplainLog.h>
 #include <observe/Metrics.h>
 #include <quota/ShareHolder.h>
+#include <request/CallerAnswer.h>
 #include <request/ConnectionPool.h>
 #include <request/ReplicationTracker.h>
 #include <request/RetryBudget.h>
@@ -22,6 +23,9 @@
 #include <core/Executor.h>
 #include <core/RandomSource.h>
 
+#include <memory>
+#include <string>
+
 namespace auburnrail {
 
 /// The shared tables of one entry, wired to each other. Blocking work (opening connections, awaits)
@@ -38,10 +42,16 @@
     /// Tells the tables what the state's new revision says of groups and endpoints.
     auto stateChanged() -> void;
 
-    /// Ends waits and transactions that are due; returns nothing. Called every few tens of
-    /// milliseconds by the executor's timer.
+    /// Ends waits and transactions that are due. Called every few tens of milliseconds by the
+    /// executor's timer.
     auto expire(TimePoint now) -> void;
 
+    /// Counts one answered request in the metrics.
+    auto countRequest(const CallerAnswer &answer, Duration latency) -> void;
+
+    /// All metrics in the text exposition format.
+    [[nodiscard]] auto metricsText() -> std::string;
+
     const EntryIdentity identity;
     const Executor executor;
     const RandomSource random;
@@ -65,6 +75,7 @@
     auto openConnection(const ConnectionHandle &handle) -> void;
     auto sendAwait(const std::string &group, const std::string &endpoint, Position position)
         -> void;
+    auto setObjectives(const std::shared_ptr<const FleetObjects> &objects) -> void;
 };
 
 } // namespace auburnrail
--- a/libs/entry/include/entry/RequestRunner.h
+++ b/libs/entry/include/entry/RequestRunner.h
@@ -20,9 +20,6 @@
     [[nodiscard]] auto serve(CallerRequest request) -> CallerAnswer;
 
 private:
-    auto record(const CallerRequest &request, const std::string &organisation,
-                const CallerAnswer &answer, Duration latency) -> void;
-
     EntryTables &tables;
 };
 
--- a/libs/entry/src/EntryTables.cpp
+++ b/libs/entry/src/EntryTables.cpp
@@ -11,6 +11,12 @@
 constexpr auto AWAIT_HOLD = std::chrono::milliseconds(500);
 constexpr auto AWAIT_TIME_LIMIT = std::chrono::milliseconds(1000);
 
+constexpr auto EXPLAIN_RECORDS = std::size_t(4096);
+constexpr auto METRIC_SERIES = std::size_t(1024);
+constexpr auto WINDOW_DAYS_DEFAULT = std::chrono::hours(24 * 28);
+/// Part of the events that has to be within a latency or gap objective's limit.
+constexpr auto THRESHOLD_TARGET = 0.99;
+
 /// Label with which operators take an endpoint out of service; its own announcements set `leaving`.
 constexpr auto DRAIN_LABEL = "drain";
 
@@ -37,6 +43,26 @@
     return description;
 }
 
+auto toBurnObjective(const Objective &objective, const std::shared_ptr<const FleetObjects> &objects)
+    -> BurnObjective
+{
+    auto result = BurnObjective();
+    result.name = objective.name;
+    result.kind = objective.kind;
+    const auto hasThreshold = objective.kind == ObjectiveKind::Latency
+        || objective.kind == ObjectiveKind::FailoverGap;
+    result.target = hasThreshold ? THRESHOLD_TARGET : objective.target;
+    if (hasThreshold)
+        result.threshold = std::chrono::milliseconds(static_cast<std::int64_t>(objective.target));
+    result.window = objective.window > Duration() ? objective.window : Duration(WINDOW_DAYS_DEFAULT);
+    result.applies = [objects, selector = objective.selector](std::string_view service,
+                                                              std::string_view /*organisation*/) {
+        const auto *found = objects->find<Service>(service);
+        return found != nullptr && selector.matches(found->labels);
+    };
+    return result;
+}
+
 } // namespace
 
 EntryTables::EntryTables(const EntryIdentity &entryIdentity, Executor entryExecutor,
@@ -80,6 +106,9 @@
                        this->endpoints.end(transaction.connection.endpoint);
                    }})
     , sessions(identity.clusterSecret, random)
+    , explain(EXPLAIN_RECORDS)
+    , burn(identity.instance + "/" + std::to_string(identity.incarnation))
+    , metrics(METRIC_SERIES)
 {
 }
 
@@ -128,6 +157,40 @@
         this->replication.setGroup(group.name, group.term, names);
     });
     this->endpoints.updateFromState(descriptions);
+    this->setObjectives(objects);
+}
+
+auto EntryTables::setObjectives(const std::shared_ptr<const FleetObjects> &objects) -> void
+{
+    auto objectives = std::vector<BurnObjective>();
+    objects->table<Objective>().forEach([&](const Objective &objective) {
+        objectives.push_back(toBurnObjective(objective, objects));
+    });
+    this->burn.setObjectives(std::move(objectives));
+}
+
+auto EntryTables::countRequest(const CallerAnswer &answer, Duration latency) -> void
+{
+    const auto requests = this->metrics.series(
+        MetricKind::Counter, "auburnrail_requests_total", "Requests answered, by reason.",
+        {{"reason", std::string(nameOf(answer.reason))},
+         {"replica", answer.servedByReplica ? "true" : "false"}});
+    this->metrics.add(requests);
+    const auto seconds = this->metrics.series(MetricKind::Distribution,
+                                              "auburnrail_request_seconds",
+                                              "Time from receiving a request to its answer.");
+    this->metrics.record(seconds, std::chrono::duration<double>(latency).count());
+}
+
+auto EntryTables::metricsText() -> std::string
+{
+    const auto lease = this->metrics.series(MetricKind::Gauge, "auburnrail_lease_held",
+                                            "1 while the entry holds its lease.");
+    this->metrics.set(lease, this->lease.holds(this->executor.now()) ? 1 : 0);
+    const auto revision = this->metrics.series(MetricKind::Gauge, "auburnrail_applied_revision",
+                                               "Revision of the fleet state in force here.");
+    this->metrics.set(revision, static_cast<double>(this->state.revision()));
+    return this->metrics.toText();
 }
 
 auto EntryTables::expire(TimePoint now) -> void
--- a/libs/entry/src/RequestRunner.cpp
+++ b/libs/entry/src/RequestRunner.cpp
@@ -1,5 +1,7 @@
 #include <entry/RequestRunner.h>
 
+#include <entry/RequestTrail.h>
+
 #include <request/RequestHooks.h>
 #include <request/RequestMachine.h>
 #include <request/RequestTables.h>
@@ -125,7 +127,7 @@
                                              .transactions = &this->tables.transactions,
                                              .sessions = &this->tables.sessions};
     auto hooks = makeHooks(this->tables, loop, promise);
-    auto trail = RequestTrail(request);
+    auto trail = RequestTrail(request, this->tables.executor.now());
     hooks.explain = [&trail](RequestRecord record) { trail.add(std::move(record)); };
     RequestMachine::serve(std::move(request), std::move(hooks), requestTables);
     while (const auto task = loop->take())
--- /dev/null
+++ b/libs/entry/src/RequestTrail.cpp
@@ -0,0 +1,112 @@
+#include <entry/RequestTrail.h>
+
+#include <daemon/Logging.h>
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+
+namespace auburnrail {
+
+namespace {
+
+/// Ends of a request that are not the system's fault: the caller's own errors and its limits.
+constexpr auto CALLER_REASONS = std::to_array<ReasonCode>({
+    ReasonCode::Completed,
+    ReasonCode::StatementFailed,
+    ReasonCode::MalformedRequest,
+    ReasonCode::BodyTooLarge,
+    ReasonCode::UnknownPath,
+    ReasonCode::UnknownService,
+    ReasonCode::KeyMissing,
+    ReasonCode::KeyUnknown,
+    ReasonCode::KeyWithdrawn,
+    ReasonCode::RouteDenied,
+    ReasonCode::RateLimited,
+    ReasonCode::IdempotencyConflict,
+    ReasonCode::TransactionUnknown,
+    ReasonCode::TransactionElsewhere,
+    ReasonCode::TransactionBusy,
+});
+
+auto isSystemFault(ReasonCode reason) -> bool
+{
+    return std::find(CALLER_REASONS.begin(), CALLER_REASONS.end(), reason) == CALLER_REASONS.end();
+}
+
+auto wallClockMillis() -> std::int64_t
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+               std::chrono::system_clock::now().time_since_epoch())
+        .count();
+}
+
+auto describe(const RequestRecord &record) -> std::string
+{
+    auto text = record.detail;
+    if (!record.endpoint.empty())
+        absl::StrAppend(&text, " endpoint=", record.endpoint);
+    absl::StrAppend(&text, " term=", record.term, " position=", record.position.term, ".",
+                    record.position.index, record.lease ? " leased" : " no-lease");
+    return text;
+}
+
+} // namespace
+
+RequestTrail::RequestTrail(const CallerRequest &request, TimePoint receivedAt)
+    : requestId(request.requestId)
+    , service(request.service)
+    , startedAt(receivedAt)
+{
+}
+
+auto RequestTrail::add(RequestRecord record) -> void
+{
+    if (!record.organisation.empty())
+        this->organisation = record.organisation;
+    this->records.push_back(std::move(record));
+}
+
+auto RequestTrail::explain(const CallerAnswer &answer, std::int64_t nowMillis) const
+    -> ExplainRecord
+{
+    auto record = ExplainRecord();
+    const auto isRefusal = answer.outcome == Outcome::NotRun;
+    record.kind = isRefusal ? ExplainKind::Refusal : ExplainKind::Request;
+    record.id = this->requestId;
+    record.organisation = this->organisation;
+    record.service = this->service;
+    record.atMillis = nowMillis;
+    record.decision = std::string(nameOf(answer.outcome));
+    record.reason = answer.reason;
+    for (const auto &step : this->records)
+        record.facts.push_back(ExplainFact{std::string(nameOf(step.step)), describe(step)});
+    return record;
+}
+
+auto RequestTrail::finish(const CallerAnswer &answer, EntryTables &tables) -> void
+{
+    const auto latency = tables.executor.now() - this->startedAt;
+    const auto nowMillis = wallClockMillis();
+    tables.explain.record(this->explain(answer, nowMillis));
+    tables.burn.recordRequest(RequestSample{.service = this->service,
+                                            .organisation = this->organisation,
+                                            .reason = answer.reason,
+                                            .failed = isSystemFault(answer.reason),
+                                            .wrongful = false,
+                                            .latency = latency},
+                              nowMillis);
+    tables.countRequest(answer, latency);
+    if (answer.reason == ReasonCode::Completed)
+        return;
+    logLine(LogLevel::Info, "request", answer.message,
+            {{"request", this->requestId},
+             {"organisation", this->organisation},
+             {"service", this->service},
+             {"outcome", std::string(nameOf(answer.outcome))},
+             {"reason", std::string(nameOf(answer.reason))}});
+}
+
+} // namespace auburnrail
--- a/libs/request/src/RequestMachine.cpp
+++ b/libs/request/src/RequestMachine.cpp
@@ -55,7 +55,7 @@
         this->isRead() && this->request.maxAge && this->request.transaction.empty();
     if (mayBeIsolated) {
         const auto right = this->hooks.authorise({}, this->request.service);
-        const auto *granted = std::get_if<Authorisation>(&right);
+        const auto *granted = std::get_if<CallerAuthorisation>(&right);
         if (granted != nullptr && granted->openRoute && granted->isolatedReads) {
             this->facts.authorisation = *granted;
             this->facts.isolated = true;
@@ -74,7 +74,7 @@
         this->fail(*reason, "the request is not authorised");
         return false;
     }
-    this->facts.authorisation = std::get<Authorisation>(right);
+    this->facts.authorisation = std::get<CallerAuthorisation>(right);
     return true;
 }
 
--- a/libs/wire/src/HeartbeatCodec.cpp
+++ b/libs/wire/src/HeartbeatCodec.cpp
@@ -109,7 +109,7 @@
     -> absl::Status
 {
     if (message.__isset.update) {
-        auto update = decodeUpdate(message.update);
+        auto update = decodeChanges(message.update);
         if (!update.ok())
             return update.status();
         answer.update = *std::move(update);
@@ -173,7 +173,7 @@
     message.leaseMillis = toMillis(answer.lease.duration);
     message.minimumRevision = static_cast<std::int64_t>(answer.lease.minimumRevision);
     if (answer.update)
-        message.__set_update(encodeUpdate(*answer.update));
+        message.__set_update(encodeChanges(*answer.update));
     if (answer.snapshot)
         message.__set_snapshot(encodeSnapshot(*answer.snapshot));
     message.shareSequence = static_cast<std::int64_t>(answer.shares.sequence);
