--- /dev/null
+++ b/libs/control/include/control/ControlOperators.h
@@ -0,0 +1,50 @@
+#ifndef AUBURNRAIL_CONTROL_CONTROLOPERATORS_H
+#define AUBURNRAIL_CONTROL_CONTROLOPERATORS_H
+
+#include <control/ControlOperatorsHooks.h>
+#include <control/ControlTables.h>
+
+#include <http/HttpServer.h>
+#include <operators/OperatorHooks.h>
+#include <operators/SubmitAnswer.h>
+#include <settings/ControlSettings.h>
+
+#include <absl/status/status.h>
+
+namespace auburnrail {
+
+/// The operators' port of a control member: commands, state, status, explanations, reports, metrics
+/// and health.
+class ControlOperators
+{
+public:
+    /// `controlTables` must outlive this object.
+    ControlOperators(const ControlSettings &settings, ControlTables &controlTables,
+                     ControlOperatorsHooks operatorsHooks);
+
+    /// Starts to listen. `kUnavailable` when the address can't be bound.
+    [[nodiscard]] auto start() -> absl::Status;
+
+    auto stop() -> void;
+
+private:
+    [[nodiscard]] auto handle(const HttpRequest &request) -> HttpResponse;
+    [[nodiscard]] auto makeHooks() -> OperatorHooks;
+    [[nodiscard]] auto submit(const Command &command) -> SubmitAnswer;
+    [[nodiscard]] auto status() -> ControlStatus;
+    [[nodiscard]] auto addressOfLeader() const -> std::string;
+    [[nodiscard]] auto explainFailover(const std::string &group) -> HttpResponse;
+    [[nodiscard]] auto promote(const HttpRequest &request) -> HttpResponse;
+    [[nodiscard]] auto listMembers() -> HttpResponse;
+    [[nodiscard]] auto listEntries() -> HttpResponse;
+
+    const ControlSettings settings;
+    ControlTables &tables;
+    const ControlOperatorsHooks hooks;
+    const OperatorHooks operatorHooks;
+    HttpServer server;
+};
+
+} // namespace auburnrail
+
+#endif
--- a/libs/control/include/control/ControlTables.h
+++ b/libs/control/include/control/ControlTables.h
@@ -5,6 +5,7 @@
 #include <control/ControlTablesHooks.h>
 #include <control/EndpointCommander.h>
 #include <control/EndpointRegistrar.h>
+#include <control/EntryDirectory.h>
 #include <control/FailoverLog.h>
 #include <control/FleetStore.h>
 #include <control/HeldAnswers.h>
@@ -53,6 +54,7 @@
     HeldAnswers held;
     ShareLedger ledger;
     EndpointRegistrar registrar;
+    EntryDirectory entries;
     EndpointCommander commander;
     FailoverLog failovers;
     FailoverCoordinator failover;
--- /dev/null
+++ b/libs/control/include/control/EntryRecord.h
@@ -0,0 +1,23 @@
+#ifndef AUBURNRAIL_CONTROL_ENTRYRECORD_H
+#define AUBURNRAIL_CONTROL_ENTRYRECORD_H
+
+#include <core/Revision.h>
+#include <core/Time.h>
+
+#include <string>
+
+namespace auburnrail {
+
+/// What an entry said of itself in its last heartbeat.
+struct EntryRecord
+{
+    std::string instance;
+    std::string zone;
+    std::string operatorsAddress; ///< IP:port
+    Revision appliedRevision = 0;
+    TimePoint heardAt;
+};
+
+} // namespace auburnrail
+
+#endif
--- /dev/null
+++ b/libs/control/src/ControlNode.cpp
@@ -0,0 +1,142 @@
+#include <control/ControlNode.h>
+
+#include <daemon/Logging.h>
+
+#include <cstdlib>
+
+namespace auburnrail {
+
+namespace {
+
+/// Calls to endpoints block a worker each.
+constexpr auto WORKER_COUNT = std::size_t(16);
+constexpr auto TICK_INTERVAL = std::chrono::milliseconds(20);
+
+auto toConsensusSettings(const ControlSettings &settings) -> ConsensusSettings
+{
+    auto result = ConsensusSettings();
+    result.self.name = settings.member;
+    for (const auto &member : settings.members)
+        result.members.push_back(member.name);
+    result.heartbeatInterval = settings.heartbeatInterval;
+    result.minElectionTimeout = settings.minimumElectionTimeout;
+    result.maxElectionTimeout = settings.maximumElectionTimeout;
+    return result;
+}
+
+} // namespace
+
+ControlNode::ControlNode(const ControlSettings &controlSettings)
+    : settings(controlSettings)
+    , workers(WORKER_COUNT)
+    , tables(workers.executor(), makeSecureRandom(), makeTableHooks())
+    , transport(ConsensusTransportSettings{.address = settings.consensusAddress},
+                ConsensusTransportHooks{
+                    .received = [this](const Message &message) { this->runner.receive(message); }})
+    , runner(toConsensusSettings(settings), makeRunnerHooks(), workers.executor(),
+             makeSecureRandom())
+    , heartbeats(tables)
+    , entries(settings.entriesAddress,
+              [this](const Heartbeat &heartbeat) { return this->heartbeats.answer(heartbeat); })
+    , operators(settings, tables,
+                ControlOperatorsHooks{.nodeStatus = [this] { return this->runner.status(); }})
+{
+}
+
+ControlNode::~ControlNode()
+{
+    this->stop();
+}
+
+auto ControlNode::initialise(const ControlSettings &settings) -> absl::Status
+{
+    auto names = std::vector<MemberName>();
+    for (const auto &member : settings.members)
+        names.push_back(member.name);
+    return ConsensusDisk::formatInitial(settings.dataDirectory, settings.cluster, settings.member,
+                                        names);
+}
+
+auto ControlNode::makeTableHooks() -> ControlTablesHooks
+{
+    return ControlTablesHooks{
+        .propose = [this](std::string payload) { return this->runner.propose(std::move(payload)); },
+        .isLeaderWithQuorum = [this](TimePoint /*now*/) { return this->runner.isLeaderWithQuorum(); },
+        .leader = [this] { return this->runner.status().leader; }};
+}
+
+auto ControlNode::makeRunnerHooks() -> ConsensusRunnerHooks
+{
+    return ConsensusRunnerHooks{
+        .send = [this](Message message) { this->transport.send(std::move(message)); },
+        .committed = [this](LogIndex index, Term /*term*/,
+                            const std::string &payload) { this->tables.committed(index, payload); },
+        .installSnapshot = [this](const std::string &snapshot, LogIndex /*index*/,
+                                  Term /*term*/) { this->tables.installed(snapshot); },
+        .leadershipChanged =
+            [this](bool leads, Term term) {
+                this->tables.leadershipChanged(leads);
+                logLine(LogLevel::Info, "consensus", leads ? "became leader" : "ended leadership",
+                        {{"member", this->settings.member}, {"term", std::to_string(term)}});
+            },
+        .proposalLost = [this](LogIndex index, Term /*term*/) { this->tables.pipeline.lost(index); },
+        .makeSnapshot = [this] { return this->tables.store.encodedSnapshot(); },
+        .failed =
+            [this](const absl::Status &status) {
+                logLine(LogLevel::Error, "storage", status.message(),
+                        {{"member", this->settings.member}});
+                // State that can't be made durable must not be served.
+                std::_Exit(EXIT_FAILURE);
+            }};
+}
+
+auto ControlNode::startTransport() -> absl::Status
+{
+    if (auto status = this->transport.start(); !status.ok())
+        return status;
+    for (const auto &member : this->settings.members) {
+        if (member.name == this->settings.member)
+            continue;
+        if (auto status = this->transport.addMember(member.name, member.address); !status.ok())
+            return status;
+    }
+    return absl::OkStatus();
+}
+
+auto ControlNode::start() -> absl::Status
+{
+    auto disk = ConsensusDisk::open(this->settings.dataDirectory, this->settings.cluster,
+                                    this->settings.member, makeSecureRandom());
+    if (!disk.ok())
+        return disk.status();
+    if (auto status = this->operators.start(); !status.ok())
+        return status;
+    if (auto status = this->entries.start(); !status.ok())
+        return status;
+    if (auto status = this->startTransport(); !status.ok())
+        return status;
+    if (auto status = this->runner.start(*std::move(disk)); !status.ok())
+        return status;
+    this->scheduleTick();
+    return absl::OkStatus();
+}
+
+auto ControlNode::scheduleTick() -> void
+{
+    this->tables.executor.postAfter(TICK_INTERVAL, [this] {
+        this->tables.tick(this->tables.executor.now());
+        this->scheduleTick();
+    });
+}
+
+auto ControlNode::stop() -> void
+{
+    this->tables.held.close();
+    this->entries.stop();
+    this->operators.stop();
+    this->transport.stop();
+    this->runner.stop();
+    this->workers.stop();
+}
+
+} // namespace auburnrail
--- /dev/null
+++ b/libs/control/src/ControlOperators.cpp
@@ -0,0 +1,219 @@
+#include <control/ControlOperators.h>
+
+#include "FailoverJson.h"
+
+#include <http/JsonReader.h>
+#include <http/JsonWriter.h>
+#include <http/QueryString.h>
+#include <operators/OperatorHandler.h>
+
+#include <future>
+
+namespace auburnrail {
+
+namespace {
+
+constexpr auto OPERATOR_THREADS = std::size_t(16);
+constexpr auto SUBMIT_TIME_LIMIT = std::chrono::seconds(10);
+constexpr auto STATUS_BAD_REQUEST = 400;
+constexpr auto STATUS_NOT_FOUND = 404;
+constexpr auto STATUS_CONFLICT = 409;
+constexpr auto STATUS_UNAVAILABLE = 503;
+
+auto textResponse(std::string body) -> HttpResponse
+{
+    return HttpResponse{.body = std::move(body), .contentType = "text/plain; charset=utf-8"};
+}
+
+auto jsonResponse(const JsonWriter &writer) -> HttpResponse
+{
+    return HttpResponse{.body = writer.toString()};
+}
+
+} // namespace
+
+ControlOperators::ControlOperators(const ControlSettings &controlSettings,
+                                   ControlTables &controlTables,
+                                   ControlOperatorsHooks operatorsHooks)
+    : settings(controlSettings)
+    , tables(controlTables)
+    , hooks(std::move(operatorsHooks))
+    , operatorHooks(makeHooks())
+    , server(HttpServerSettings{.address = settings.operatorsAddress,
+                                .workerThreads = OPERATOR_THREADS},
+             HttpServerHooks{
+                 .handle = [this](const HttpRequest &request) { return this->handle(request); }})
+{
+}
+
+auto ControlOperators::start() -> absl::Status
+{
+    return this->server.start();
+}
+
+auto ControlOperators::stop() -> void
+{
+    this->server.stop();
+}
+
+auto ControlOperators::makeHooks() -> OperatorHooks
+{
+    return OperatorHooks{
+        .submit = [this](const Command &command) { return this->submit(command); },
+        .state = [this] { return std::make_shared<const FleetObjects>(this->tables.store.objects()); },
+        .status = [this] { return this->status(); }};
+}
+
+auto ControlOperators::submit(const Command &command) -> SubmitAnswer
+{
+    auto answer = SubmitAnswer();
+    if (!this->tables.hooks.isLeaderWithQuorum(this->tables.executor.now())) {
+        answer.status = SubmitStatus::NotLeader;
+        answer.leader = this->addressOfLeader();
+        answer.message = "this member does not lead";
+        return answer;
+    }
+    const auto promise = std::make_shared<std::promise<absl::StatusOr<CommandResult>>>();
+    auto future = promise->get_future();
+    this->tables.pipeline.submitAndAccept(
+        command,
+        [promise](absl::StatusOr<CommandResult> result) { promise->set_value(std::move(result)); });
+    if (future.wait_for(SUBMIT_TIME_LIMIT) != std::future_status::ready) {
+        answer.status = SubmitStatus::Unknown;
+        answer.message = "the command was not accepted in time; resend it with the same id";
+        return answer;
+    }
+    const auto result = future.get();
+    if (result.ok()) {
+        answer.status = SubmitStatus::Decided;
+        answer.result = *result;
+        answer.inForce = result->status == CommandStatus::Applied;
+        return answer;
+    }
+    answer.status = absl::IsUnavailable(result.status()) || absl::IsResourceExhausted(result.status())
+        ? SubmitStatus::NotRun
+        : SubmitStatus::Unknown;
+    answer.message = std::string(result.status().message());
+    return answer;
+}
+
+auto ControlOperators::addressOfLeader() const -> std::string
+{
+    const auto leader = this->tables.hooks.leader();
+    for (const auto &member : this->settings.memberOperators) {
+        if (member.name == leader && leader != this->settings.member)
+            return member.address;
+    }
+    return "";
+}
+
+auto ControlOperators::status() -> ControlStatus
+{
+    auto status = ControlStatus();
+    status.instance = this->settings.member;
+    status.leading = this->tables.hooks.isLeaderWithQuorum(this->tables.executor.now());
+    status.leader = status.leading ? this->settings.operatorsAddress : this->addressOfLeader();
+    status.term = this->hooks.nodeStatus().term;
+    status.revision = this->tables.store.revision();
+    status.leases = status.leading ? this->tables.leases.size() : 0;
+    return status;
+}
+
+auto ControlOperators::listMembers() -> HttpResponse
+{
+    const auto node = this->hooks.nodeStatus();
+    auto members = std::vector<JsonWriter>();
+    for (const auto &member : node.members) {
+        auto writer = JsonWriter();
+        writer.text("member", toString(member.id)).boolean("voter", member.voter);
+        writer.integer("match", static_cast<std::int64_t>(member.matchIndex));
+        if (member.answerAge)
+            writer.integer("answer_age_ms", toMillis(*member.answerAge));
+        members.push_back(std::move(writer));
+    }
+    auto writer = JsonWriter();
+    writer.text("self", toString(node.self)).text("role", nameOf(node.role));
+    writer.text("leader", node.leader).integer("term", static_cast<std::int64_t>(node.term));
+    writer.integer("commit", static_cast<std::int64_t>(node.commitIndex));
+    writer.integer("last", static_cast<std::int64_t>(node.lastIndex));
+    writer.objects("members", members);
+    return jsonResponse(writer);
+}
+
+auto ControlOperators::listEntries() -> HttpResponse
+{
+    const auto now = this->tables.executor.now();
+    auto entries = std::vector<JsonWriter>();
+    for (const auto &record : this->tables.entries.list(now)) {
+        auto writer = JsonWriter();
+        writer.text("instance", record.instance).text("zone", record.zone);
+        writer.text("operators_address", record.operatorsAddress);
+        writer.integer("revision", static_cast<std::int64_t>(record.appliedRevision));
+        writer.integer("heard_ms_ago", toMillis(now - record.heardAt));
+        entries.push_back(std::move(writer));
+    }
+    auto writer = JsonWriter();
+    writer.objects("entries", entries);
+    return jsonResponse(writer);
+}
+
+auto ControlOperators::explainFailover(const std::string &group) -> HttpResponse
+{
+    const auto now = this->tables.executor.now();
+    auto records = std::vector<JsonWriter>();
+    for (const auto &record : this->tables.failovers.find(group))
+        records.push_back(detail::failoverJson(record, now));
+    if (const auto current = this->tables.failover.currentRecord(group))
+        records.push_back(detail::failoverJson(*current, now));
+    auto writer = JsonWriter();
+    writer.objects("failovers", records);
+    return jsonResponse(writer);
+}
+
+auto ControlOperators::promote(const HttpRequest &request) -> HttpResponse
+{
+    auto reader = JsonReader(request.body, "body");
+    const auto group = reader.requiredText("group");
+    const auto endpoint = reader.requiredText("endpoint");
+    auto writer = JsonWriter();
+    if (!reader.findings().empty()) {
+        writer.text("error", reader.findings().toString());
+        return HttpResponse{.status = STATUS_BAD_REQUEST, .body = writer.toString()};
+    }
+    const auto started =
+        this->tables.failover.promotePlanned(group, endpoint, this->tables.executor.now());
+    if (started.ok()) {
+        writer.text("status", "started");
+        return jsonResponse(writer);
+    }
+    writer.text("error", std::string(started.message()));
+    writer.text("leader", this->addressOfLeader());
+    return HttpResponse{.status = absl::IsNotFound(started) ? STATUS_NOT_FOUND : STATUS_CONFLICT,
+                        .body = writer.toString()};
+}
+
+auto ControlOperators::handle(const HttpRequest &request) -> HttpResponse
+{
+    if (auto response = handleOperatorRequest(this->operatorHooks, request))
+        return *std::move(response);
+    const auto query = parseTarget(request.target);
+    if (query.path == "/healthz")
+        return textResponse("ok\n");
+    if (query.path == "/readyz") {
+        const auto hasLeader = !this->tables.hooks.leader().empty();
+        auto response = textResponse(hasLeader ? "ready\n" : "no leader\n");
+        response.status = hasLeader ? 200 : STATUS_UNAVAILABLE;
+        return response;
+    }
+    if (query.path == "/v1/members")
+        return this->listMembers();
+    if (query.path == "/v1/entries")
+        return this->listEntries();
+    if (query.path == "/v1/explain/failover")
+        return this->explainFailover(query.value("group"));
+    if (query.path == "/v1/promote" && request.method == "POST")
+        return this->promote(request);
+    return HttpResponse{.status = STATUS_NOT_FOUND, .body = R"({"error":"unknown path"})"};
+}
+
+} // namespace auburnrail
--- a/libs/control/src/ControlTables.cpp
+++ b/libs/control/src/ControlTables.cpp
@@ -119,13 +119,10 @@
 
 auto ControlTables::committed(Revision index, const std::string &payload) -> void
 {
-    auto result = this->store.apply(index, payload);
+    const auto result = this->store.apply(index, payload);
     this->stateChanged(false);
     this->held.revisionReached(index);
-    // Senders may call back into the log, which delivers this entry now.
-    this->executor.post([this, index, result = std::move(result)] {
-        this->pipeline.committed(index, result);
-    });
+    this->pipeline.committed(index, result);
 }
 
 auto ControlTables::installed(const std::string &snapshot) -> void
--- a/libs/control/src/HeartbeatService.cpp
+++ b/libs/control/src/HeartbeatService.cpp
@@ -29,6 +29,11 @@
     if (answer.lease.status != LeaseStatus::Granted)
         return answer;
     std::ignore = this->tables.ledger.report(heartbeat.shares, now);
+    this->tables.entries.record(EntryRecord{.instance = heartbeat.instance,
+                                            .zone = heartbeat.zone,
+                                            .operatorsAddress = heartbeat.operatorsAddress,
+                                            .appliedRevision = heartbeat.appliedRevision,
+                                            .heardAt = now});
     this->takeReports(heartbeat, now);
     this->tables.held.hold(heartbeat.shares.holder, heartbeat.appliedRevision,
                            now + std::clamp<Duration>(heartbeat.holdLimit, Duration(), MAX_HOLD));
