--- a/libs/control/src/ControlNode.cpp
+++ b/libs/control/src/ControlNode.cpp
@@ -53,7 +53,7 @@
     auto names = std::vector<MemberName>();
     for (const auto &member : settings.members)
         names.push_back(member.name);
-    return ConsensusDisk::formatInitial(settings.dataDirectory, settings.cluster, settings.member,
+    return ConsensusDisk::initialise(settings.dataDirectory, settings.cluster, settings.member,
                                         names);
 }
 
@@ -106,7 +106,7 @@
 auto ControlNode::start() -> absl::Status
 {
     auto disk = ConsensusDisk::open(this->settings.dataDirectory, this->settings.cluster,
-                                    this->settings.member, makeSecureRandom());
+                                    this->settings.member, makeSecureRandom()() | 1U);
     if (!disk.ok())
         return disk.status();
     if (auto status = this->operators.start(); !status.ok())
