--- a/libs/consensus/tests/SimulatedCluster.cpp
+++ b/libs/consensus/tests/SimulatedCluster.cpp
@@ -135,6 +135,11 @@
         if (target.node->role() == NodeRole::Leader) {
             const auto [row, added] = this->leaders.emplace(target.node->term(), target.id);
             require(row->second == target.id, "a term must have one leader");
+            auto changes = 0;
+            const auto &log = target.node->entries();
+            for (auto index = target.node->commitIndex() + 1; index <= log.lastIndex(); ++index)
+                changes += log.at(index).kind == EntryKind::Configuration ? 1 : 0;
+            require(changes <= 1, "at most one change of members may be uncommitted");
         }
     }
     require(leases <= 1, "at most one member may have the quorum lease");
