--- a/libs/request/include/request/GroupView.h
+++ b/libs/request/include/request/GroupView.h
@@ -13,6 +13,8 @@
     std::uint64_t term = 0;
     std::string primary;  ///< Name of the primary endpoint.
     bool serving = false; ///< False during a failover.
+
+    auto operator==(const GroupView &) const -> bool = default;
 };
 
 } // namespace auburnrail
--- a/libs/request/include/request/ReplicationTracker.h
+++ b/libs/request/include/request/ReplicationTracker.h
@@ -25,6 +25,7 @@
 {
     std::uint64_t index = 0; ///< Highest known in the group's term.
     bool awaiting = false;   ///< An Await is outstanding.
+    bool failed = false;     ///< The last Await failed; expire() allows the next.
 };
 
 /// A write that waits for a majority.
--- a/libs/request/src/ReplicationTracker.cpp
+++ b/libs/request/src/ReplicationTracker.cpp
@@ -113,7 +113,8 @@
         if (replica == progress.endpoints.end())
             return;
         replica->second.awaiting = false;
-        if (position && position->term == progress.term) {
+        replica->second.failed = !position || position->term != progress.term;
+        if (!replica->second.failed) {
             replica->second.index = std::max(replica->second.index, position->index);
             settle(progress, effects);
             this->sendAwaits(found->first, progress, effects);
@@ -136,6 +137,8 @@
                     effects.emplace_back([done = std::move(waiter.done)] { done(false); });
             }
             progress.waiters = std::move(kept);
+            for (auto &[endpoint, replica] : progress.endpoints)
+                replica.failed = false;
             this->sendAwaits(name, progress, effects);
         }
     }
@@ -178,7 +181,7 @@
                                          })
                             ->index;
     for (auto &[name, replica] : progress.endpoints) {
-        if (replica.awaiting || replica.index >= lowest)
+        if (replica.awaiting || replica.failed || replica.index >= lowest)
             continue;
         replica.awaiting = true;
         effects.emplace_back([this, group, endpoint = name,
--- a/libs/request/src/RequestMachineRouting.cpp
+++ b/libs/request/src/RequestMachineRouting.cpp
@@ -96,32 +96,21 @@
         this->tryElsewhere(ReasonCode::ConnectFailed, message);
         return;
     }
-    this->facts.connection = *handle;
     // The wait for the connection may have been long: nothing is sent on the strength of a lease, a
-    // key or a term that has gone since.
-    const auto view = this->hooks.groupOf(this->request.service);
-    const auto moved = !view || view->term != this->facts.group.term
-                       || view->primary != this->facts.group.primary
-                       || view->serving != this->facts.group.serving;
-    if (moved || this->hooks.now() >= this->request.deadline) {
-        this->releaseConnection(true);
-        this->attempt();
-        return;
-    }
+    // key or a term that has gone since. Until something is sent, the connection stays reusable.
     const auto wasIsolated = this->facts.isolated;
-    // Nothing was sent, so the connection is as good as new whatever the check says.
-    const auto held = *this->facts.connection;
-    this->facts.connection.reset();
     if (!this->checkRight()) {
-        this->hooks.release(held, true);
+        this->hooks.release(*handle, true);
         return;
     }
-    this->facts.connection = held;
-    if (wasIsolated != this->facts.isolated) {
-        this->releaseConnection(true);
+    const auto view = this->hooks.groupOf(this->request.service);
+    const auto moved = view != this->facts.group || wasIsolated != this->facts.isolated;
+    if (moved || this->hooks.now() >= this->request.deadline) {
+        this->hooks.release(*handle, true);
         this->attempt();
         return;
     }
+    this->facts.connection = *handle;
     if (this->facts.awaitFirst) {
         this->awaitReplica();
         return;
