--- a/libs/control/src/ControlNode.cpp
+++ b/libs/control/src/ControlNode.cpp
@@ -83,7 +83,7 @@
         .makeSnapshot = [this] { return this->tables.store.encodedSnapshot(); },
         .failed =
             [this](const absl::Status &status) {
-                logLine(LogLevel::Error, "storage", status.message(),
+                logLine(LogLevel::Error, "storage", std::string(status.message()),
                         {{"member", this->settings.member}});
                 // State that can't be made durable must not be served.
                 std::_Exit(EXIT_FAILURE);
--- a/libs/wire/src/gen/Control_types.cpp
+++ b/libs/wire/src/gen/Control_types.cpp
@@ -817,6 +817,10 @@
 void HeartbeatMessage::__set_holdMillis(const int64_t val) {
   this->holdMillis = val;
 }
+
+void HeartbeatMessage::__set_operatorsAddress(const std::string& val) {
+  this->operatorsAddress = val;
+}
 std::ostream& operator<<(std::ostream& out, const HeartbeatMessage& obj)
 {
   obj.printTo(out);
@@ -973,6 +977,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->operatorsAddress);
+          this->__isset.operatorsAddress = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1062,6 +1074,10 @@
   xfer += oprot->writeI64(this->holdMillis);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("operatorsAddress", ::apache::thrift::protocol::T_STRING, 11);
+  xfer += oprot->writeString(this->operatorsAddress);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1079,6 +1095,7 @@
   swap(a.endpoints, b.endpoints);
   swap(a.primaries, b.primaries);
   swap(a.holdMillis, b.holdMillis);
+  swap(a.operatorsAddress, b.operatorsAddress);
   swap(a.__isset, b.__isset);
 }
 
@@ -1093,6 +1110,7 @@
   endpoints = other48.endpoints;
   primaries = other48.primaries;
   holdMillis = other48.holdMillis;
+  operatorsAddress = other48.operatorsAddress;
   __isset = other48.__isset;
 }
 HeartbeatMessage::HeartbeatMessage(HeartbeatMessage&& other49) noexcept {
@@ -1106,6 +1124,7 @@
   endpoints = std::move(other49.endpoints);
   primaries = std::move(other49.primaries);
   holdMillis = other49.holdMillis;
+  operatorsAddress = std::move(other49.operatorsAddress);
   __isset = other49.__isset;
 }
 HeartbeatMessage& HeartbeatMessage::operator=(const HeartbeatMessage& other50) {
@@ -1119,6 +1138,7 @@
   endpoints = other50.endpoints;
   primaries = other50.primaries;
   holdMillis = other50.holdMillis;
+  operatorsAddress = other50.operatorsAddress;
   __isset = other50.__isset;
   return *this;
 }
@@ -1133,6 +1153,7 @@
   endpoints = std::move(other51.endpoints);
   primaries = std::move(other51.primaries);
   holdMillis = other51.holdMillis;
+  operatorsAddress = std::move(other51.operatorsAddress);
   __isset = other51.__isset;
   return *this;
 }
@@ -1149,6 +1170,7 @@
   out << ", " << "endpoints=" << to_string(endpoints);
   out << ", " << "primaries=" << to_string(primaries);
   out << ", " << "holdMillis=" << to_string(holdMillis);
+  out << ", " << "operatorsAddress=" << to_string(operatorsAddress);
   out << ")";
 }
 
--- a/libs/wire/src/gen/Control_types.h
+++ b/libs/wire/src/gen/Control_types.h
@@ -320,7 +320,7 @@
 std::ostream& operator<<(std::ostream& out, const PrimaryReportMessage& obj);
 
 typedef struct _HeartbeatMessage__isset {
-  _HeartbeatMessage__isset() : instance(false), incarnation(false), zone(false), appliedRevision(false), shareSequence(false), demands(false), heldShares(false), endpoints(false), primaries(false), holdMillis(false) {}
+  _HeartbeatMessage__isset() : instance(false), incarnation(false), zone(false), appliedRevision(false), shareSequence(false), demands(false), heldShares(false), endpoints(false), primaries(false), holdMillis(false), operatorsAddress(false) {}
   bool instance :1;
   bool incarnation :1;
   bool zone :1;
@@ -331,6 +331,7 @@
   bool endpoints :1;
   bool primaries :1;
   bool holdMillis :1;
+  bool operatorsAddress :1;
 } _HeartbeatMessage__isset;
 
 class HeartbeatMessage : public virtual ::apache::thrift::TBase {
@@ -346,7 +347,8 @@
                      zone(),
                      appliedRevision(0),
                      shareSequence(0),
-                     holdMillis(0) {
+                     holdMillis(0),
+                     operatorsAddress() {
   }
 
   virtual ~HeartbeatMessage() noexcept;
@@ -360,6 +362,7 @@
   std::vector<AnnouncementMessage>  endpoints;
   std::vector<PrimaryReportMessage>  primaries;
   int64_t holdMillis;
+  std::string operatorsAddress;
 
   _HeartbeatMessage__isset __isset;
 
@@ -383,6 +386,8 @@
 
   void __set_holdMillis(const int64_t val);
 
+  void __set_operatorsAddress(const std::string& val);
+
   bool operator == (const HeartbeatMessage & rhs) const
   {
     if (!(instance == rhs.instance))
@@ -405,6 +410,8 @@
       return false;
     if (!(holdMillis == rhs.holdMillis))
       return false;
+    if (!(operatorsAddress == rhs.operatorsAddress))
+      return false;
     return true;
   }
   bool operator != (const HeartbeatMessage &rhs) const {
