Add the operators' commands: JSON codec, handler, client and the program auburnrail

Change: libs/operators with the JSON codec of commands, results and listings, handleOperatorRequest for the operators' port (POST /v1/commands, GET /v1/state, GET /v1/status), a client that repeats one command id over all control members until it is decided or its time limit passes, and the program apps/auburnrail. 'set' reads the object first, changes only the given settings, and expects the revision it read. 'key create' makes the secret on the operator's side and sends only the hash.

Ruled out: sending defaults for settings that were not given, which would reset them; accepting term grants and publications through JSON, because only the coordinator may order them.

--- /dev/null
+++ b/libs/operators/include/operators/ProgramHooks.h
@@ -0,0 +1,33 @@
+#ifndef AUBURNRAIL_OPERATORS_PROGRAMHOOKS_H
+#define AUBURNRAIL_OPERATORS_PROGRAMHOOKS_H
+
+#include <operators/ClientHooks.h>
+
+#include <core/Findings.h>
+#include <core/RandomSource.h>
+
+#include <absl/status/statusor.h>
+
+#include <functional>
+#include <map>
+#include <string>
+
+namespace auburnrail {
+
+/// Surroundings of the operators' program.
+struct ProgramHooks
+{
+    ClientHooks client;
+    RandomSource random; ///< Secure; for keys and command ids.
+    std::function<auto(const std::string &path)->absl::StatusOr<std::string>> readFile;
+
+    /// Checks of settings files, by program name; each adds its findings.
+    std::map<std::string, std::function<auto(const std::string &path, Findings &)->void>> checks;
+
+    std::string operatorName;
+    std::string controlAddresses; ///< From AUBURNRAIL_CONTROL; --control goes first.
+};
+
+} // namespace auburnrail
+
+#endif
