--- a/libs/operators/src/OperatorClient.cpp
+++ b/libs/operators/src/OperatorClient.cpp
@@ -21,12 +21,12 @@
 }
 
 /// Answer of one attempt. NotRun only when it had no effect.
-auto answerOf(const ExchangeResult &exchange) -> SubmitAnswer
+auto answerOf(const std::string &address, const ExchangeResult &exchange) -> SubmitAnswer
 {
     if (exchange.phase == ExchangePhase::Answered)
         return decodeSubmitAnswer(exchange.response);
     return SubmitAnswer{.status = isUnsent(exchange) ? SubmitStatus::NotRun : SubmitStatus::Unknown,
-                        .message = exchange.error};
+                        .message = address + ": " + exchange.error};
 }
 
 } // namespace
@@ -50,8 +50,8 @@
         const auto followsHint = !hint.empty();
         const auto address = followsHint ? std::exchange(hint, {})
                                          : this->addresses[next++ % this->addresses.size()];
-        last = answerOf(
-            this->hooks.exchange(address, request, std::min(ATTEMPT_TIMEOUT, deadline - now)));
+        last = answerOf(address, this->hooks.exchange(address, request,
+                                                      std::min(ATTEMPT_TIMEOUT, deadline - now)));
         if (last.status == SubmitStatus::Decided) {
             // An earlier attempt may have been decided and forgotten since.
             if (last.result.status == CommandStatus::TooOld && mayHaveRun)
@@ -87,9 +87,9 @@
                 return std::move(exchange.response.body);
             if (exchange.response.status == detail::HTTP_BAD_REQUEST)
                 return absl::InvalidArgumentError(exchange.response.body);
-            error = exchange.response.body;
+            error = address + ": " + exchange.response.body;
         } else {
-            error = exchange.error;
+            error = address + ": " + exchange.error;
         }
         if (next % this->addresses.size() == 0)
             this->hooks.pause(std::min(ROUND_PAUSE, deadline - now));
--- a/libs/operators/src/OperatorProgram.cpp
+++ b/libs/operators/src/OperatorProgram.cpp
@@ -21,6 +21,8 @@
 
 using detail::Invocation;
 
+constexpr auto NO_CONTROL = "no control members: give --control or set AUBURNRAIL_CONTROL\n";
+
 auto badInput(std::string message) -> ProgramOutput
 {
     return ProgramOutput{ExitCode::BadInput, "", std::move(message)};
@@ -44,14 +46,12 @@
     {
         if (this->invocation.noun == "check")
             return this->check();
-        if (this->invocation.noun == "selector" && !this->invocation.labels.empty())
-            return this->testLabels();
+        if (this->invocation.noun == "selector")
+            return this->testSelector();
         if (this->addresses.empty())
-            return badInput("no control members: give --control or set AUBURNRAIL_CONTROL\n");
+            return badInput(NO_CONTROL);
         if (this->invocation.noun == "status")
             return this->show("/v1/status", false);
-        if (this->invocation.noun == "selector")
-            return this->testFleet();
         if (this->invocation.verb == "show" || this->invocation.verb == "list")
             return this->list();
         if (this->invocation.verb == "set" && this->invocation.noun != "label")
@@ -92,26 +92,21 @@
         return detail::printFindings(findings, this->invocation.json);
     }
 
-    auto testLabels() -> ProgramOutput
-    {
-        auto findings = Findings();
-        const auto selector = Selector::parse(this->invocation.name, "selector", findings);
-        const auto labels = detail::parseLabels(this->invocation.labels, findings);
-        if (!findings.empty())
-            return detail::printFindings(findings, this->invocation.json);
-        return detail::printMatch(selector.matches(labels), this->invocation.json);
-    }
-
-    auto testFleet() -> ProgramOutput
+    /// Matches the given labels, or without any the objects of the fleet.
+    auto testSelector() -> ProgramOutput
     {
         auto findings = Findings();
-        auto query = StateQuery();
+        auto query = StateQuery{.kind = ObjectKind::Organisation};
         query.selector = Selector::parse(this->invocation.name, "selector", findings);
-        query.kind = ObjectKind::Organisation;
         if (!this->invocation.kind.empty())
             query.kind = detail::parseKind(this->invocation.kind, findings);
+        const auto labels = detail::parseLabels(this->invocation.labels, findings);
         if (!findings.empty())
             return detail::printFindings(findings, this->invocation.json);
+        if (!labels.empty())
+            return detail::printMatch(query.selector.matches(labels), this->invocation.json);
+        if (this->addresses.empty())
+            return badInput(NO_CONTROL);
         return this->show(targetOf(query), true);
     }
 
