--- a/libs/observe/include/observe/BurnKey.h
+++ b/libs/observe/include/observe/BurnKey.h
@@ -3,8 +3,8 @@
 
 #include <core/ReasonCode.h>
 
-#include <compare>
 #include <string>
+#include <tuple>
 
 namespace auburnrail {
 
@@ -16,7 +16,13 @@
     std::string organisation;
     ReasonCode reason = ReasonCode::Completed;
 
-    auto operator<=>(const BurnKey &) const = default;
+    auto operator==(const BurnKey &) const -> bool = default;
+
+    auto operator<(const BurnKey &other) const -> bool
+    {
+        return std::tie(this->objective, this->service, this->organisation, this->reason)
+               < std::tie(other.objective, other.service, other.organisation, other.reason);
+    }
 };
 
 } // namespace auburnrail
