Emulate a replicated database server with terms, a log and faults

Cause: the emulated server had one value map and no replication, so that failover, session consistency, idempotency and transactions could not be tested against it. Ruled out: ranking logs by index alone, and promoting without an entry of the new term. An isolated primary's longer log of an older term would outrank acknowledged entries in the next fence. Ruled out: counting a server that lost its data towards a fence majority. It may have held acknowledged writes, so it says `rebuilding` until it has caught up. Change: StandInDatabase (decisions only), StandInLog, StandInReplicator, StandInFaults and the codec for fence, promote, follow, log and fault messages. HttpResponse can withhold the end of its body. A property test runs FailoverCoordinator over three servers in memory under partitions and leader changes. A `rc::check` alone does not fail a Catch test, so this and the codec's are now inside CHECK.

--- a/apps/auburnrail-standin/Main.cpp
+++ b/apps/auburnrail-standin/Main.cpp
@@ -6,19 +6,24 @@
 
 #include <CLI/CLI.hpp>
 
+#include <cstdlib>
 #include <iostream>
 
 namespace {
 
 constexpr auto EXIT_BAD_SETTINGS = 2;
 constexpr auto EXIT_UNAVAILABLE = 3;
-constexpr auto WORKER_COUNT = 2;
+/// A pull and an announcement to each of a few entries block at one time.
+constexpr auto WORKER_COUNT = 6;
 
 auto runServer(const auburnrail::StandInSettings &settings) -> int
 {
     auto signals = auburnrail::ShutdownSignal();
     auto pool = auburnrail::WorkerPool(WORKER_COUNT);
-    auto server = auburnrail::StandInServer(settings, pool.executor());
+    auto server = auburnrail::StandInServer(settings, pool.executor(),
+                                            auburnrail::StandInServerHooks{.crash = [] {
+                                                std::_Exit(1);
+                                            }});
     const auto status = server.start();
     if (!status.ok()) {
         std::cerr << status.message() << "\n";
@@ -27,6 +32,7 @@
     auburnrail::logLine(auburnrail::LogLevel::Info, "standin", "started",
                         {{"endpoint", settings.endpoint}, {"address", settings.address}});
     signals.wait();
+    server.release();
     pool.stop();
     server.stop();
     return 0;
--- /dev/null
+++ b/libs/endpoint/include/endpoint/LogEntry.h
@@ -0,0 +1,25 @@
+#ifndef AUBURNRAIL_ENDPOINT_LOGENTRY_H
+#define AUBURNRAIL_ENDPOINT_LOGENTRY_H
+
+#include <core/Position.h>
+
+#include <string>
+#include <vector>
+
+namespace auburnrail {
+
+/// One entry of a group's replication log: the statements of one write or transaction, applied
+/// together. An entry without statements marks the start of a term.
+struct LogEntry
+{
+    Position position;
+    std::vector<std::string> statements;
+    std::string organisation; ///< With idempotencyKey: names the idempotency marker.
+    std::string idempotencyKey;
+    std::string fingerprint; ///< Hash of the request that wrote the entry.
+    std::string result;      ///< Result of the last statement, for repeated requests.
+};
+
+} // namespace auburnrail
+
+#endif
--- /dev/null
+++ b/libs/endpoint/src/ControlCodec.cpp
@@ -0,0 +1,250 @@
+#include <endpoint/ControlCodec.h>
+
+#include "PositionJson.h"
+
+#include <http/JsonReader.h>
+#include <http/JsonWriter.h>
+
+namespace auburnrail {
+
+using detail::readPosition;
+using detail::writePosition;
+
+namespace {
+
+auto startWriter(const std::string &exchangeId, std::uint64_t term) -> JsonWriter
+{
+    auto writer = JsonWriter();
+    writer.text("exchange", exchangeId);
+    writer.integer("term", static_cast<std::int64_t>(term));
+    return writer;
+}
+
+auto toRequest(const char *path, const JsonWriter &writer) -> HttpRequest
+{
+    return HttpRequest{.target = path, .headers = {}, .body = writer.toString(), .peer = {}};
+}
+
+auto toResponse(const JsonWriter &writer) -> HttpResponse
+{
+    return HttpResponse{.status = 200, .headers = {}, .body = writer.toString()};
+}
+
+auto readNumber(JsonReader &reader, const std::string &member) -> std::uint64_t
+{
+    return static_cast<std::uint64_t>(reader.integer(member));
+}
+
+auto writeEndpoint(const GroupEndpoint &endpoint) -> JsonWriter
+{
+    auto writer = JsonWriter();
+    writer.text("name", endpoint.name);
+    writer.text("address", endpoint.address);
+    return writer;
+}
+
+auto readEndpoint(JsonReader &reader) -> GroupEndpoint
+{
+    return GroupEndpoint{.name = reader.requiredText("name"),
+                         .address = reader.requiredText("address")};
+}
+
+auto writeEntry(const LogEntry &entry) -> JsonWriter
+{
+    auto writer = JsonWriter();
+    writePosition(writer, "position", entry.position);
+    writer.texts("statements", entry.statements);
+    if (!entry.idempotencyKey.empty()) {
+        writer.text("organisation", entry.organisation);
+        writer.text("idempotency_key", entry.idempotencyKey);
+        writer.text("fingerprint", entry.fingerprint);
+        writer.text("result", entry.result);
+    }
+    return writer;
+}
+
+auto readEntry(JsonReader &reader) -> LogEntry
+{
+    return LogEntry{.position = readPosition(reader, "position"),
+                    .statements = reader.texts("statements"),
+                    .organisation = reader.text("organisation"),
+                    .idempotencyKey = reader.text("idempotency_key"),
+                    .fingerprint = reader.text("fingerprint"),
+                    .result = reader.text("result")};
+}
+
+/// `value`, or the faults that `reader` met while it was read.
+template <typename T>
+auto checked(const JsonReader &reader, T value) -> absl::StatusOr<T>
+{
+    if (!reader.findings().empty())
+        return reader.findings().toStatus();
+    return value;
+}
+
+} // namespace
+
+auto encodeFenceRequest(const FenceRequest &request) -> HttpRequest
+{
+    return toRequest("/fence", startWriter(request.exchangeId, request.term));
+}
+
+auto decodeFenceRequest(const HttpRequest &request) -> absl::StatusOr<FenceRequest>
+{
+    auto reader = JsonReader(request.body, "fence");
+    return checked(reader, FenceRequest{.exchangeId = reader.requiredText("exchange"),
+                                        .term = readNumber(reader, "term")});
+}
+
+auto encodePromoteRequest(const PromoteRequest &request) -> HttpRequest
+{
+    auto writer = startWriter(request.exchangeId, request.term);
+    auto members = std::vector<JsonWriter>();
+    for (const auto &member : request.members)
+        members.push_back(writeEndpoint(member));
+    writer.objects("members", members);
+    return toRequest("/promote", writer);
+}
+
+auto decodePromoteRequest(const HttpRequest &request) -> absl::StatusOr<PromoteRequest>
+{
+    auto reader = JsonReader(request.body, "promote");
+    auto result = PromoteRequest{.exchangeId = reader.requiredText("exchange"),
+                                 .term = readNumber(reader, "term"),
+                                 .members = {}};
+    for (auto &member : reader.objects("members"))
+        result.members.push_back(readEndpoint(member));
+    return checked(reader, std::move(result));
+}
+
+auto encodeFollowRequest(const FollowRequest &request) -> HttpRequest
+{
+    auto writer = startWriter(request.exchangeId, request.term);
+    writer.object("primary", writeEndpoint(request.primary));
+    return toRequest("/follow", writer);
+}
+
+auto decodeFollowRequest(const HttpRequest &request) -> absl::StatusOr<FollowRequest>
+{
+    auto reader = JsonReader(request.body, "follow");
+    auto primary = reader.object("primary");
+    return checked(reader, FollowRequest{.exchangeId = reader.requiredText("exchange"),
+                                         .term = readNumber(reader, "term"),
+                                         .primary = readEndpoint(primary)});
+}
+
+auto encodeLogRequest(const LogRequest &request) -> HttpRequest
+{
+    auto writer = startWriter(request.exchangeId, request.term);
+    writer.text("endpoint", request.endpoint);
+    writePosition(writer, "after", request.after);
+    writer.integer("wait_limit_ms", toMillis(request.waitLimit));
+    return toRequest("/log", writer);
+}
+
+auto decodeLogRequest(const HttpRequest &request) -> absl::StatusOr<LogRequest>
+{
+    auto reader = JsonReader(request.body, "log");
+    return checked(reader, LogRequest{.exchangeId = reader.requiredText("exchange"),
+                                      .endpoint = reader.text("endpoint"),
+                                      .term = readNumber(reader, "term"),
+                                      .after = readPosition(reader, "after"),
+                                      .waitLimit = std::chrono::milliseconds(
+                                          reader.integer("wait_limit_ms"))});
+}
+
+auto encodeFaultCommand(const FaultCommand &request) -> HttpRequest
+{
+    auto writer = JsonWriter();
+    writer.text("exchange", request.exchangeId);
+    writer.text("kind", nameOf(request.kind));
+    writer.boolean("on", request.on);
+    writer.integer("count", request.count);
+    writer.integer("length_ms", toMillis(request.length));
+    writer.texts("peers", request.peers);
+    return toRequest("/fault", writer);
+}
+
+auto decodeFaultCommand(const HttpRequest &request) -> absl::StatusOr<FaultCommand>
+{
+    auto reader = JsonReader(request.body, "fault");
+    std::ignore = reader.requiredText("kind");
+    return checked(reader,
+                   FaultCommand{.exchangeId = reader.requiredText("exchange"),
+                                .kind = readEnum(reader, "kind", FaultKind::Freeze),
+                                .on = reader.boolean("on", true),
+                                .count = reader.integer("count", 1),
+                                .length = std::chrono::milliseconds(reader.integer("length_ms")),
+                                .peers = reader.texts("peers")});
+}
+
+auto encodeFenceAnswer(const FenceAnswer &answer, const std::string &exchangeId) -> HttpResponse
+{
+    auto writer = startWriter(exchangeId, answer.highestTerm);
+    writer.boolean("accepted", answer.accepted);
+    writer.boolean("was_primary", answer.wasPrimary);
+    writer.boolean("rebuilding", answer.rebuilding);
+    writePosition(writer, "position", answer.position);
+    return toResponse(writer);
+}
+
+auto decodeFenceAnswer(const HttpResponse &response, const std::string &exchangeId)
+    -> absl::StatusOr<FenceAnswer>
+{
+    auto reader = JsonReader(response.body, "fence answer");
+    if (reader.requiredText("exchange") != exchangeId)
+        reader.fault("exchange", "belongs to another exchange");
+    return checked(reader, FenceAnswer{.accepted = reader.boolean("accepted"),
+                                       .position = readPosition(reader, "position"),
+                                       .highestTerm = readNumber(reader, "term"),
+                                       .wasPrimary = reader.boolean("was_primary"),
+                                       .rebuilding = reader.boolean("rebuilding")});
+}
+
+auto encodeControlAnswer(const ControlAnswer &answer) -> HttpResponse
+{
+    auto writer = startWriter(answer.exchangeId, answer.highestTerm);
+    writer.boolean("accepted", answer.accepted);
+    return toResponse(writer);
+}
+
+auto decodeControlAnswer(const HttpResponse &response) -> absl::StatusOr<ControlAnswer>
+{
+    auto reader = JsonReader(response.body, "answer");
+    return checked(reader, ControlAnswer{.exchangeId = reader.requiredText("exchange"),
+                                         .accepted = reader.boolean("accepted"),
+                                         .highestTerm = readNumber(reader, "term")});
+}
+
+auto encodeLogAnswer(const LogAnswer &answer) -> HttpResponse
+{
+    auto writer = startWriter(answer.exchangeId, answer.term);
+    writer.boolean("primary", answer.primary);
+    writer.boolean("matches", answer.matches);
+    writer.boolean("complete", answer.complete);
+    writePosition(writer, "after", answer.after);
+    writePosition(writer, "last_common", answer.lastCommon);
+    auto entries = std::vector<JsonWriter>();
+    for (const auto &entry : answer.entries)
+        entries.push_back(writeEntry(entry));
+    writer.objects("entries", entries);
+    return toResponse(writer);
+}
+
+auto decodeLogAnswer(const HttpResponse &response) -> absl::StatusOr<LogAnswer>
+{
+    auto reader = JsonReader(response.body, "log answer");
+    auto answer = LogAnswer{.exchangeId = reader.requiredText("exchange"),
+                            .term = readNumber(reader, "term"),
+                            .primary = reader.boolean("primary"),
+                            .matches = reader.boolean("matches"),
+                            .complete = reader.boolean("complete"),
+                            .after = readPosition(reader, "after"),
+                            .lastCommon = readPosition(reader, "last_common"),
+                            .entries = {}};
+    for (auto &entry : reader.objects("entries"))
+        answer.entries.push_back(readEntry(entry));
+    return checked(reader, std::move(answer));
+}
+
+} // namespace auburnrail
--- a/libs/endpoint/src/EndpointCodec.cpp
+++ b/libs/endpoint/src/EndpointCodec.cpp
@@ -1,5 +1,7 @@
 #include <endpoint/EndpointCodec.h>
 
+#include "PositionJson.h"
+
 #include <http/JsonReader.h>
 #include <http/JsonWriter.h>
 
@@ -7,25 +9,13 @@
 
 namespace auburnrail {
 
+using detail::readPosition;
+using detail::writePosition;
+
 namespace {
 
 constexpr auto ANNOUNCEMENT_PATH = "/v1/announcements";
 
-auto writePosition(JsonWriter &writer, const std::string &member, Position position) -> void
-{
-    auto child = JsonWriter();
-    child.integer("term", static_cast<std::int64_t>(position.term));
-    child.integer("index", static_cast<std::int64_t>(position.index));
-    writer.object(member, child);
-}
-
-auto readPosition(JsonReader &reader, const std::string &member) -> Position
-{
-    auto child = reader.object(member);
-    return Position{.term = static_cast<std::uint64_t>(child.integer("term")),
-                    .index = static_cast<std::uint64_t>(child.integer("index"))};
-}
-
 auto operationOfPath(const std::string &target) -> std::optional<EndpointOperation>
 {
     if (target.empty() || target.front() != '/')
--- a/libs/endpoint/tests/EndpointCodecTest.cpp
+++ b/libs/endpoint/tests/EndpointCodecTest.cpp
@@ -1,3 +1,4 @@
+#include <endpoint/ControlCodec.h>
 #include <endpoint/EndpointCodec.h>
 
 #include <catch2/catch.hpp>
@@ -35,10 +36,45 @@
 TEST_CASE("an answer without an exchange id is refused")
 {
     CHECK_FALSE(decodeEndpointAnswer(HttpResponse{.body = "{}"}).ok());
-    rc::check([](const std::string &body) {
+    CHECK(rc::check([](const std::string &body) {
         RC_ASSERT(!decodeEndpointAnswer(HttpResponse{.body = body}).ok());
         RC_ASSERT(!decodeAnnouncement(HttpRequest{.body = body}).ok());
-    });
+    }));
+}
+
+// Guards against members that are dropped between a replica and its primary, or a control message
+// that arrives with another term or target.
+TEST_CASE("control messages and log entries survive encoding")
+{
+    const auto promote = decodePromoteRequest(encodePromoteRequest(
+        PromoteRequest{.exchangeId = "p", .term = 7, .members = {{"a", "1:1"}, {"b", "2:2"}}}));
+    REQUIRE(promote.ok());
+    CHECK(promote->term == 7);
+    CHECK(promote->members.at(1).address == "2:2");
+    const auto follow = decodeFollowRequest(
+        encodeFollowRequest(FollowRequest{.exchangeId = "f", .term = 8, .primary = {"a", "1:1"}}));
+    REQUIRE(follow.ok());
+    CHECK(follow->primary.name == "a");
+    const auto log = decodeLogAnswer(encodeLogAnswer(
+        LogAnswer{.exchangeId = "l",
+                  .term = 8,
+                  .matches = true,
+                  .complete = true,
+                  .after = {.term = 1, .index = 2},
+                  .entries = {{{.term = 8, .index = 3}, {"PUT a 1"}, "shed", "k", "f", "1"}}}));
+    REQUIRE(log.ok());
+    CHECK(log->complete);
+    CHECK(log->entries.at(0).statements.at(0) == "PUT a 1");
+    CHECK(log->entries.at(0).fingerprint == "f");
+    const auto fault = decodeFaultCommand(encodeFaultCommand(FaultCommand{
+        .exchangeId = "x", .kind = FaultKind::Cut, .on = false, .count = 2, .peers = {"a"}}));
+    REQUIRE(fault.ok());
+    CHECK(fault->kind == FaultKind::Cut);
+    CHECK_FALSE(fault->on);
+    CHECK(fault->peers.size() == 1);
+    const auto fence = encodeFenceAnswer(FenceAnswer{.accepted = true, .highestTerm = 9}, "x");
+    CHECK(decodeFenceAnswer(fence, "x")->highestTerm == 9);
+    CHECK_FALSE(decodeFenceAnswer(fence, "y").ok());
 }
 
 } // namespace auburnrail
--- a/libs/failover/src/FailoverAttempt.cpp
+++ b/libs/failover/src/FailoverAttempt.cpp
@@ -7,9 +7,14 @@
 
 auto FailoverAttempt::hasMajority() const -> bool
 {
-    const auto fenced = std::count_if(
-        this->view.endpoints.begin(), this->view.endpoints.end(),
-        [this](const auto &endpoint) { return this->fences.contains(endpoint.name); });
+    const auto counts = [this](const GroupEndpoint &endpoint) {
+        const auto found = this->fences.find(endpoint.name);
+        // In a group that never had a primary nothing can be lost.
+        return found != this->fences.end()
+               && (!found->second.rebuilding || this->view.primary.empty());
+    };
+    const auto fenced =
+        std::count_if(this->view.endpoints.begin(), this->view.endpoints.end(), counts);
     return static_cast<std::size_t>(fenced) * 2 > this->view.endpoints.size();
 }
 
--- a/libs/http/include/http/HttpResponse.h
+++ b/libs/http/include/http/HttpResponse.h
@@ -3,6 +3,7 @@
 
 #include <http/HttpHeaders.h>
 
+#include <cstddef>
 #include <string>
 
 namespace auburnrail {
@@ -14,7 +15,8 @@
     HttpHeaders headers;
     std::string body;
     std::string contentType = "application/json";
-    bool closeConnection = false; ///< The server ends the connection after this response.
+    std::size_t withheldBytes = 0; ///< Fault injection: bytes at the end of the body not sent.
+    bool closeConnection = false;  ///< The server ends the connection after this response.
 };
 
 } // namespace auburnrail
--- a/libs/http/src/detail/RequestFactory.cpp
+++ b/libs/http/src/detail/RequestFactory.cpp
@@ -6,6 +6,7 @@
 #include <Poco/Net/HTTPServerResponse.h>
 #include <Poco/String.h>
 
+#include <algorithm>
 #include <array>
 #include <istream>
 #include <optional>
@@ -111,7 +112,16 @@
         if (content.closeConnection || this->state->draining)
             response.setKeepAlive(false);
         try {
-            response.sendBuffer(content.body.data(), content.body.size());
+            if (content.withheldBytes == 0) {
+                response.sendBuffer(content.body.data(), content.body.size());
+                return;
+            }
+            // The stated length stays whole, and the connection ends short of it.
+            response.setKeepAlive(false);
+            response.setContentLength64(static_cast<Poco::Int64>(content.body.size()));
+            const auto sent =
+                content.body.size() - std::min(content.withheldBytes, content.body.size());
+            response.send().write(content.body.data(), static_cast<std::streamsize>(sent)).flush();
         } catch (const Poco::Exception &) {
             // The peer is gone; its connection ends with this handler.
         }
--- a/libs/standin/src/StandInSettings.cpp
+++ b/libs/standin/src/StandInSettings.cpp
@@ -48,6 +48,38 @@
      .minimum = 10,
      .maximum = 60000,
      .meaning = "time between announcements"},
+    {.section = "standin",
+     .key = "primary_address",
+     .kind = SettingKind::Address,
+     .meaning = "start as replica of this primary in term 1"},
+    {.section = "standin",
+     .key = "fault_address",
+     .kind = SettingKind::Address,
+     .meaning = "second address for /fault, usable while frozen"},
+    {.section = "standin",
+     .key = "lag_ms",
+     .kind = SettingKind::Integer,
+     .defaultValue = "5",
+     .unit = "ms",
+     .minimum = 0,
+     .maximum = 60000,
+     .meaning = "time before replicated entries are applied"},
+    {.section = "standin",
+     .key = "exchange_delay_ms",
+     .kind = SettingKind::Integer,
+     .defaultValue = "0",
+     .unit = "ms",
+     .minimum = 0,
+     .maximum = 60000,
+     .meaning = "time added to each exchange"},
+    {.section = "standin",
+     .key = "pull_wait_ms",
+     .kind = SettingKind::Integer,
+     .defaultValue = "100",
+     .unit = "ms",
+     .minimum = 1,
+     .maximum = 60000,
+     .meaning = "longest wait of a pull for new entries"},
 });
 
 } // namespace
@@ -57,19 +89,27 @@
     return STANDIN_SETTINGS;
 }
 
-auto parseStandInSettings(const SettingsFile &file, Findings & /*findings*/) -> StandInSettings
+auto parseStandInSettings(const SettingsFile &file, Findings &findings) -> StandInSettings
 {
-    return StandInSettings{
+    auto settings = StandInSettings{
         .endpoint = file.text("standin", "endpoint"),
         .group = file.text("standin", "group"),
         .zone = file.text("standin", "zone"),
         .address = file.text("standin", "address"),
         .entries = file.list("standin", "entries"),
         .primary = file.boolean("standin", "primary"),
+        .primaryAddress = file.text("standin", "primary_address"),
+        .faultAddress = file.text("standin", "fault_address"),
         .connectionLimit = file.integer("standin", "connection_limit"),
         .connectDelay = file.millis("standin", "connect_delay_ms"),
         .announceInterval = file.millis("standin", "announce_interval_ms"),
+        .lag = file.millis("standin", "lag_ms"),
+        .exchangeDelay = file.millis("standin", "exchange_delay_ms"),
+        .pullWait = file.millis("standin", "pull_wait_ms"),
     };
+    if (settings.primary && !settings.primaryAddress.empty())
+        findings.add(file.place("standin", "primary_address"), "must be empty at a primary");
+    return settings;
 }
 
 } // namespace auburnrail
