Carry consensus over Thrift and run a member on its disk

Cause: the consensus node decides only; a daemon needs its transport, its disk and its timer. Ruled out: a call that waits for an answer, because one slow member would hold back its queue; one-way calls alone, because a connection through a silent partition is used on after it heals with retransmissions up to two minutes apart, so unacknowledged data ends the connection after the send limit (TCP_USER_TIMEOUT). Change: idl/Consensus.thrift, codec and ConsensusTransport in libs/wire; ConsensusDisk and ConsensusRunner in libs/control. Trials on a scratch copy removed single rules of the node; those that the property test did not notice got a case of their own (vote forgotten by a restart, refusal after a restart, entries of earlier terms, candidates that are behind, two changes of members at once).

--- a/libs/consensus/tests/ConsensusNodeTest.cpp
+++ b/libs/consensus/tests/ConsensusNodeTest.cpp
@@ -77,6 +77,107 @@
     CHECK(cluster.member(leader).node->term() == term);
 }
 
+// Guards against a voter that forgets, over a restart, the time it promised to the leader: a second
+// member would get the quorum lease before the first one's has ended.
+TEST_CASE("a voter that just restarted helps no candidate against a working leader")
+{
+    auto cluster = SimulatedCluster(3, 9);
+    const auto leader = cluster.awaitLeader();
+    const auto candidate = otherThan(cluster, leader);
+    cluster.cut(leader, candidate);
+    cluster.cut(candidate, leader);
+    for (auto round = 0; round < 50; ++round) {
+        for (const auto &name : cluster.names()) {
+            if (name != leader && name != candidate) {
+                cluster.crash(name);
+                cluster.restart(name);
+            }
+        }
+        cluster.run(150ms);
+        REQUIRE(cluster.leader() == leader);
+    }
+}
+
+// Guards against two leaders in a term: a voter that forgets its vote over a restart gives another.
+TEST_CASE("a vote outlives a restart")
+{
+    auto cluster = SimulatedCluster(3, 10);
+    cluster.crash("m1");
+    cluster.crash("m3");
+    auto answers = std::vector<bool>();
+    cluster.onSend = [&](const Message &message) {
+        if (const auto *answer = std::get_if<VoteResponse>(&message.body))
+            answers.push_back(answer->granted);
+    };
+    const auto askFor = [&](const MemberName &candidate) {
+        cluster.run(600ms);
+        cluster.member("m2").node->receive({{candidate, 0}, {"m2", 0}, 5, VoteRequest{false, 9, 4}},
+                                           cluster.now);
+    };
+    askFor("m1");
+    cluster.crash("m2");
+    cluster.restart("m2");
+    askFor("m3");
+    askFor("m1");
+    CHECK(answers == std::vector<bool>{true, false, true});
+}
+
+// Guards against a leader that lacks committed entries.
+TEST_CASE("no vote is given to a candidate whose log is behind")
+{
+    auto cluster = SimulatedCluster(3, 12);
+    cluster.awaitLeader();
+    commitEntries(cluster, 3);
+    auto &member = cluster.member("m2");
+    REQUIRE(cluster.runUntil([&] { return cluster.converged(); }, 1s));
+    cluster.isolate("m2");
+    cluster.run(600ms);
+    const auto lastIndex = member.node->entries().lastIndex();
+    const auto lastTerm = member.node->entries().lastTerm();
+    auto granted = false;
+    cluster.onSend = [&](const Message &message) {
+        const auto *answer = std::get_if<VoteResponse>(&message.body);
+        granted = granted || (answer != nullptr && answer->granted);
+    };
+    for (const auto preVote : {true, false}) {
+        for (const auto &[index, term] :
+             {std::pair(lastIndex - 1, lastTerm), std::pair(lastIndex + 5, lastTerm - 1)}) {
+            member.node->receive(
+                {{"m1", 0}, {"m2", 0}, lastTerm + 9, VoteRequest{preVote, index, term}},
+                cluster.now);
+            CHECK_FALSE(granted);
+        }
+    }
+}
+
+// Guards against a committed entry that a later leader replaces: an entry of an earlier term on a
+// majority can still be overwritten until an entry of the present term is there too.
+TEST_CASE("an entry of an earlier term is committed only with one of the present term")
+{
+    auto cluster = SimulatedCluster(3, 11);
+    for (const auto &name : cluster.names())
+        cluster.crash(name);
+    auto &member = cluster.member("m1");
+    member.disk.election.term = 2;
+    member.disk.entries.push_back({.term = 2, .kind = EntryKind::Command, .payload = "old"});
+    cluster.restart("m1");
+    REQUIRE(cluster.runUntil([&] { return member.node->role() == NodeRole::PreCandidate; }, 2s));
+    const auto answer = [&](MessageBody body) {
+        member.node->receive({{"m2", 0}, {"m1", 0}, 3, std::move(body)}, cluster.now);
+    };
+    answer(VoteResponse{true, true});
+    answer(VoteResponse{false, true});
+    REQUIRE(member.node->role() == NodeRole::Leader);
+    const auto sentAt = cluster.now.time_since_epoch();
+    answer(AppendResponse{.accepted = true, .matchIndex = 1, .sentAt = sentAt});
+    CHECK(member.node->commitIndex() == 0);
+    CHECK_FALSE(member.node->isLeaderWithQuorum(cluster.now));
+    answer(AppendResponse{.accepted = true, .matchIndex = 2, .sentAt = sentAt});
+    CHECK(member.node->commitIndex() == 2);
+    CHECK(member.state == "old");
+    CHECK(member.node->isLeaderWithQuorum(cluster.now));
+}
+
 // Guards against a restarted member that stays behind, by log and by snapshot.
 TEST_CASE("a member that missed entries catches up")
 {
@@ -128,6 +229,21 @@
     CHECK(cluster.runUntil([&] { return cluster.allDisksAreVoters(); }, 10s));
 }
 
+// Guards against repairs that get in each other's way.
+TEST_CASE("two of five lost disks are replaced one voter at a time")
+{
+    auto cluster = SimulatedCluster(5, 13);
+    const auto leader = cluster.awaitLeader();
+    commitEntries(cluster, 100);
+    auto lost = 0;
+    for (const auto &name : cluster.names()) {
+        if (name != leader && lost++ < 2)
+            cluster.loseDisk(name);
+    }
+    CHECK(cluster.runUntil([&] { return cluster.allDisksAreVoters(); }, 5s));
+    CHECK(cluster.leader() == leader);
+}
+
 // Guards against a change of members that can't be committed and blocks all others.
 TEST_CASE("no member is removed while a majority would not remain")
 {
--- a/libs/consensus/tests/SimulatedCluster.cpp
+++ b/libs/consensus/tests/SimulatedCluster.cpp
@@ -135,6 +135,14 @@
         if (target.node->role() == NodeRole::Leader) {
             const auto [row, added] = this->leaders.emplace(target.node->term(), target.id);
             require(row->second == target.id, "a term must have one leader");
+            auto changes = 0;
+            const auto &log = target.node->entries();
+            for (auto index = target.node->commitIndex() + 1; index <= log.lastIndex(); ++index)
+                changes += log.at(index).kind == EntryKind::Configuration ? 1 : 0;
+            // Before its first own commit a leader does not know what earlier leaders committed.
+            const auto knowsCommits = log.termAt(target.node->commitIndex()) == target.node->term();
+            require(changes <= 1 || !knowsCommits,
+                    "at most one change of members may be uncommitted");
         }
     }
     require(leases <= 1, "at most one member may have the quorum lease");
--- /dev/null
+++ b/libs/control/include/control/ConsensusRunner.h
@@ -0,0 +1,60 @@
+#ifndef AUBURNRAIL_CONTROL_CONSENSUSRUNNER_H
+#define AUBURNRAIL_CONTROL_CONSENSUSRUNNER_H
+
+#include <control/ConsensusDisk.h>
+#include <control/ConsensusRunnerHooks.h>
+
+#include <consensus/ConsensusSettings.h>
+#include <consensus/NodeStatus.h>
+
+#include <core/Executor.h>
+#include <core/RandomSource.h>
+
+#include <absl/status/status.h>
+#include <absl/status/statusor.h>
+
+#include <memory>
+#include <string>
+
+namespace auburnrail {
+
+namespace detail {
+class RunnerState;
+}
+
+/// Runs one ConsensusNode: its disk, its lock, its ticks and its hooks.
+/// Thread rule: all calls from any thread, but start() before the others.
+class ConsensusRunner
+{
+public:
+    /// `settings.self` is taken from the disk. `random` draws election timeouts and is called with
+    /// the node's lock held.
+    ConsensusRunner(ConsensusSettings settings, ConsensusRunnerHooks hooks, Executor executor,
+                    RandomSource random);
+    ConsensusRunner(const ConsensusRunner &) = delete;
+    auto operator=(const ConsensusRunner &) -> ConsensusRunner & = delete;
+
+    /// Calls stop().
+    ~ConsensusRunner();
+
+    /// Restores the state, calls installSnapshot if there is one, and begins to tick.
+    [[nodiscard]] auto start(ConsensusDisk disk) -> absl::Status;
+
+    /// Ends ticks and hooks; a hook that runs is waited for. Not to be called by a hook.
+    auto stop() -> void;
+
+    auto receive(const Message &message) -> void;
+
+    /// As ConsensusNode::propose. The `committed` hook may be called before this returns.
+    [[nodiscard]] auto propose(std::string payload) -> absl::StatusOr<LogIndex>;
+
+    [[nodiscard]] auto isLeaderWithQuorum() const -> bool;
+    [[nodiscard]] auto status() const -> NodeStatus;
+
+private:
+    std::shared_ptr<detail::RunnerState> state;
+};
+
+} // namespace auburnrail
+
+#endif
--- /dev/null
+++ b/libs/control/src/detail/RunnerState.h
@@ -0,0 +1,62 @@
+#ifndef AUBURNRAIL_CONTROL_DETAIL_RUNNERSTATE_H
+#define AUBURNRAIL_CONTROL_DETAIL_RUNNERSTATE_H
+
+#include "EffectQueue.h"
+
+#include <control/ConsensusDisk.h>
+#include <control/ConsensusRunnerHooks.h>
+
+#include <consensus/ConsensusNode.h>
+
+#include <core/Executor.h>
+#include <core/RandomSource.h>
+#include <core/RankedCondition.h>
+#include <core/RankedMutex.h>
+
+#include <absl/status/status.h>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace auburnrail::detail {
+
+/// What a ConsensusRunner shares with its timer: a tick that is due may outlive the runner.
+/// The node is called with the lock held; its effects are queued and run without it, in order.
+class RunnerState : public std::enable_shared_from_this<RunnerState>
+{
+public:
+    RunnerState(ConsensusSettings nodeSettings, ConsensusRunnerHooks runnerHooks,
+                Executor runnerExecutor, RandomSource randomSource);
+
+    auto start(ConsensusDisk opened) -> absl::Status;
+    auto stop() -> void;
+    auto receive(const Message &message) -> void;
+    auto propose(std::string payload) -> absl::StatusOr<LogIndex>;
+    auto isLeaderWithQuorum() -> bool;
+    auto status() -> NodeStatus;
+
+private:
+    auto tick() -> void;
+    auto storeSnapshot(LogIndex index) -> void;
+    auto runEffects() -> void;
+    auto takeEffect() -> std::optional<Task>;
+    ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex) auto nodeHooks() -> ConsensusHooks;
+
+    ConsensusSettings settings;
+    const ConsensusRunnerHooks hooks;
+    const Executor executor;
+    const RandomSource random;
+
+    RankedMutex mutex{LockRank::ConsensusNode};
+    RankedCondition idle;
+    std::optional<ConsensusDisk> disk ABSL_GUARDED_BY(mutex);
+    std::optional<ConsensusNode> node ABSL_GUARDED_BY(mutex);
+    EffectQueue effects ABSL_GUARDED_BY(mutex);
+    bool stopping ABSL_GUARDED_BY(mutex) = false;
+};
+
+} // namespace auburnrail::detail
+
+#endif
