--- a/libs/endpoint/include/endpoint/LogAnswer.h
+++ b/libs/endpoint/include/endpoint/LogAnswer.h
@@ -1,7 +1,7 @@
 #ifndef AUBURNRAIL_ENDPOINT_LOGANSWER_H
 #define AUBURNRAIL_ENDPOINT_LOGANSWER_H
 
-#include <endpoint/LogEntry.h>
+#include <endpoint/GroupLogEntry.h>
 
 #include <core/Position.h>
 
@@ -21,7 +21,7 @@
     bool complete = false;  ///< No entry follows the last one of the answer.
     Position after;         ///< As in the request.
     Position lastCommon;    ///< Unless matches: the replica drops its entries after this position.
-    std::vector<LogEntry> entries;
+    std::vector<GroupLogEntry> entries;
 };
 
 } // namespace auburnrail
--- a/libs/endpoint/src/ControlCodec.cpp
+++ b/libs/endpoint/src/ControlCodec.cpp
@@ -49,7 +49,7 @@
                          .address = reader.requiredText("address")};
 }
 
-auto writeEntry(const LogEntry &entry) -> JsonWriter
+auto writeEntry(const GroupLogEntry &entry) -> JsonWriter
 {
     auto writer = JsonWriter();
     writePosition(writer, "position", entry.position);
@@ -63,9 +63,9 @@
     return writer;
 }
 
-auto readEntry(JsonReader &reader) -> LogEntry
+auto readEntry(JsonReader &reader) -> GroupLogEntry
 {
-    return LogEntry{.position = readPosition(reader, "position"),
+    return GroupLogEntry{.position = readPosition(reader, "position"),
                     .statements = reader.texts("statements"),
                     .organisation = reader.text("organisation"),
                     .idempotencyKey = reader.text("idempotency_key"),
--- a/libs/observe/include/observe/Objective.h
+++ b/libs/observe/include/observe/BurnObjective.h
@@ -1,7 +1,7 @@
-#ifndef AUBURNRAIL_OBSERVE_OBJECTIVE_H
-#define AUBURNRAIL_OBSERVE_OBJECTIVE_H
+#ifndef AUBURNRAIL_OBSERVE_BURNOBJECTIVE_H
+#define AUBURNRAIL_OBSERVE_BURNOBJECTIVE_H
 
-#include <observe/ObjectiveKind.h>
+#include <state/ObjectiveKind.h>
 
 #include <core/Time.h>
 
@@ -12,7 +12,7 @@
 namespace auburnrail {
 
 /// A service level objective.
-struct Objective
+struct BurnObjective
 {
     std::string name;
     ObjectiveKind kind = ObjectiveKind::Availability;
--- a/libs/observe/include/observe/BurnReport.h
+++ b/libs/observe/include/observe/BurnReport.h
@@ -3,7 +3,7 @@
 
 #include <observe/BurnContribution.h>
 #include <observe/BurnStatus.h>
-#include <observe/Objective.h>
+#include <observe/BurnObjective.h>
 #include <observe/RequestSample.h>
 #include <observe/detail/BurnBuckets.h>
 
@@ -31,7 +31,7 @@
     explicit BurnReport(std::string source);
 
     /// Replaces all objectives. Counts of an objective that stays in, by name, are kept.
-    auto setObjectives(std::vector<Objective> list) -> void;
+    auto setObjectives(std::vector<BurnObjective> list) -> void;
 
     auto recordRequest(const RequestSample &sample, std::int64_t nowMillis) -> void;
 
@@ -59,22 +59,22 @@
     using Sources = std::map<std::string, detail::BurnBuckets::Rows>;
 
     ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
-    auto count(const Objective &objective, const RequestSample &sample, bool good,
+    auto count(const BurnObjective &objective, const RequestSample &sample, bool good,
                std::int64_t nowMillis) -> void;
     ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
     auto addToAll(const BurnKey &key, BurnCount count, std::int64_t atMillis) -> void;
     ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
-    auto sum(const Objective &objective, BurnWidth width, std::int64_t buckets,
+    auto sum(const BurnObjective &objective, BurnWidth width, std::int64_t buckets,
              std::int64_t nowMillis) const -> BurnCount;
     ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
-    auto evaluateOne(const Objective &objective, std::int64_t nowMillis) const -> BurnStatus;
+    auto evaluateOne(const BurnObjective &objective, std::int64_t nowMillis) const -> BurnStatus;
     ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
-    auto spenders(const Objective &objective, std::int64_t buckets, std::int64_t nowMillis) const
+    auto spenders(const BurnObjective &objective, std::int64_t buckets, std::int64_t nowMillis) const
         -> std::vector<BurnSpender>;
 
     const std::string source;
     RankedMutex mutex{LockRank::BurnReport};
-    std::vector<Objective> objectives ABSL_GUARDED_BY(mutex);
+    std::vector<BurnObjective> objectives ABSL_GUARDED_BY(mutex);
     detail::BurnBuckets own ABSL_GUARDED_BY(mutex){BurnWidth::Minute};
     std::array<detail::BurnBuckets, ENUM_NAMES<BurnWidth>.size()> all ABSL_GUARDED_BY(mutex){
         detail::BurnBuckets(BurnWidth::Minute), detail::BurnBuckets(BurnWidth::TenMinutes),
--- a/libs/observe/include/observe/BurnStatus.h
+++ b/libs/observe/include/observe/BurnStatus.h
@@ -4,7 +4,7 @@
 #include <observe/BurnCount.h>
 #include <observe/BurnRate.h>
 #include <observe/BurnSpender.h>
-#include <observe/ObjectiveKind.h>
+#include <state/ObjectiveKind.h>
 
 #include <string>
 #include <vector>
--- a/libs/observe/src/BurnReport.cpp
+++ b/libs/observe/src/BurnReport.cpp
@@ -27,7 +27,7 @@
 {
 }
 
-auto BurnReport::setObjectives(std::vector<Objective> list) -> void
+auto BurnReport::setObjectives(std::vector<BurnObjective> list) -> void
 {
     const RankedLock lock(this->mutex);
     this->objectives = std::move(list);
@@ -109,7 +109,7 @@
     return list;
 }
 
-auto BurnReport::count(const Objective &objective, const RequestSample &sample, bool good,
+auto BurnReport::count(const BurnObjective &objective, const RequestSample &sample, bool good,
                        std::int64_t nowMillis) -> void
 {
     if (objective.applies && !objective.applies(sample.service, sample.organisation))
@@ -126,7 +126,7 @@
         buckets.add(key, count, atMillis);
 }
 
-auto BurnReport::sum(const Objective &objective, BurnWidth width, std::int64_t buckets,
+auto BurnReport::sum(const BurnObjective &objective, BurnWidth width, std::int64_t buckets,
                      std::int64_t nowMillis) const -> BurnCount
 {
     auto total = BurnCount();
@@ -141,7 +141,7 @@
     return total;
 }
 
-auto BurnReport::evaluateOne(const Objective &objective, std::int64_t nowMillis) const -> BurnStatus
+auto BurnReport::evaluateOne(const BurnObjective &objective, std::int64_t nowMillis) const -> BurnStatus
 {
     auto status =
         BurnStatus{.objective = objective.name, .kind = objective.kind, .target = objective.target};
@@ -163,7 +163,7 @@
     return status;
 }
 
-auto BurnReport::spenders(const Objective &objective, std::int64_t buckets,
+auto BurnReport::spenders(const BurnObjective &objective, std::int64_t buckets,
                           std::int64_t nowMillis) const -> std::vector<BurnSpender>
 {
     auto bad = std::map<BurnKey, std::uint64_t>();
--- a/libs/observe/tests/BurnReportTest.cpp
+++ b/libs/observe/tests/BurnReportTest.cpp
@@ -16,7 +16,7 @@
 constexpr auto MINUTE = std::int64_t(60'000);
 constexpr auto START = 1'000'000 * MINUTE;
 
-auto objectives() -> std::vector<Objective>
+auto objectives() -> std::vector<BurnObjective>
 {
     return {{.name = "up", .kind = ObjectiveKind::Availability, .target = 0.99},
             {.name = "fast", .kind = ObjectiveKind::Latency, .target = 0.9, .threshold = 100ms},
--- a/libs/standin/include/standin/StandInLog.h
+++ b/libs/standin/include/standin/StandInLog.h
@@ -1,7 +1,7 @@
 #ifndef AUBURNRAIL_STANDIN_STANDINLOG_H
 #define AUBURNRAIL_STANDIN_STANDINLOG_H
 
-#include <endpoint/LogEntry.h>
+#include <endpoint/GroupLogEntry.h>
 
 #include <cstddef>
 #include <map>
@@ -17,7 +17,7 @@
 {
 public:
     /// Adds an entry at the next index of `term` and applies it.
-    auto append(LogEntry entry, std::uint64_t term) -> Position;
+    auto append(GroupLogEntry entry, std::uint64_t term) -> Position;
 
     /// Position of the last entry; zero when there is none.
     [[nodiscard]] auto last() const -> Position;
@@ -30,24 +30,24 @@
 
     /// At most `limit` entries that follow the index of `position`.
     [[nodiscard]] auto entriesAfter(Position position, std::size_t limit) const
-        -> std::vector<LogEntry>;
+        -> std::vector<GroupLogEntry>;
 
     /// Drops the entries after `position` and replays the others.
     auto truncateAfter(Position position) -> void;
 
     /// Adds entries of a primary, which must follow the last one.
-    auto adopt(const std::vector<LogEntry> &entries) -> void;
+    auto adopt(const std::vector<GroupLogEntry> &entries) -> void;
 
     [[nodiscard]] auto value(const std::string &key) const -> std::string;
 
     /// Entry that holds the idempotency marker, or null.
     [[nodiscard]] auto findMarker(const std::string &organisation, const std::string &key) const
-        -> const LogEntry *;
+        -> const GroupLogEntry *;
 
 private:
-    auto apply(const LogEntry &entry) -> void;
+    auto apply(const GroupLogEntry &entry) -> void;
 
-    std::vector<LogEntry> entries;
+    std::vector<GroupLogEntry> entries;
     std::map<std::string, std::string> values;
     std::map<std::pair<std::string, std::string>, std::size_t> markers; ///< Place in `entries`.
 };
--- a/libs/standin/src/StandInDatabase.cpp
+++ b/libs/standin/src/StandInDatabase.cpp
@@ -210,7 +210,7 @@
             return;
         }
     }
-    auto entry = LogEntry();
+    auto entry = GroupLogEntry();
     entry.statements = std::move(statements);
     if (!request.idempotencyKey.empty()) {
         entry.organisation = request.organisation;
--- a/libs/standin/src/StandInLog.cpp
+++ b/libs/standin/src/StandInLog.cpp
@@ -7,7 +7,7 @@
 
 namespace auburnrail {
 
-auto StandInLog::append(LogEntry entry, std::uint64_t term) -> Position
+auto StandInLog::append(GroupLogEntry entry, std::uint64_t term) -> Position
 {
     entry.position = Position{.term = term, .index = this->entries.size() + 1};
     this->apply(entry);
@@ -36,7 +36,7 @@
     return count == 0 ? Position() : this->entries[count - 1].position;
 }
 
-auto StandInLog::entriesAfter(Position position, std::size_t limit) const -> std::vector<LogEntry>
+auto StandInLog::entriesAfter(Position position, std::size_t limit) const -> std::vector<GroupLogEntry>
 {
     const auto begin = std::min<std::size_t>(position.index, this->entries.size());
     const auto end = std::min(begin + limit, this->entries.size());
@@ -52,12 +52,12 @@
     this->entries.resize(kept);
     this->values.clear();
     this->markers.clear();
-    auto remaining = std::vector<LogEntry>();
+    auto remaining = std::vector<GroupLogEntry>();
     remaining.swap(this->entries);
     this->adopt(remaining);
 }
 
-auto StandInLog::adopt(const std::vector<LogEntry> &newEntries) -> void
+auto StandInLog::adopt(const std::vector<GroupLogEntry> &newEntries) -> void
 {
     for (const auto &entry : newEntries) {
         assert(entry.position.index == this->entries.size() + 1 && "entries must be consecutive");
@@ -73,13 +73,13 @@
 }
 
 auto StandInLog::findMarker(const std::string &organisation, const std::string &key) const
-    -> const LogEntry *
+    -> const GroupLogEntry *
 {
     const auto found = this->markers.find(std::pair(organisation, key));
     return found == this->markers.end() ? nullptr : &this->entries[found->second];
 }
 
-auto StandInLog::apply(const LogEntry &entry) -> void
+auto StandInLog::apply(const GroupLogEntry &entry) -> void
 {
     for (const auto &text : entry.statements) {
         if (const auto statement = Statement::parse(text)) {
--- a/libs/standin/src/StandInReplication.cpp
+++ b/libs/standin/src/StandInReplication.cpp
@@ -37,7 +37,7 @@
         return true;
     this->enterTerm(newTerm, StandInRole::Primary, now);
     this->rebuilding = false;
-    this->termStart = this->log.append(LogEntry(), newTerm);
+    this->termStart = this->log.append(GroupLogEntry(), newTerm);
     return true;
 }
 
