--- a/libs/control/src/ConsensusDisk.cpp
+++ b/libs/control/src/ConsensusDisk.cpp
@@ -27,7 +27,7 @@
 
 auto toRecord(const Snapshot &snapshot) -> SnapshotRecord
 {
-    return {snapshot.index, snapshot.term, encodeSnapshot(snapshot)};
+    return {snapshot.index, snapshot.term, encodeConsensusSnapshot(snapshot)};
 }
 
 } // namespace
@@ -93,7 +93,7 @@
     if (!record.ok())
         return record.status();
     if (record->has_value()) {
-        auto snapshot = decodeSnapshot((*record)->payload);
+        auto snapshot = decodeConsensusSnapshot((*record)->payload);
         if (!snapshot.ok())
             return snapshot.status();
         state.snapshot = std::move(*snapshot);
--- a/libs/wire/include/wire/ConsensusCodec.h
+++ b/libs/wire/include/wire/ConsensusCodec.h
@@ -17,8 +17,8 @@
 [[nodiscard]] auto encodeEntry(const LogEntry &entry) -> std::string;
 [[nodiscard]] auto decodeEntry(const std::string &bytes) -> absl::StatusOr<LogEntry>;
 
-[[nodiscard]] auto encodeSnapshot(const Snapshot &snapshot) -> std::string;
-[[nodiscard]] auto decodeSnapshot(const std::string &bytes) -> absl::StatusOr<Snapshot>;
+[[nodiscard]] auto encodeConsensusSnapshot(const Snapshot &snapshot) -> std::string;
+[[nodiscard]] auto decodeConsensusSnapshot(const std::string &bytes) -> absl::StatusOr<Snapshot>;
 
 [[nodiscard]] auto encodeMessage(const Message &message) -> std::string;
 [[nodiscard]] auto decodeMessage(const std::string &bytes) -> absl::StatusOr<Message>;
--- a/libs/wire/src/ConsensusCodec.cpp
+++ b/libs/wire/src/ConsensusCodec.cpp
@@ -53,12 +53,12 @@
     return decode<wire::LogEntry>(bytes);
 }
 
-auto encodeSnapshot(const Snapshot &snapshot) -> std::string
+auto encodeConsensusSnapshot(const Snapshot &snapshot) -> std::string
 {
     return encode(detail::toWire(snapshot));
 }
 
-auto decodeSnapshot(const std::string &bytes) -> absl::StatusOr<Snapshot>
+auto decodeConsensusSnapshot(const std::string &bytes) -> absl::StatusOr<Snapshot>
 {
     return decode<wire::Snapshot>(bytes);
 }
--- a/libs/wire/tests/ConsensusCodecTest.cpp
+++ b/libs/wire/tests/ConsensusCodecTest.cpp
@@ -33,7 +33,7 @@
     for (const auto &entry : entries)
         CHECK(*decodeEntry(encodeEntry(entry)) == entry);
     const auto snapshot = Snapshot{9, 4, configuration, std::string("\0state", 6)};
-    CHECK(*decodeSnapshot(encodeSnapshot(snapshot)) == snapshot);
+    CHECK(*decodeConsensusSnapshot(encodeConsensusSnapshot(snapshot)) == snapshot);
 }
 
 // Guards against crashes on bytes that are no message.
@@ -46,7 +46,7 @@
     REQUIRE(rc::check([](const std::string &bytes) {
         std::ignore = decodeMessage(bytes);
         std::ignore = decodeEntry(bytes);
-        std::ignore = decodeSnapshot(bytes);
+        std::ignore = decodeConsensusSnapshot(bytes);
     }));
 }
 
