--- a/libs/request/tests/RequestOutcomeTest.cpp
+++ b/libs/request/tests/RequestOutcomeTest.cpp
@@ -210,7 +210,7 @@
         scheduler.runFor(100ms);
         entry.lease = false;
         entry.refusal = RequestRefusal{.reason = ReasonCode::RateLimited};
-        entry.right = Authorisation{.organisation = "public",
+        entry.right = CallerAuthorisation{.organisation = "public",
                                     .openRoute = row.openRoute,
                                     .isolatedReads = row.isolatedReads};
         auto request = entry.request(RequestKind::Statement, row.mode, "X");
