--- a/apps/auburnrail-control/Main.cpp
+++ b/apps/auburnrail-control/Main.cpp
@@ -43,8 +43,8 @@
     CLI11_PARSE(app, argc, argv);
 
     auto findings = auburnrail::Findings();
-    const auto file = auburnrail::SettingsFile::load(path, auburnrail::controlSettingsTable(),
-                                                     findings);
+    const auto file =
+        auburnrail::SettingsFile::load(path, auburnrail::controlSettingsTable(), findings);
     const auto settings = auburnrail::parseControlSettings(file, findings);
     if (!findings.empty()) {
         std::cerr << findings.toString();
--- a/apps/auburnrail-entry/Main.cpp
+++ b/apps/auburnrail-entry/Main.cpp
@@ -40,8 +40,8 @@
     CLI11_PARSE(app, argc, argv);
 
     auto findings = auburnrail::Findings();
-    const auto file = auburnrail::SettingsFile::load(path, auburnrail::entrySettingsTable(),
-                                                     findings);
+    const auto file =
+        auburnrail::SettingsFile::load(path, auburnrail::entrySettingsTable(), findings);
     const auto settings = auburnrail::parseEntrySettings(file, findings);
     const auto secret = auburnrail::readClusterSecret(settings.clusterSecretFile);
     if (findings.empty() && !secret.ok())
--- a/libs/control/include/control/CommandPipeline.h
+++ b/libs/control/include/control/CommandPipeline.h
@@ -18,8 +18,8 @@
 
 namespace auburnrail {
 
-/// Carries commands from a proposal to their result, and tells their senders when they are committed
-/// and when they are in force. Safe from any thread; callbacks run without its mutex.
+/// Carries commands from a proposal to their result, and tells their senders when they are
+/// committed and when they are in force. Safe from any thread; callbacks run without its mutex.
 class CommandPipeline
 {
 public:
--- a/libs/control/include/control/EndpointCommander.h
+++ b/libs/control/include/control/EndpointCommander.h
@@ -13,7 +13,8 @@
 
 namespace auburnrail {
 
-/// Orders endpoints to change their role. Calls block, at most TIME_LIMIT each; safe from any thread.
+/// Orders endpoints to change their role. Calls block, at most TIME_LIMIT each; safe from any
+/// thread.
 class EndpointCommander
 {
 public:
--- a/libs/control/include/control/EndpointRegistrar.h
+++ b/libs/control/include/control/EndpointRegistrar.h
@@ -14,8 +14,8 @@
 
 namespace auburnrail {
 
-/// Decides which commands carry announcements into the fleet state. Several entries forward the same
-/// announcement; each endpoint is proposed once in REPEAT_INTERVAL_MS. Safe from any thread.
+/// Decides which commands carry announcements into the fleet state. Several entries forward the
+/// same announcement; each endpoint is proposed once in REPEAT_INTERVAL_MS. Safe from any thread.
 class EndpointRegistrar
 {
 public:
--- a/libs/control/include/control/FleetStore.h
+++ b/libs/control/include/control/FleetStore.h
@@ -19,7 +19,8 @@
 class FleetStore
 {
 public:
-    /// Applies the committed entry at `index`. The result of a payload that is no command is Invalid.
+    /// Applies the committed entry at `index`. The result of a payload that is no command is
+    /// Invalid.
     [[nodiscard]] auto apply(Revision index, const std::string &payload) -> CommandResult;
 
     /// Replaces the state by an encoded snapshot. `kDataLoss` when it can't be decoded.
--- a/libs/control/src/ControlNode.cpp
+++ b/libs/control/src/ControlNode.cpp
@@ -31,15 +31,18 @@
     , workers(WORKER_COUNT)
     , tables(workers.executor(), makeSecureRandom(), makeTableHooks())
     , transport(ConsensusTransportSettings{.address = settings.consensusAddress},
-                ConsensusTransportHooks{
-                    .received = [this](const Message &message) { this->runner.receive(message); }})
+                ConsensusTransportHooks{.received =
+                                            [this](const Message &message) {
+                                                this->runner.receive(message);
+                                            }})
     , runner(toConsensusSettings(settings), makeRunnerHooks(), workers.executor(),
              makeSecureRandom())
     , heartbeats(tables)
     , entries(settings.entriesAddress,
               [this](const Heartbeat &heartbeat) { return this->heartbeats.answer(heartbeat); })
-    , operators(settings, tables,
-                ControlOperatorsHooks{.nodeStatus = [this] { return this->runner.status(); }})
+    , operators(settings, tables, ControlOperatorsHooks{.nodeStatus = [this] {
+                    return this->runner.status();
+                }})
 {
 }
 
@@ -54,15 +57,19 @@
     for (const auto &member : settings.members)
         names.push_back(member.name);
     return ConsensusDisk::initialise(settings.dataDirectory, settings.cluster, settings.member,
-                                        names);
+                                     names);
 }
 
 auto ControlNode::makeTableHooks() -> ControlTablesHooks
 {
     return ControlTablesHooks{
         .propose = [this](std::string payload) { return this->runner.propose(std::move(payload)); },
-        .isLeaderWithQuorum = [this](TimePoint /*now*/) { return this->runner.isLeaderWithQuorum(); },
-        .leader = [this] { return this->runner.status().leader; }};
+        .isLeaderWithQuorum =
+            [this](TimePoint /*now*/) { return this->runner.isLeaderWithQuorum(); },
+        .leader =
+            [this] {
+                return this->runner.status().leader;
+            }};
 }
 
 auto ControlNode::makeRunnerHooks() -> ConsensusRunnerHooks
@@ -79,7 +86,8 @@
                 logLine(LogLevel::Info, "consensus", leads ? "became leader" : "ended leadership",
                         {{"member", this->settings.member}, {"term", std::to_string(term)}});
             },
-        .proposalLost = [this](LogIndex index, Term /*term*/) { this->tables.pipeline.lost(index); },
+        .proposalLost = [this](LogIndex index,
+                               Term /*term*/) { this->tables.pipeline.lost(index); },
         .makeSnapshot = [this] { return this->tables.store.encodedSnapshot(); },
         .failed =
             [this](const absl::Status &status) {
--- a/libs/control/src/ControlOperators.cpp
+++ b/libs/control/src/ControlOperators.cpp
@@ -41,8 +41,9 @@
     , operatorHooks(makeHooks())
     , server(HttpServerSettings{.address = settings.operatorsAddress,
                                 .workerThreads = OPERATOR_THREADS},
-             HttpServerHooks{
-                 .handle = [this](const HttpRequest &request) { return this->handle(request); }})
+             HttpServerHooks{.handle = [this](const HttpRequest &request) {
+                 return this->handle(request);
+             }})
 {
 }
 
@@ -60,8 +61,12 @@
 {
     return OperatorHooks{
         .submit = [this](const Command &command) { return this->submit(command); },
-        .state = [this] { return std::make_shared<const FleetObjects>(this->tables.store.objects()); },
-        .status = [this] { return this->status(); }};
+        .state =
+            [this] { return std::make_shared<const FleetObjects>(this->tables.store.objects()); },
+        .status =
+            [this] {
+                return this->status();
+            }};
 }
 
 auto ControlOperators::submit(const Command &command) -> SubmitAnswer
@@ -75,9 +80,9 @@
     }
     const auto promise = std::make_shared<std::promise<absl::StatusOr<CommandResult>>>();
     auto future = promise->get_future();
-    this->tables.pipeline.submitAndAccept(
-        command,
-        [promise](absl::StatusOr<CommandResult> result) { promise->set_value(std::move(result)); });
+    this->tables.pipeline.submitAndAccept(command, [promise](absl::StatusOr<CommandResult> result) {
+        promise->set_value(std::move(result));
+    });
     if (future.wait_for(SUBMIT_TIME_LIMIT) != std::future_status::ready) {
         answer.status = SubmitStatus::Unknown;
         answer.message = "the command was not accepted in time; resend it with the same id";
@@ -90,9 +95,10 @@
         answer.inForce = result->status == CommandStatus::Applied;
         return answer;
     }
-    answer.status = absl::IsUnavailable(result.status()) || absl::IsResourceExhausted(result.status())
-        ? SubmitStatus::NotRun
-        : SubmitStatus::Unknown;
+    answer.status =
+        absl::IsUnavailable(result.status()) || absl::IsResourceExhausted(result.status())
+            ? SubmitStatus::NotRun
+            : SubmitStatus::Unknown;
     answer.message = std::string(result.status().message());
     return answer;
 }
--- a/libs/control/src/ControlTables.cpp
+++ b/libs/control/src/ControlTables.cpp
@@ -36,15 +36,18 @@
     , executor(std::move(controlExecutor))
     , random(std::move(secureRandom))
     , pipeline(CommandPipelineHooks{
-          .propose = [this](std::string payload) { return this->hooks.propose(std::move(payload)); },
+          .propose =
+              [this](std::string payload) { return this->hooks.propose(std::move(payload)); },
           .whenInForce =
               [this](Revision revision, std::function<auto(bool)->void> callback) {
                   this->leases.whenInForce(revision, std::move(callback));
                   // A revision that is in force already has no renewal to wait for.
                   this->leases.advance(this->executor.now());
               }})
-    , leases(LeaseTableHooks{
-          .hasQuorum = [this](TimePoint now) { return this->hooks.isLeaderWithQuorum(now); }})
+    , leases(LeaseTableHooks{.hasQuorum =
+                                 [this](TimePoint now) {
+                                     return this->hooks.isLeaderWithQuorum(now);
+                                 }})
     , ledger(QuotaTiming(), ShareLedgerHooks{.grantReady =
                                                  [this](const HolderId &holder) {
                                                      this->held.sharesChanged(holder);
@@ -57,8 +60,8 @@
 auto ControlTables::makeCommand(CommandBody body) -> Command
 {
     auto command = Command();
-    command.header.commandId = absl::StrCat("system-", absl::Hex(this->random()),
-                                            absl::Hex(this->random()));
+    command.header.commandId =
+        absl::StrCat("system-", absl::Hex(this->random()), absl::Hex(this->random()));
     command.header.baseRevision = this->store.revision();
     command.header.operatorName = "auburnrail";
     command.body = std::move(body);
@@ -113,7 +116,9 @@
             std::ignore = this->commander.follow(endpoint, term, primary);
         });
     };
-    failoverHooks.explain = [this](const FailoverRecord &record) { this->failovers.add(record); };
+    failoverHooks.explain = [this](const FailoverRecord &record) {
+        this->failovers.add(record);
+    };
     return failoverHooks;
 }
 
--- a/libs/control/src/EndpointCommander.cpp
+++ b/libs/control/src/EndpointCommander.cpp
@@ -36,8 +36,7 @@
     -> std::optional<FenceAnswer>
 {
     const auto request = FenceRequest{.exchangeId = this->newExchangeId(), .term = term};
-    const auto result =
-        exchangeOnce(endpoint.address, encodeFenceRequest(request), TIME_LIMIT_MS);
+    const auto result = exchangeOnce(endpoint.address, encodeFenceRequest(request), TIME_LIMIT_MS);
     if (result.phase != ExchangePhase::Answered)
         return std::nullopt;
     auto answer = decodeFenceAnswer(result.response, request.exchangeId);
--- a/libs/control/src/EndpointRegistrar.cpp
+++ b/libs/control/src/EndpointRegistrar.cpp
@@ -29,8 +29,8 @@
             return false;
     }
     return known->group == announcement.group && known->zone == announcement.zone
-        && known->address == announcement.address && !known->leaving
-        && known->connectionLimit == static_cast<std::uint32_t>(announcement.connectionLimit);
+           && known->address == announcement.address && !known->leaving
+           && known->connectionLimit == static_cast<std::uint32_t>(announcement.connectionLimit);
 }
 
 } // namespace
--- a/libs/endpoint/src/ControlCodec.cpp
+++ b/libs/endpoint/src/ControlCodec.cpp
@@ -66,11 +66,11 @@
 auto readEntry(JsonReader &reader) -> GroupLogEntry
 {
     return GroupLogEntry{.position = readPosition(reader, "position"),
-                    .statements = reader.texts("statements"),
-                    .organisation = reader.text("organisation"),
-                    .idempotencyKey = reader.text("idempotency_key"),
-                    .fingerprint = reader.text("fingerprint"),
-                    .result = reader.text("result")};
+                         .statements = reader.texts("statements"),
+                         .organisation = reader.text("organisation"),
+                         .idempotencyKey = reader.text("idempotency_key"),
+                         .fingerprint = reader.text("fingerprint"),
+                         .result = reader.text("result")};
 }
 
 /// `value`, or the faults that `reader` met while it was read.
--- a/libs/entry/include/entry/HeartbeatLoop.h
+++ b/libs/entry/include/entry/HeartbeatLoop.h
@@ -15,8 +15,8 @@
 
 namespace auburnrail {
 
-/// Keeps the entry's lease: sends a heartbeat to the control leader, waits for the answer, which may
-/// be held for a newer revision, applies it and sends the next. Runs on a thread of its own.
+/// Keeps the entry's lease: sends a heartbeat to the control leader, waits for the answer, which
+/// may be held for a newer revision, applies it and sends the next. Runs on a thread of its own.
 class HeartbeatLoop
 {
 public:
--- a/libs/entry/include/entry/RateAdmission.h
+++ b/libs/entry/include/entry/RateAdmission.h
@@ -16,8 +16,8 @@
 namespace auburnrail {
 
 /// Admits requests at their organisation's rate. A request without a token waits in its
-/// organisation's bounded queue, in order of arrival; one whose deadline can't be met, or that finds
-/// the queue full, is refused at once. Decisions only; safe from any thread.
+/// organisation's bounded queue, in order of arrival; one whose deadline can't be met, or that
+/// finds the queue full, is refused at once. Decisions only; safe from any thread.
 class RateAdmission
 {
 public:
@@ -27,11 +27,11 @@
     explicit RateAdmission(RateAdmissionHooks admissionHooks);
 
     /// Calls `done` with nothing when the request is admitted, now or later, or with a refusal.
-    auto admit(const std::string &organisation, TimePoint deadline, TimePoint now, AdmissionDone done)
-        -> void;
+    auto admit(const std::string &organisation, TimePoint deadline, TimePoint now,
+               AdmissionDone done) -> void;
 
-    /// Serves the waiters that have a token now and refuses those whose deadline has passed. Returns
-    /// when to call again, or nothing when none waits.
+    /// Serves the waiters that have a token now and refuses those whose deadline has passed.
+    /// Returns when to call again, or nothing when none waits.
     auto advance(TimePoint now) -> std::optional<TimePoint>;
 
 private:
--- a/libs/entry/include/entry/RateAdmissionHooks.h
+++ b/libs/entry/include/entry/RateAdmissionHooks.h
@@ -15,8 +15,8 @@
 /// Gets nothing when a request is admitted.
 using AdmissionDone = std::function<auto(std::optional<RequestRefusal>)->void>;
 
-/// The tokens behind a RateAdmission. The hooks may take locks of a higher rank than RateAdmission only,
-/// since they run with the queue locked: a token taken for a waiter must go to that waiter.
+/// The tokens behind a RateAdmission. The hooks may take locks of a higher rank than RateAdmission
+/// only, since they run with the queue locked: a token taken for a waiter must go to that waiter.
 struct RateAdmissionHooks
 {
     /// Counts an arrival and takes a token if there is one.
--- a/libs/entry/include/entry/RequestRunner.h
+++ b/libs/entry/include/entry/RequestRunner.h
@@ -8,8 +8,8 @@
 
 namespace auburnrail {
 
-/// Runs requests on the threads that bring them: each request's RequestMachine runs on a TaskQueue of
-/// its own, and its exchanges block that thread. Safe from any thread.
+/// Runs requests on the threads that bring them: each request's RequestMachine runs on a TaskQueue
+/// of its own, and its exchanges block that thread. Safe from any thread.
 class RequestRunner
 {
 public:
--- a/libs/entry/src/AnnouncedEndpoints.cpp
+++ b/libs/entry/src/AnnouncedEndpoints.cpp
@@ -13,8 +13,8 @@
 auto isInOldTerm(const Group *group, const Announcement &announced) -> bool
 {
     return group != nullptr && group->phase == GroupPhase::Serving && !group->primary.empty()
-        && (announced.term < group->term
-            || (announced.primary && group->primary != announced.endpoint));
+           && (announced.term < group->term
+               || (announced.primary && group->primary != announced.endpoint));
 }
 
 /// True when the state does not say of the endpoint what it says of itself. Labels that operators
@@ -32,8 +32,8 @@
             return true;
     }
     return known->address != announced.address || known->zone != announced.zone
-        || known->group != announced.group || known->leaving != announced.leaving
-        || known->connectionLimit != static_cast<std::uint32_t>(announced.connectionLimit);
+           || known->group != announced.group || known->leaving != announced.leaving
+           || known->connectionLimit != static_cast<std::uint32_t>(announced.connectionLimit);
 }
 
 } // namespace
--- a/libs/entry/src/EndpointSockets.cpp
+++ b/libs/entry/src/EndpointSockets.cpp
@@ -62,9 +62,9 @@
     if (!address)
         return absl::UnavailableError("unknown endpoint " + handle.endpoint);
     const auto connection = std::make_shared<HttpConnection>(*address);
-    const auto request = EndpointRequest{
-        .exchangeId = absl::StrCat(absl::Hex(this->hooks.random())),
-        .operation = EndpointOperation::Connect};
+    const auto request =
+        EndpointRequest{.exchangeId = absl::StrCat(absl::Hex(this->hooks.random())),
+                        .operation = EndpointOperation::Connect};
     const auto result = exchangeOn(*connection, request, timeLimit);
     if (result.phase != EndpointExchangePhase::Answered)
         return absl::UnavailableError(result.error);
@@ -101,7 +101,7 @@
 }
 
 auto EndpointSockets::exchange(const ConnectionHandle &handle, const EndpointRequest &request,
-                                   Duration timeLimit) -> EndpointExchange
+                               Duration timeLimit) -> EndpointExchange
 {
     const auto connection = this->find(handle.id);
     if (connection == nullptr)
@@ -110,7 +110,7 @@
 }
 
 auto EndpointSockets::exchangeOnce(const std::string &endpoint, EndpointRequest request,
-                                       Duration timeLimit) -> EndpointExchange
+                                   Duration timeLimit) -> EndpointExchange
 {
     const auto address = this->hooks.resolve(endpoint);
     if (!address)
--- a/libs/entry/src/EntryNode.cpp
+++ b/libs/entry/src/EntryNode.cpp
@@ -29,10 +29,10 @@
     auto clients = std::make_shared<std::map<std::string, ControlClient>>();
     for (const auto &member : members)
         clients->try_emplace(member.name, member.address);
-    return HeartbeatLoopHooks{.send = [clients](const std::string &name, const Heartbeat &heartbeat,
-                                                Duration timeLimit) {
-        return clients->at(name).heartbeat(heartbeat, timeLimit);
-    }};
+    return HeartbeatLoopHooks{
+        .send = [clients](const std::string &name, const Heartbeat &heartbeat, Duration timeLimit) {
+            return clients->at(name).heartbeat(heartbeat, timeLimit);
+        }};
 }
 
 } // namespace
--- a/libs/entry/src/EntryOperators.cpp
+++ b/libs/entry/src/EntryOperators.cpp
@@ -44,8 +44,9 @@
     : tables(entryTables)
     , server(HttpServerSettings{.address = settings.operatorsAddress,
                                 .workerThreads = OPERATOR_THREADS},
-             HttpServerHooks{
-                 .handle = [this](const HttpRequest &request) { return this->handle(request); }})
+             HttpServerHooks{.handle = [this](const HttpRequest &request) {
+                 return this->handle(request);
+             }})
 {
 }
 
@@ -66,8 +67,7 @@
 
 auto EntryOperators::readiness() -> HttpResponse
 {
-    const auto isReady =
-        this->mayBeReady && this->tables.lease.holds(this->tables.executor.now());
+    const auto isReady = this->mayBeReady && this->tables.lease.holds(this->tables.executor.now());
     auto response = textResponse(isReady ? "ready\n" : "not ready\n");
     response.status = isReady ? 200 : STATUS_UNAVAILABLE;
     return response;
--- a/libs/entry/src/EntryServer.cpp
+++ b/libs/entry/src/EntryServer.cpp
@@ -43,17 +43,16 @@
 EntryServer::EntryServer(const EntrySettings &settings, EntryTables &entryTables)
     : tables(entryTables)
     , runner(entryTables)
-    , server(
-          HttpServerSettings{.address = settings.callersAddress,
-                             .workerThreads = static_cast<std::size_t>(settings.workerThreads),
-                             .maxBodyBytes = static_cast<std::size_t>(settings.maxBodyBytes)},
-          HttpServerHooks{
-              .handle = [this](const HttpRequest &request) { return this->handle(request); },
-              .opened = {},
-              .closed =
-                  [this](std::uint64_t connection) {
-                      this->tables.transactions.closeCaller(connection);
-                  }})
+    , server(HttpServerSettings{.address = settings.callersAddress,
+                                .workerThreads = static_cast<std::size_t>(settings.workerThreads),
+                                .maxBodyBytes = static_cast<std::size_t>(settings.maxBodyBytes)},
+             HttpServerHooks{
+                 .handle = [this](const HttpRequest &request) { return this->handle(request); },
+                 .opened = {},
+                 .closed =
+                     [this](std::uint64_t connection) {
+                         this->tables.transactions.closeCaller(connection);
+                     }})
 {
 }
 
--- a/libs/entry/src/EntryTables.cpp
+++ b/libs/entry/src/EntryTables.cpp
@@ -37,8 +37,8 @@
     description.leaving = endpoint.leaving || isDrained(endpoint);
     if (group != nullptr) {
         description.term = group->term;
-        description.primary = group->phase == GroupPhase::Serving
-            && group->primary == endpoint.name;
+        description.primary =
+            group->phase == GroupPhase::Serving && group->primary == endpoint.name;
     }
     return description;
 }
@@ -49,12 +49,13 @@
     auto result = BurnObjective();
     result.name = objective.name;
     result.kind = objective.kind;
-    const auto hasThreshold = objective.kind == ObjectiveKind::Latency
-        || objective.kind == ObjectiveKind::FailoverGap;
+    const auto hasThreshold =
+        objective.kind == ObjectiveKind::Latency || objective.kind == ObjectiveKind::FailoverGap;
     result.target = hasThreshold ? THRESHOLD_TARGET : objective.target;
     if (hasThreshold)
         result.threshold = std::chrono::milliseconds(static_cast<std::int64_t>(objective.target));
-    result.window = objective.window > Duration() ? objective.window : Duration(WINDOW_DAYS_DEFAULT);
+    result.window =
+        objective.window > Duration() ? objective.window : Duration(WINDOW_DAYS_DEFAULT);
     result.applies = [objects, selector = objective.selector](std::string_view service,
                                                               std::string_view /*organisation*/) {
         const auto *found = objects->find<Service>(service);
@@ -72,8 +73,10 @@
     , random(std::move(entryRandom))
     , shares(HolderId{identity.instance, identity.incarnation}, identity.zone, QuotaTiming())
     , admission(RateAdmissionHooks{
-          .tryAcquire = [this](const std::string &organisation,
-                               TimePoint now) { return this->shares.tryAcquire(organisation, now); },
+          .tryAcquire =
+              [this](const std::string &organisation, TimePoint now) {
+                  return this->shares.tryAcquire(organisation, now);
+              },
           .tryAcquireQueued =
               [this](const std::string &organisation, TimePoint now) {
                   return this->shares.tryAcquireQueued(organisation, now);
@@ -98,13 +101,17 @@
           .close = [this](const ConnectionHandle &handle) { this->connections.close(handle); },
           .makeQueue = {}})
     , replication(ReplicationHooks{
-          .sendAwait = [this](const std::string &group, const std::string &endpoint,
-                              Position position) { this->sendAwait(group, endpoint, position); }})
+          .sendAwait =
+              [this](const std::string &group, const std::string &endpoint, Position position) {
+                  this->sendAwait(group, endpoint, position);
+              }})
     , transactions(identity.instance,
-                   TransactionHooks{.abandon = [this](const PinnedTransaction &transaction) {
-                       this->pool.release(transaction.connection, false, this->executor.now());
-                       this->endpoints.end(transaction.connection.endpoint);
-                   }})
+                   TransactionHooks{.abandon =
+                                        [this](const PinnedTransaction &transaction) {
+                                            this->pool.release(transaction.connection, false,
+                                                               this->executor.now());
+                                            this->endpoints.end(transaction.connection.endpoint);
+                                        }})
     , sessions(identity.clusterSecret, random)
     , explain(EXPLAIN_RECORDS)
     , burn(identity.instance + "/" + std::to_string(identity.incarnation))
@@ -135,8 +142,7 @@
         const auto end = this->connections.exchangeOnce(endpoint, request, AWAIT_TIME_LIMIT);
         const auto answered = end.phase == EndpointExchangePhase::Answered;
         this->replication.awaitEnded(group, endpoint,
-                                     answered ? std::optional(end.answer.position)
-                                              : std::nullopt);
+                                     answered ? std::optional(end.answer.position) : std::nullopt);
     });
 }
 
@@ -176,9 +182,9 @@
         {{"reason", std::string(nameOf(answer.reason))},
          {"replica", answer.servedByReplica ? "true" : "false"}});
     this->metrics.add(requests);
-    const auto seconds = this->metrics.series(MetricKind::Distribution,
-                                              "auburnrail_request_seconds",
-                                              "Time from receiving a request to its answer.");
+    const auto seconds =
+        this->metrics.series(MetricKind::Distribution, "auburnrail_request_seconds",
+                             "Time from receiving a request to its answer.");
     this->metrics.record(seconds, std::chrono::duration<double>(latency).count());
 }
 
--- a/libs/entry/src/HeartbeatLoop.cpp
+++ b/libs/entry/src/HeartbeatLoop.cpp
@@ -77,9 +77,9 @@
         this->chooseMember("", false);
         return false;
     }
-    const auto isGranted = answer->lease.status == LeaseStatus::Granted && this->apply(*answer)
-        && this->tables.lease.completeHeartbeat(ticket, answer->lease,
-                                                this->tables.executor.now());
+    const auto isGranted =
+        answer->lease.status == LeaseStatus::Granted && this->apply(*answer)
+        && this->tables.lease.completeHeartbeat(ticket, answer->lease, this->tables.executor.now());
     if (isGranted) {
         std::ignore = this->tables.shares.adopt(
             answer->shares, ticket.sentAt + answer->lease.duration, this->tables.executor.now());
@@ -99,8 +99,8 @@
     heartbeat.appliedRevision = revision;
     heartbeat.endpoints = this->tables.announced.differences(*state, this->tables.executor.now());
     heartbeat.primaries = this->primaryReports(*state);
-    heartbeat.holdLimit = this->tables.lease.holds(this->tables.executor.now()) ? ANSWER_HOLD
-                                                                                : Duration();
+    heartbeat.holdLimit =
+        this->tables.lease.holds(this->tables.executor.now()) ? ANSWER_HOLD : Duration();
     return heartbeat;
 }
 
@@ -142,9 +142,9 @@
 {
     if (granted)
         return;
-    const auto hinted = std::find_if(
-        this->members.begin(), this->members.end(),
-        [&](const MemberAddress &member) { return member.name == leaderHint; });
+    const auto hinted =
+        std::find_if(this->members.begin(), this->members.end(),
+                     [&](const MemberAddress &member) { return member.name == leaderHint; });
     const auto index = static_cast<std::size_t>(hinted - this->members.begin());
     if (hinted != this->members.end() && index != this->current)
         this->current = index;
--- a/libs/entry/src/RateAdmission.cpp
+++ b/libs/entry/src/RateAdmission.cpp
@@ -23,8 +23,8 @@
     -> RequestRefusal
 {
     const auto message = reason == ReasonCode::QueueFull
-        ? "too many requests of the organisation wait for its rate"
-        : "the organisation is over its rate";
+                             ? "too many requests of the organisation wait for its rate"
+                             : "the organisation is over its rate";
     return RequestRefusal{.reason = reason,
                           .message = message,
                           .retryAfter = this->hooks.timeToToken(organisation, now)};
@@ -76,7 +76,8 @@
         } else {
             const auto wait = this->hooks.timeToToken(organisation, now);
             return std::min(first.deadline,
-                            now + std::min<Duration>(wait.value_or(SHARE_RECHECK_INTERVAL),
+                            now
+                                + std::min<Duration>(wait.value_or(SHARE_RECHECK_INTERVAL),
                                                      SHARE_RECHECK_INTERVAL));
         }
         queue.pop_front();
--- a/libs/entry/src/RequestRunner.cpp
+++ b/libs/entry/src/RequestRunner.cpp
@@ -36,11 +36,11 @@
     if (const auto *reason = std::get_if<ReasonCode>(&result))
         return *reason;
     const auto &authorisation = std::get<Authorisation>(result);
-    return CallerAuthorisation{
-        .organisation = authorisation.organisation,
-        .weight = static_cast<std::uint32_t>(std::max(1.0, authorisation.weight)),
-        .openRoute = authorisation.organisation.empty(),
-        .isolatedReads = authorisation.isolatedReads};
+    return CallerAuthorisation{.organisation = authorisation.organisation,
+                               .weight =
+                                   static_cast<std::uint32_t>(std::max(1.0, authorisation.weight)),
+                               .openRoute = authorisation.organisation.empty(),
+                               .isolatedReads = authorisation.isolatedReads};
 }
 
 auto findGroup(const EntryTables &tables, const std::string &service) -> std::optional<GroupView>
@@ -65,8 +65,12 @@
     hooks.authorise = [&tables](const std::string &key, const std::string &service) {
         return authoriseCaller(tables, key, service);
     };
-    hooks.groupOf = [&tables](const std::string &service) { return findGroup(tables, service); };
-    hooks.holdsLease = [&tables] { return tables.lease.holds(tables.executor.now()); };
+    hooks.groupOf = [&tables](const std::string &service) {
+        return findGroup(tables, service);
+    };
+    hooks.holdsLease = [&tables] {
+        return tables.lease.holds(tables.executor.now());
+    };
     hooks.admit = [&tables, loop](const std::string &organisation, TimePoint deadline,
                                   RequestHooks::AdmitDone done) {
         if (organisation.empty()) { // Open routes have no rate.
@@ -98,7 +102,9 @@
                                    Position position) {
         tables.replication.recordPosition(group, endpoint, position);
     };
-    hooks.after = [loop](Duration delay, Task task) { loop->postAfter(delay, std::move(task)); };
+    hooks.after = [loop](Duration delay, Task task) {
+        loop->postAfter(delay, std::move(task));
+    };
     hooks.random = tables.random;
     hooks.now = tables.executor.now;
     hooks.wallClock = [] {
@@ -128,7 +134,9 @@
                                              .sessions = &this->tables.sessions};
     auto hooks = makeHooks(this->tables, loop, promise);
     auto trail = RequestTrail(request, this->tables.executor.now());
-    hooks.explain = [&trail](RequestRecord record) { trail.add(std::move(record)); };
+    hooks.explain = [&trail](RequestRecord record) {
+        trail.add(std::move(record));
+    };
     RequestMachine::serve(std::move(request), std::move(hooks), requestTables);
     while (const auto task = loop->take())
         (*task)();
--- a/libs/failover/include/failover/FailoverCoordinator.h
+++ b/libs/failover/include/failover/FailoverCoordinator.h
@@ -1,9 +1,9 @@
 #ifndef AUBURNRAIL_FAILOVER_FAILOVERCOORDINATOR_H
 #define AUBURNRAIL_FAILOVER_FAILOVERCOORDINATOR_H
 
+#include <failover/FailoverGroup.h>
 #include <failover/FailoverHooks.h>
 #include <failover/FailoverLimits.h>
-#include <failover/FailoverGroup.h>
 #include <failover/SuspicionTable.h>
 #include <failover/detail/FailoverAttempt.h>
 
@@ -71,8 +71,8 @@
     using Completion = std::function<auto(detail::FailoverAttempt &, Effects &)->void>;
 
     ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
-    auto begin(const FailoverGroup &view, FailoverCause cause, const std::string &wanted, TimePoint now,
-               Effects &effects) -> void;
+    auto begin(const FailoverGroup &view, FailoverCause cause, const std::string &wanted,
+               TimePoint now, Effects &effects) -> void;
     ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
     auto beginDue(TimePoint now, Effects &effects) -> void;
     ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
@@ -100,7 +100,8 @@
     ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
     auto finish(detail::FailoverAttempt &attempt, bool completed, TimePoint now, Effects &effects)
         -> void;
-    ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex) auto followAll(const FailoverGroup &view, Effects &) -> void;
+    ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
+    auto followAll(const FailoverGroup &view, Effects &) -> void;
 
     /// Runs `change` on the attempt when it is still the one that issued the step.
     auto complete(const std::string &group, std::uint64_t number, FailoverPhase phase,
--- a/libs/failover/include/failover/detail/FailoverAttempt.h
+++ b/libs/failover/include/failover/detail/FailoverAttempt.h
@@ -1,10 +1,10 @@
 #ifndef AUBURNRAIL_FAILOVER_DETAIL_FAILOVERATTEMPT_H
 #define AUBURNRAIL_FAILOVER_DETAIL_FAILOVERATTEMPT_H
 
+#include <failover/FailoverGroup.h>
 #include <failover/FailoverLimits.h>
 #include <failover/FailoverRecord.h>
 #include <failover/FenceAnswer.h>
-#include <failover/FailoverGroup.h>
 
 #include <core/Revision.h>
 
@@ -17,7 +17,7 @@
 struct FailoverAttempt
 {
     std::uint64_t number = 0; ///< Changes with each term; completions of earlier terms are dropped.
-    FailoverGroup view;           ///< The group when the term was chosen.
+    FailoverGroup view;       ///< The group when the term was chosen.
     FailoverPhase phase = FailoverPhase::GrantingTerm;
     FailoverRecord record;
     Revision revision = 0;     ///< Of the grant.
--- a/libs/failover/tests/GroupSimulation.h
+++ b/libs/failover/tests/GroupSimulation.h
@@ -33,9 +33,9 @@
         this->endpoints["a"].position.index = 12;
         this->endpoints["b"].position.index = 11;
         this->view = FailoverGroup{.name = "logs",
-                               .term = 1,
-                               .primary = "a",
-                               .endpoints = {{"a", "1"}, {"b", "2"}, {"c", "3"}}};
+                                   .term = 1,
+                                   .primary = "a",
+                                   .endpoints = {{"a", "1"}, {"b", "2"}, {"c", "3"}}};
         this->restartLeader();
         this->beat();
     }
--- a/libs/heartbeat/include/heartbeat/HeartbeatAnswer.h
+++ b/libs/heartbeat/include/heartbeat/HeartbeatAnswer.h
@@ -15,8 +15,8 @@
 struct HeartbeatAnswer
 {
     LeaseGrant lease;
-    std::string leader; ///< Name of the leading member, if it is known.
-    std::optional<FleetUpdate> update; ///< Changes after the revision that the heartbeat named.
+    std::string leader;                    ///< Name of the leading member, if it is known.
+    std::optional<FleetUpdate> update;     ///< Changes after the revision that the heartbeat named.
     std::optional<FleetSnapshot> snapshot; ///< Instead of `update` when the copy is too old.
     ShareGrant shares;
 };
--- a/libs/http/include/http/HttpResponse.h
+++ b/libs/http/include/http/HttpResponse.h
@@ -16,7 +16,7 @@
     std::string body;
     std::string contentType = "application/json";
     std::size_t withheldBytes = 0; ///< Fault injection: bytes at the end of the body not sent.
-    bool keepOpen = false; ///< The connection stays open even while the server drains.
+    bool keepOpen = false;         ///< The connection stays open even while the server drains.
     bool closeConnection = false;  ///< The server ends the connection after this response.
 };
 
--- a/libs/observe/include/observe/BurnReport.h
+++ b/libs/observe/include/observe/BurnReport.h
@@ -2,8 +2,8 @@
 #define AUBURNRAIL_OBSERVE_BURNREPORT_H
 
 #include <observe/BurnContribution.h>
-#include <observe/BurnStatus.h>
 #include <observe/BurnObjective.h>
+#include <observe/BurnStatus.h>
 #include <observe/RequestSample.h>
 #include <observe/detail/BurnBuckets.h>
 
@@ -69,8 +69,8 @@
     ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
     auto evaluateOne(const BurnObjective &objective, std::int64_t nowMillis) const -> BurnStatus;
     ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
-    auto spenders(const BurnObjective &objective, std::int64_t buckets, std::int64_t nowMillis) const
-        -> std::vector<BurnSpender>;
+    auto spenders(const BurnObjective &objective, std::int64_t buckets,
+                  std::int64_t nowMillis) const -> std::vector<BurnSpender>;
 
     const std::string source;
     RankedMutex mutex{LockRank::BurnReport};
--- a/libs/observe/src/BurnReport.cpp
+++ b/libs/observe/src/BurnReport.cpp
@@ -141,7 +141,8 @@
     return total;
 }
 
-auto BurnReport::evaluateOne(const BurnObjective &objective, std::int64_t nowMillis) const -> BurnStatus
+auto BurnReport::evaluateOne(const BurnObjective &objective, std::int64_t nowMillis) const
+    -> BurnStatus
 {
     auto status =
         BurnStatus{.objective = objective.name, .kind = objective.kind, .target = objective.target};
--- a/libs/request/include/request/RequestHooks.h
+++ b/libs/request/include/request/RequestHooks.h
@@ -1,8 +1,8 @@
 #ifndef AUBURNRAIL_REQUEST_REQUESTHOOKS_H
 #define AUBURNRAIL_REQUEST_REQUESTHOOKS_H
 
-#include <request/CallerAuthorisation.h>
 #include <request/CallerAnswer.h>
+#include <request/CallerAuthorisation.h>
 #include <request/ConnectionHandle.h>
 #include <request/EndpointExchange.h>
 #include <request/EndpointRequest.h>
--- a/libs/request/tests/FakeEntryInstance.h
+++ b/libs/request/tests/FakeEntryInstance.h
@@ -217,7 +217,8 @@
     RandomSource random;
     Duration delay;
     std::uint64_t firstConnection; ///< Keeps the connections of two entries apart.
-    std::variant<CallerAuthorisation, ReasonCode> right = CallerAuthorisation{.organisation = "shed"};
+    std::variant<CallerAuthorisation, ReasonCode> right =
+        CallerAuthorisation{.organisation = "shed"};
     std::optional<RequestRefusal> refusal;
     bool lease = true;
     std::string trace;
--- a/libs/request/tests/RequestOutcomeTest.cpp
+++ b/libs/request/tests/RequestOutcomeTest.cpp
@@ -211,8 +211,8 @@
         entry.lease = false;
         entry.refusal = RequestRefusal{.reason = ReasonCode::RateLimited};
         entry.right = CallerAuthorisation{.organisation = "public",
-                                    .openRoute = row.openRoute,
-                                    .isolatedReads = row.isolatedReads};
+                                          .openRoute = row.openRoute,
+                                          .isolatedReads = row.isolatedReads};
         auto request = entry.request(RequestKind::Statement, row.mode, "X");
         request.maxAge = row.maxAge;
         const auto answer = serve(entry, scheduler, request);
--- a/libs/standin/src/StandInLog.cpp
+++ b/libs/standin/src/StandInLog.cpp
@@ -36,7 +36,8 @@
     return count == 0 ? Position() : this->entries[count - 1].position;
 }
 
-auto StandInLog::entriesAfter(Position position, std::size_t limit) const -> std::vector<GroupLogEntry>
+auto StandInLog::entriesAfter(Position position, std::size_t limit) const
+    -> std::vector<GroupLogEntry>
 {
     const auto begin = std::min<std::size_t>(position.index, this->entries.size());
     const auto end = std::min(begin + limit, this->entries.size());
--- a/libs/wire/include/wire/ControlServer.h
+++ b/libs/wire/include/wire/ControlServer.h
@@ -12,7 +12,8 @@
 
 namespace auburnrail {
 
-/// Receives the heartbeats of entries. Each connected entry has a thread, on which the hook may wait.
+/// Receives the heartbeats of entries. Each connected entry has a thread, on which the hook may
+/// wait.
 class ControlServer
 {
 public:
