--- a/libs/standin/tests/FailoverPropertyTest.cpp
+++ b/libs/standin/tests/FailoverPropertyTest.cpp
@@ -21,7 +21,7 @@
 /// An entry with its copy of the group, valid until its lease ends.
 struct SimulatedEntry
 {
-    GroupView view;
+    FailoverGroup view;
     TimePoint leaseEnd;
     TimePoint healthyAt;
     int side = -1; ///< Endpoint whose partition it shares; -1: the side of the control members.
@@ -38,7 +38,7 @@
             StandInDatabaseSettings{.endpoint = "b", .primaryAddress = "a"});
         this->databases.emplace_back(
             StandInDatabaseSettings{.endpoint = "c", .primaryAddress = "a"});
-        this->view = GroupView{.name = "g",
+        this->view = FailoverGroup{.name = "g",
                                .term = 1,
                                .primary = "a",
                                .endpoints = {{"a", "a"}, {"b", "b"}, {"c", "c"}}};
@@ -79,7 +79,7 @@
 
     VirtualScheduler scheduler;
     std::vector<std::string> acknowledged;
-    GroupView view;
+    FailoverGroup view;
     bool twoPrimariesInOneTerm = false;
     int written = 0;
 
