Test that a closed route with an empty selector permits nobody

Cause: a trial change that removed this check from authorise() was not found by any test.

Change: one test.

--- a/libs/state/tests/AuthoriseTest.cpp
+++ b/libs/state/tests/AuthoriseTest.cpp
@@ -90,4 +90,17 @@
     CHECK(textOf(authorise(state.objects(), row.service, row.key, SECRET)) == textOf(row.expected));
 }
 
+// Guards against a route that opens to every organisation because its selector is empty, which the
+// rules of commands refuse but a copy fed from elsewhere might hold.
+TEST_CASE("a closed route with an empty selector permits nobody")
+{
+    const auto key = makeKey(makeSeededRandom(1), SECRET);
+    auto objects = FleetObjects();
+    objects.put(Service{.name = "s", .group = "g"});
+    objects.put(Route{.name = "r", .service = "s"});
+    objects.put(Organisation{.name = "o"});
+    objects.put(Key{.id = key.id, .organisation = "o", .hash = key.hash});
+    CHECK(textOf(authorise(objects, "s", key.text, SECRET)) == "route-denied");
+}
+
 } // namespace auburnrail
