Demonstrate the whole fleet, with a failover

Cause: make demo has to show what a newcomer gets: a configuration, a session over two entries and a failover. Change: tools/fleet.sh starts 3 control members, 3 entries and 3 endpoints on loopback; tools/demo.sh runs a session through them, kills the primary and writes again.

--- a/libs/wire/src/ControlClient.cpp
+++ b/libs/wire/src/ControlClient.cpp
@@ -1,7 +1,7 @@
 #include <wire/ControlClient.h>
 
 #include "HeartbeatCodec.h"
-#include "gen/Control.h"
+#include <Control.h>
 
 #include <Poco/Net/SocketAddress.h>
 #include <thrift/protocol/TCompactProtocol.h>
--- a/libs/wire/src/ControlServer.cpp
+++ b/libs/wire/src/ControlServer.cpp
@@ -1,7 +1,7 @@
 #include <wire/ControlServer.h>
 
 #include "HeartbeatCodec.h"
-#include "gen/Control.h"
+#include <Control.h>
 
 #include <Poco/Exception.h>
 #include <Poco/Net/SocketAddress.h>
--- a/libs/wire/src/HeartbeatCodec.h
+++ b/libs/wire/src/HeartbeatCodec.h
@@ -1,7 +1,7 @@
 #ifndef AUBURNRAIL_WIRE_HEARTBEATCODEC_H
 #define AUBURNRAIL_WIRE_HEARTBEATCODEC_H
 
-#include "gen/Control_types.h"
+#include <Control_types.h>
 
 #include <heartbeat/Heartbeat.h>
 #include <heartbeat/HeartbeatAnswer.h>
--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -1,54 +1,55 @@
 #!/usr/bin/env bash
-# Starts one endpoint and one entry on loopback, writes and reads one value through the entry, and
-# stops both. Usage: tools/demo.sh BUILD
+# Starts a small fleet on loopback (3 control members, 3 entries in 3 zones, one group of 3 emulated
+# endpoints), applies a configuration, writes and reads through two entries in one session, kills the
+# primary, writes again, and stops everything. Usage: tools/demo.sh BUILD
 set -euo pipefail
 cd "$(dirname "$0")/.."
 bin=$1/bin
-work=$(mktemp -d)
-pids=()
-finish() {
-    for pid in "${pids[@]}"; do kill "$pid" 2>/dev/null || true; done
-    wait
-    rm -rf "$work"
+. tools/fleet.sh
+
+call() { # call ENTRY_NUMBER SESSION BODY
+    curl -s -m 20 -D "$work/headers" -X POST \
+        "http://127.0.0.1:$((base + 40 + $1))/v1/services/logs/statements" \
+        -H "Authorization: Bearer $key" -H "X-Auburnrail-Session: $2" \
+        -H "X-Auburnrail-Deadline-Ms: 15000" -H "Idempotency-Key: $(date +%s%N)" -d "$3"
 }
-trap finish EXIT
 
-echo demo-secret >"$work/secret"
-cat >"$work/entry.ini" <<INI
-[entry]
-instance = entry-1
-zone = interior-a
-callers_address = 127.0.0.1:17001
-operators_address = 127.0.0.1:17002
-[control]
-members = control-1@127.0.0.1:17101
-[security]
-cluster_secret_file = $work/secret
-INI
-cat >"$work/endpoint.ini" <<INI
-[standin]
-endpoint = logs-1
-group = logs
-zone = interior-a
-address = 127.0.0.1:17201
-entries = 127.0.0.1:17001
-primary = true
-announce_interval_ms = 100
-INI
-"$bin/auburnrail-entry" "$work/entry.ini" 2>"$work/entry.log" &
-pids+=($!)
-"$bin/auburnrail-standin" "$work/endpoint.ini" 2>"$work/endpoint.log" &
-pids+=($!)
+session_of_last_answer() {
+    sed -n 's/^X-Auburnrail-Session: //Ip' "$work/headers" | tr -d '\r'
+}
 
-post() {
-    curl -s -m 5 -X POST "http://127.0.0.1:17001/v1/services/logs/statements" -d "$1"
+expect() { # expect TEXT ANSWER
+    grep -qF -- "$1" <<<"$2" || { echo "expected $1"; exit 1; }
 }
 
-for _ in $(seq 50); do
-    post '{"mode":"read","statement":"GET probe"}' | grep -q '"outcome":"ran"' && break
-    sleep 0.1
-done
-echo "write: $(post '{"mode":"write","statement":"PUT bale 42"}')"
-answer=$(post '{"mode":"read","statement":"GET bale"}')
-echo "read:  $answer"
-grep -q '"result":"42"' <<<"$answer"
+echo "starting 3 control members, 3 entries and 3 endpoints"
+fleet_start 21000 interior-a coast-a south-a logs
+
+echo "applying the configuration"
+operate organisation set shed --rate 100 --burst 50 --label tier=gold
+operate service set logs --group logs
+operate route set shed-logs --service logs --selector "tier=gold"
+key=$(operate key create shed --secret-file "$work/secret" | grep -o 'ar_[^ "]*')
+
+echo "writing through entry-1, reading through entry-2 in the same session"
+answer=$(call 1 "" '{"mode":"write","statement":"PUT bale 42"}')
+echo "  $answer"
+expect '"reason":"completed"' "$answer"
+session=$(session_of_last_answer)
+answer=$(call 2 "$session" '{"mode":"read","statement":"GET bale"}')
+echo "  $answer"
+expect '"result":"42"' "$answer"
+
+primary=$(operate --json group show logs | grep -o '"primary": *"[^"]*"' | cut -d'"' -f4)
+echo "killing the primary $primary, writing through entry-3"
+kill -9 "${pid_of[$primary]}"
+wait "${pid_of[$primary]}" 2>/dev/null || true
+answer=$(call 3 "$session" '{"mode":"write","statement":"PUT bale 43"}')
+echo "  $answer"
+expect '"reason":"completed"' "$answer"
+session=$(session_of_last_answer)
+answer=$(call 1 "$session" '{"mode":"read","statement":"GET bale"}')
+echo "  $answer"
+expect '"result":"43"' "$answer"
+operate status
+echo "done"
