Test a term that changes after the majority, and a replica that is rebuilt under a read

Cause: two mutations passed the tests: acknowledging without the check of the term, and reading without the position that the endpoint checks. Change: rows for a failover between the majority and the acknowledgement; the read-your-writes property rebuilds a replica between probe and read. The emulated primary writes an entry at its promotion.

--- a/libs/request/src/RequestMachineExchange.cpp
+++ b/libs/request/src/RequestMachineExchange.cpp
@@ -186,8 +186,9 @@
 auto RequestMachine::confirm(const EndpointAnswer &answer) -> void
 {
     auto position = answer.position;
-    // A duplicate may lie in an earlier term. The primary has it in its log, so whoever follows it
-    // past that index in the current term has it too.
+    // A duplicate may lie in an earlier term. Such an entry can be on a majority and still be lost
+    // to an endpoint that was primary in a term between, as in Raft; one of the current term behind
+    // it cannot. Without a later entry in this term, the wait ends unconfirmed.
     if (answer.duplicate && position.term < this->facts.group.term)
         position = Position{.term = this->facts.group.term, .index = position.index + 1};
     this->explain(RequestStep::Confirm, "waiting for a majority");
--- a/libs/request/tests/FakeEndpoint.h
+++ b/libs/request/tests/FakeEndpoint.h
@@ -54,6 +54,12 @@
         return answer;
     }
 
+    auto append(FakeEntry entry) -> void
+    {
+        entry.position = {.term = this->term, .index = this->log.size() + 1};
+        this->log.push_back(std::move(entry));
+    }
+
 private:
     auto apply(const EndpointRequest &request, std::uint64_t connection, EndpointAnswer &answer)
         -> EndpointRefusal
@@ -114,12 +120,6 @@
                       .key = request.idempotencyKey,
                       .fingerprint = request.fingerprint});
     }
-
-    auto append(FakeEntry entry) -> void
-    {
-        entry.position = {.term = this->term, .index = this->log.size() + 1};
-        this->log.push_back(std::move(entry));
-    }
 };
 
 } // namespace auburnrail
--- a/libs/request/tests/FakeEntryInstance.h
+++ b/libs/request/tests/FakeEntryInstance.h
@@ -165,7 +165,12 @@
                         this->fleet.beforeConfirm();
                     this->executor.postAfter(deadline - this->executor.now(),
                                              [this, deadline] { this->tracker.expire(deadline); });
-                    this->tracker.awaitMajority(group, position, deadline, done);
+                    this->tracker.awaitMajority(group, position, deadline,
+                                                [this, done](bool confirmed) {
+                                                    if (this->fleet.afterConfirm)
+                                                        this->fleet.afterConfirm();
+                                                    done(confirmed);
+                                                });
                 },
             .positionSeen =
                 [this](const std::string &group, const std::string &endpoint, Position position) {
--- a/libs/request/tests/FakeFleet.h
+++ b/libs/request/tests/FakeFleet.h
@@ -67,6 +67,8 @@
         this->view.primary = best;
         this->view.serving = true;
         this->endpoints[best].primary = true;
+        if (this->promotionEntry)
+            this->endpoints[best].append({});
     }
 
     [[nodiscard]] auto currentView() -> GroupView
@@ -92,8 +94,10 @@
     std::map<std::string, FakeEndpoint> endpoints;
     GroupView view{.group = "g", .term = 1, .primary = "p", .serving = true};
     bool replicating = true;
+    bool promotionEntry = true; ///< A new primary writes an entry of its term, as in Raft.
     std::function<auto(const ConnectionHandle &, const EndpointRequest &)->Fault> fault;
     std::function<auto()->void> beforeConfirm; ///< Called when a write waits for a majority.
+    std::function<auto()->void> afterConfirm;  ///< Called when the wait has ended.
 };
 
 } // namespace auburnrail
--- a/libs/request/tests/RequestOutcomeTest.cpp
+++ b/libs/request/tests/RequestOutcomeTest.cpp
@@ -76,6 +76,14 @@
     });
 }
 
+auto failOverAfterMajority(FakeEntryInstance &entry, VirtualScheduler &scheduler) -> void
+{
+    entry.fleet.afterConfirm = [&entry, &scheduler] {
+        entry.fleet.afterConfirm = {};
+        failOver(entry, scheduler);
+    };
+}
+
 auto rows() -> std::vector<Row>
 {
     using enum ReasonCode;
@@ -133,6 +141,19 @@
          // counted at the old primary, because the answer precedes the promotion.
          {RAN, unknown(TermReplaced, 1), Expected{Outcome::Ran, Completed, 2},
           unknown(TermReplaced, 1)}},
+        {"term replaced after the majority",
+         failOverAfterMajority,
+         // A majority has the write, so the keyed one is a duplicate at the new primary.
+         {RAN, unknown(TermReplaced, 1), Expected{Outcome::Ran, Completed, 2},
+          unknown(TermReplaced, 1)}},
+        {"the same, and nothing is written in the new term",
+         [](auto &entry, auto &scheduler) {
+             entry.fleet.promotionEntry = false;
+             failOverAfterMajority(entry, scheduler);
+         },
+         // Only an entry of the current term on a majority keeps earlier ones through failovers.
+         {RAN, unknown(TermReplaced, 1), unknown(ReplicationUnconfirmed, 2),
+          unknown(TermReplaced, 1)}},
         {"replicas do not confirm",
          [](auto &entry, auto &) { entry.fleet.replicating = false; },
          {RAN, unknown(ReplicationUnconfirmed, 1), unknown(ReplicationUnconfirmed, 1),
--- a/libs/request/tests/RequestPropertyTest.cpp
+++ b/libs/request/tests/RequestPropertyTest.cpp
@@ -196,12 +196,19 @@
                                          write ? AccessMode::Write : AccessMode::Read, "X");
             request.sessionToken = token;
             auto answer = CallerAnswer();
+            // A replica that is being rebuilt is behind what the last probe saw of it.
+            auto &replica = fleet.endpoints[fleet.view.primary == "q" ? "r" : "q"];
+            const auto whole = replica.log;
+            if (random() % 2 == 0)
+                replica.log.clear();
             RequestMachine::serve(request,
                                   entry.hooks([&](CallerAnswer got) { answer = std::move(got); }),
                                   entry.tables());
             if (step % 25 == 20)
                 fleet.fence();
             scheduler.runFor(Duration(200ms));
+            if (replica.log.size() < whole.size())
+                replica.log = whole;
             if (!fleet.currentView().serving)
                 fleet.promote();
             first.refresh();
