Test lost tokens, the age of answers and the retry budget at the machine

Cause: three mutations passed the tests: recording a replica's position for an unknown session, giving an answer that is older than the stated age, and retrying without the budget. Change: one test for each.

--- a/libs/request/tests/RequestOutcomeTest.cpp
+++ b/libs/request/tests/RequestOutcomeTest.cpp
@@ -1,6 +1,4 @@
-#include <FakeEntryInstance.h>
-
-#include <core/VirtualScheduler.h>
+#include <ServeRequest.h>
 
 #include <catch2/catch.hpp>
 
@@ -161,23 +159,6 @@
     };
 }
 
-/// Drives one request to its end, with probes every 100 ms.
-auto serve(FakeEntryInstance &entry, VirtualScheduler &scheduler, const CallerRequest &request)
-    -> CallerAnswer
-{
-    auto answers = std::vector<CallerAnswer>();
-    RequestMachine::serve(
-        request, entry.hooks([&](CallerAnswer answer) { answers.push_back(std::move(answer)); }),
-        entry.tables());
-    for (auto i = 0; i < 30 && answers.empty(); ++i) {
-        scheduler.runFor(100ms);
-        if (entry.fleet.currentView().serving)
-            entry.refresh();
-    }
-    REQUIRE(answers.size() == 1);
-    return answers.front();
-}
-
 auto serveColumn(FakeEntryInstance &entry, VirtualScheduler &scheduler, const Row &row,
                  Column column) -> CallerAnswer
 {
--- /dev/null
+++ b/libs/request/tests/RequestReadTest.cpp
@@ -0,0 +1,80 @@
+#include <ServeRequest.h>
+
+namespace auburnrail {
+
+namespace {
+
+/// An entry at 10 s on a fleet whose primary holds one acknowledged write.
+struct Fixture
+{
+    Fixture()
+    {
+        this->scheduler.runFor(10s);
+        this->entry =
+            std::make_unique<FakeEntryInstance>(this->fleet, this->scheduler.executor(), 5);
+        REQUIRE(serve(*this->entry, this->scheduler,
+                      this->entry->request(RequestKind::Statement, AccessMode::Write, "X"))
+                    .outcome
+                == Outcome::Ran);
+    }
+
+    auto read(std::optional<Duration> maxAge, std::string token) -> CallerAnswer
+    {
+        auto request = this->entry->request(RequestKind::Statement, AccessMode::Read, "R");
+        request.maxAge = maxAge;
+        request.sessionToken = std::move(token);
+        return serve(*this->entry, this->scheduler, request);
+    }
+
+    FakeFleet fleet;
+    VirtualScheduler scheduler;
+    std::unique_ptr<FakeEntryInstance> entry;
+};
+
+} // namespace
+
+// Guards read-your-writes after a lost token: a replica's position must not stand for the
+// session's.
+TEST_CASE("a stated age without a token gives no position to a later read")
+{
+    auto fixture = Fixture();
+    fixture.fleet.endpoints["q"].log.clear();
+    fixture.fleet.endpoints["r"].log.clear();
+    fixture.entry->refresh();
+    const auto aged = fixture.read(1s, {});
+    CHECK(aged.servedByReplica);
+    CHECK(aged.result == "0");
+    const auto later = fixture.read({}, aged.sessionToken);
+    CHECK_FALSE(later.servedByReplica);
+    CHECK(later.result == "1");
+}
+
+// Guards the stated age against the time that the read itself takes.
+TEST_CASE("an answer that is older than the stated age when it arrives is not given")
+{
+    auto fixture = Fixture();
+    fixture.entry->refresh();
+    CHECK(fixture.read(2ms, {}).servedByReplica);
+    fixture.entry->refresh();
+    CHECK_FALSE(fixture.read(1500us, {}).servedByReplica); // The exchange takes 2 ms.
+}
+
+// Guards the endpoints against retry storms.
+TEST_CASE("retries of an organisation end with its budget")
+{
+    auto fixture = Fixture();
+    fixture.fleet.fault = [](const ConnectionHandle &, const EndpointRequest &) {
+        return Fault{.kind = FaultKind::LostRun};
+    };
+    auto spent = 0;
+    for (auto i = 0; i < 20; ++i) {
+        const auto answer = fixture.read({}, {});
+        CHECK(answer.outcome == Outcome::Unknown);
+        spent += answer.reason == ReasonCode::RetryBudgetSpent ? 1 : 0;
+    }
+    CHECK(spent > 10);
+    // One for each request, the first balance, a fifth of the requests and the floor.
+    CHECK(fixture.fleet.runsOf("R") <= 20 + 5 + 5 + 8);
+}
+
+} // namespace auburnrail
