Send one exchange at a time to a half-open primary

Cause: work that queues for a connection ignored the limit of a half-open endpoint as well as its concurrency limit, so every waiting write would have tried a primary that may still be down. Change: ignoreLimit applies to closed breakers only.

--- a/libs/routing/include/routing/EndpointCriteria.h
+++ b/libs/routing/include/routing/EndpointCriteria.h
@@ -21,6 +21,7 @@
     std::optional<Duration> maxAge;  ///< Greatest age of its data.
     std::vector<std::string> only;   ///< Names to choose from; empty: all.
     std::vector<std::string> except;
+    /// Also endpoints at their concurrency limit, though not half-open ones.
     bool ignoreLimit = false; ///< The work queues for a connection, in order of weight, instead.
 };
 
--- a/libs/routing/src/EndpointTable.cpp
+++ b/libs/routing/src/EndpointTable.cpp
@@ -53,9 +53,10 @@
 auto acceptsWork(const EndpointView &view, bool ignoreLimit, TimePoint now) -> bool
 {
     const auto silent = !view.lastSeen || now - *view.lastSeen >= EndpointTable::SILENCE_LIMIT_MS;
+    const auto queues = ignoreLimit && view.breaker == BreakerState::Closed;
     const auto limit = view.breaker == BreakerState::HalfOpen ? 1U : view.limit;
     return !silent && !view.leaving && view.breaker != BreakerState::Open
-           && (ignoreLimit || view.inFlight < limit);
+           && (queues || view.inFlight < limit);
 }
 
 auto matches(const EndpointView &view, const EndpointCriteria &criteria, TimePoint now) -> bool
--- a/libs/routing/tests/EndpointTableTest.cpp
+++ b/libs/routing/tests/EndpointTableTest.cpp
@@ -113,6 +113,8 @@
     CHECK(fixture.eligible(START + 500ms) == "p q r ");
     fixture.table.begin("q");
     CHECK(fixture.eligible(START + 500ms) == "p r ");
+    CHECK(names(fixture.table.eligible({.group = "g", .ignoreLimit = true}, START + 500ms))
+          == "p r ");
     fixture.table.recordFailure("q", EndpointFailure::TimedOut, START + 600ms);
     fixture.table.end("q");
     CHECK(fixture.eligible(START + 1599ms) == "p r ");
