--- a/libs/request/tests/RequestOutcomeTest.cpp
+++ b/libs/request/tests/RequestOutcomeTest.cpp
@@ -1,6 +1,4 @@
-#include <FakeEntryInstance.h>
-
-#include <core/VirtualScheduler.h>
+#include <ServeRequest.h>
 
 #include <catch2/catch.hpp>
 
@@ -76,6 +74,14 @@
     });
 }
 
+auto failOverAfterMajority(FakeEntryInstance &entry, VirtualScheduler &scheduler) -> void
+{
+    entry.fleet.afterConfirm = [&entry, &scheduler] {
+        entry.fleet.afterConfirm = {};
+        failOver(entry, scheduler);
+    };
+}
+
 auto rows() -> std::vector<Row>
 {
     using enum ReasonCode;
@@ -133,6 +139,19 @@
          // counted at the old primary, because the answer precedes the promotion.
          {RAN, unknown(TermReplaced, 1), Expected{Outcome::Ran, Completed, 2},
           unknown(TermReplaced, 1)}},
+        {"term replaced after the majority",
+         failOverAfterMajority,
+         // A majority has the write, so the keyed one is a duplicate at the new primary.
+         {RAN, unknown(TermReplaced, 1), Expected{Outcome::Ran, Completed, 2},
+          unknown(TermReplaced, 1)}},
+        {"the same, and nothing is written in the new term",
+         [](auto &entry, auto &scheduler) {
+             entry.fleet.promotionEntry = false;
+             failOverAfterMajority(entry, scheduler);
+         },
+         // Only an entry of the current term on a majority keeps earlier ones through failovers.
+         {RAN, unknown(TermReplaced, 1), unknown(ReplicationUnconfirmed, 2),
+          unknown(TermReplaced, 1)}},
         {"replicas do not confirm",
          [](auto &entry, auto &) { entry.fleet.replicating = false; },
          {RAN, unknown(ReplicationUnconfirmed, 1), unknown(ReplicationUnconfirmed, 1),
@@ -140,23 +159,6 @@
     };
 }
 
-/// Drives one request to its end, with probes every 100 ms.
-auto serve(FakeEntryInstance &entry, VirtualScheduler &scheduler, const CallerRequest &request)
-    -> CallerAnswer
-{
-    auto answers = std::vector<CallerAnswer>();
-    RequestMachine::serve(
-        request, entry.hooks([&](CallerAnswer answer) { answers.push_back(std::move(answer)); }),
-        entry.tables());
-    for (auto i = 0; i < 30 && answers.empty(); ++i) {
-        scheduler.runFor(100ms);
-        if (entry.fleet.currentView().serving)
-            entry.refresh();
-    }
-    REQUIRE(answers.size() == 1);
-    return answers.front();
-}
-
 auto serveColumn(FakeEntryInstance &entry, VirtualScheduler &scheduler, const Row &row,
                  Column column) -> CallerAnswer
 {
