Lend what is guaranteed to idle holders, and compare the scheme with others

Change: a holder gets its guaranteed part as far as it has demand for it; the rest follows demand. Idle holders keep at most a quarter of the burst, one token each. An organisation that outgrew its last report asks for an early one; answers say whether they are urgent, so that small changes wait for the next heartbeat.

--- /dev/null
+++ b/libs/quota/benchmarks/Arrival.h
@@ -0,0 +1,22 @@
+#ifndef AUBURNRAIL_QUOTA_BENCHMARKS_ARRIVAL_H
+#define AUBURNRAIL_QUOTA_BENCHMARKS_ARRIVAL_H
+
+#include <core/Time.h>
+
+#include <cstddef>
+#include <string>
+
+namespace auburnrail {
+
+/// One request of a workload.
+struct Arrival
+{
+    TimePoint at;
+    std::string organisation;
+    std::size_t entry = 0;
+    bool withinLimits = false; ///< An ideal bucket over all arrivals has a token for it.
+};
+
+} // namespace auburnrail
+
+#endif
--- /dev/null
+++ b/libs/quota/benchmarks/CentralScheme.cpp
@@ -0,0 +1,46 @@
+#include <Schemes.h>
+
+#include <quota/TokenBucket.h>
+
+#include <memory>
+
+namespace auburnrail {
+
+namespace {
+
+constexpr auto ROUND_TRIP = Duration(std::chrono::milliseconds(8));
+
+struct Central
+{
+    std::map<std::string, TokenBucket> buckets;
+    bool cut = false;
+    std::size_t messages = 0;
+};
+
+} // namespace
+
+auto makeCentralScheme(const Workload &workload, VirtualScheduler &scheduler) -> Scheme
+{
+    const auto central = std::make_shared<Central>();
+    for (const auto &[organisation, limits] : workload.limits) {
+        central->buckets.emplace(organisation, TokenBucket(static_cast<double>(limits.rate) / 1000,
+                                                           static_cast<double>(limits.burst) / 1000,
+                                                           scheduler.now()));
+    }
+    auto scheme = Scheme{.name = "central_bucket", .askDelay = ROUND_TRIP};
+    scheme.acquire = [central, &scheduler](auto entry, const auto &organisation, bool first) {
+        central->messages += first ? 2 : 0;
+        const auto isolated =
+            central->cut && entry >= Workload::ENTRIES - Workload::ENTRIES_PER_ZONE;
+        return !isolated && central->buckets.at(organisation).tryTake(scheduler.now());
+    };
+    scheme.setCut = [central](bool cut) {
+        central->cut = cut;
+    };
+    scheme.messages = [central] {
+        return central->messages;
+    };
+    return scheme;
+}
+
+} // namespace auburnrail
--- a/libs/quota/include/quota/ShareGrant.h
+++ b/libs/quota/include/quota/ShareGrant.h
@@ -12,6 +12,7 @@
 struct ShareGrant
 {
     std::uint64_t sequence = 0; ///< Sequence of the report that this answers.
+    bool urgent = false;       ///< A share changes so much that the answer should not be held back.
     std::vector<Share> shares; ///< Only those that differ from the reported ones; 0 takes one away.
 };
 
--- a/libs/quota/include/quota/ShareHolder.h
+++ b/libs/quota/include/quota/ShareHolder.h
@@ -53,6 +53,8 @@
     [[nodiscard]] auto heldShares(TimePoint now) -> std::vector<Share>;
 
 private:
+    ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
+    auto outgrewReport(const detail::HeldShare &share, TimePoint now) const -> bool;
     ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex) auto dropLapsed(TimePoint now) -> void;
     ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
     auto find(std::string_view organisation, TimePoint now) -> detail::HeldShare &;
--- a/libs/quota/include/quota/ShareHolderHooks.h
+++ b/libs/quota/include/quota/ShareHolderHooks.h
@@ -8,9 +8,10 @@
 /// Effects of a ShareHolder. Called with no mutex held; a hook may be empty.
 struct ShareHolderHooks
 {
-    /// An organisation without a share has requests that no report mentions yet, so a report is
-    /// worth sending early. Called once between two reports. The owner should wait for an answer
-    /// that is on its way: a newer report makes that answer void.
+    /// An organisation ran out of tokens and has much more demand than the last report said, so a
+    /// report is worth sending early. Called at most once between two reports. The owner should
+    /// wait for an answer that is on its way, but not for one that the leader holds back: a newer
+    /// report voids it.
     std::function<auto()->void> reportWanted;
 };
 
--- a/libs/quota/include/quota/ShareLedgerHooks.h
+++ b/libs/quota/include/quota/ShareLedgerHooks.h
@@ -10,8 +10,8 @@
 /// Effects of a ShareLedger. Called with no mutex held; a hook may be empty.
 struct ShareLedgerHooks
 {
-    /// `grant` would now change a share of `holder`: an answer that is held back for long polling
-    /// should be sent.
+    /// `grant` would now change a share of `holder` urgently: an answer that is held back for long
+    /// polling should be sent.
     std::function<auto(const HolderId &holder)->void> grantReady;
 };
 
--- a/libs/quota/src/ShareAllocation.cpp
+++ b/libs/quota/src/ShareAllocation.cpp
@@ -13,7 +13,14 @@
 
 constexpr auto TOKEN_MILLI = std::int64_t(1000);
 constexpr auto GUARANTEED_PART = 0.5;
-constexpr auto SPARE_LENT_PART = 0.5;
+constexpr auto SPARE_LENT_PART = 0.75;
+
+// Spare parts follow demand, but an idle holder counts as if all idle ones together wanted this
+// part of the limit, so that its bucket fills for the next request.
+constexpr auto IDLE_WEIGHT_PART = 0.1;
+
+// Part of the burst that holders without demand may keep, one token each.
+constexpr auto IDLE_BURST_PART = 0.25;
 
 // Shortest time that a holder keeps a share which others wait for in turn; it has to be longer than
 // a hand-over, which takes about two heartbeats.
@@ -53,12 +60,18 @@
     return parts;
 }
 
-/// Up to `places` claims, in turns when there are more.
+/// The claims that get a share: those with demand, in turns when they are more than `places`, and
+/// as many idle ones as leave most of the burst to the others.
 auto choose(const std::vector<ShareClaim *> &active, std::size_t places, const ShareLimits &limits,
             TimePoint now) -> std::vector<ShareClaim *>
 {
     auto chosen = active;
-    if (active.size() > places) {
+    const auto wanting = static_cast<std::size_t>(std::count_if(
+        active.begin(), active.end(), [](const auto *claim) { return claim->wantedRate > 0; }));
+    const auto count = std::min(
+        {active.size(), places,
+         wanting + static_cast<std::size_t>(IDLE_BURST_PART * static_cast<double>(places))});
+    if (active.size() > count) {
         const auto rate = static_cast<double>(std::max<std::int64_t>(limits.rate, 1));
         const auto turnS =
             std::min(3600.0, TOKENS_PER_TURN * static_cast<double>(places * TOKEN_MILLI) / rate);
@@ -74,33 +87,40 @@
         });
     }
     for (auto i = std::size_t(0); i < chosen.size(); ++i) {
-        if (i < places && !chosen[i]->chosen)
+        if (i < count && !chosen[i]->chosen)
             chosen[i]->chosenAt = now;
-        chosen[i]->chosen = i < places;
+        chosen[i]->chosen = i < count;
     }
-    chosen.resize(std::min(places, chosen.size()));
+    chosen.resize(count);
     return chosen;
 }
 
+/// Part of `total` that no one gets.
 auto setRates(const std::vector<ShareClaim *> &chosen, const std::vector<double> &spread,
-              double rate) -> double
+              double total) -> double
 {
-    const auto guaranteed = rate * GUARANTEED_PART;
+    auto assured = std::vector<double>();
     auto needs = std::vector<double>();
-    needs.reserve(chosen.size());
-    for (auto i = std::size_t(0); i < chosen.size(); ++i)
-        needs.push_back(std::max(0.0, chosen[i]->wantedRate - guaranteed * spread[i]));
-    const auto parts = fillEvenly(needs, rate - guaranteed);
-    auto spare = rate - guaranteed;
+    auto rest = total;
+    for (auto i = std::size_t(0); i < chosen.size(); ++i) {
+        assured.push_back(std::min(chosen[i]->wantedRate, total * GUARANTEED_PART * spread[i]));
+        needs.push_back(chosen[i]->wantedRate - assured[i]);
+        rest -= assured[i];
+    }
+    const auto parts = fillEvenly(needs, rest);
     for (const auto part : parts)
-        spare -= part;
-    spare = std::max(0.0, spare);
-    const auto extra = spare * SPARE_LENT_PART / static_cast<double>(chosen.size());
+        rest -= part;
+    const auto spare = std::max(0.0, rest);
+    const auto idleWeight = total * IDLE_WEIGHT_PART / static_cast<double>(chosen.size());
+    auto weights = 0.0;
+    for (const auto *claim : chosen)
+        weights += claim->wantedRate + idleWeight;
     for (auto i = std::size_t(0); i < chosen.size(); ++i) {
+        const auto weight = weights > 0 ? (chosen[i]->wantedRate + idleWeight) / weights : 0.0;
         chosen[i]->targetRate =
-            static_cast<std::int64_t>(guaranteed * spread[i] + parts[i] + extra);
+            static_cast<std::int64_t>(assured[i] + parts[i] + spare * SPARE_LENT_PART * weight);
     }
-    return rate > 0 ? spare * (1.0 - SPARE_LENT_PART) / rate : 0.0;
+    return total > 0 ? spare * (1.0 - SPARE_LENT_PART) / total : 0.0;
 }
 
 /// `unlentPart` is the part of the rate that stays unlent; the same part of the burst does.
--- a/libs/quota/src/ShareAllocation.h
+++ b/libs/quota/src/ShareAllocation.h
@@ -7,9 +7,10 @@
 
 /// Sets the target of every claim of `shares`. Targets sum up to at most the limits.
 ///
-/// Half of the rate is spread evenly over the zones of the active holders and then over the holders
-/// in each zone. The rest follows demand, max-min fair. Half of what no one asks for stays unlent,
-/// so that a holder that becomes active gets a share without waiting for others to give back.
+/// Half of the rate is guaranteed: spread evenly over the zones of the active holders and then over
+/// the holders in each zone, each gets its part as far as it has demand for it. The rest follows
+/// demand, max-min fair. What is guaranteed to an idle holder is lent to others meanwhile. A part
+/// of what no one asks for stays unlent, so that a holder that becomes active gets a share at once.
 ///
 /// A capacity below one token never admits a request. So each holder's burst is at least one token,
 /// and when there are more active holders than whole tokens of burst, as many as there are tokens
--- a/libs/quota/src/ShareHolder.cpp
+++ b/libs/quota/src/ShareHolder.cpp
@@ -15,16 +15,28 @@
 // comes back finds the guaranteed part of its share filled.
 constexpr auto ACTIVE_DURATION = std::chrono::seconds(60);
 
-// Time constant of the average of arrivals.
-constexpr auto AVERAGE_S = 1.0;
+// Time constant of the average of arrivals: short against the time in which load moves, long
+// against the time between two reports.
+constexpr auto AVERAGE_S = 0.5;
 
 // A rate is reported anew when it differs by this part: noise would change every share in every
 // answer.
 constexpr auto REPORT_STEP_PART = 0.125;
 
+// An organisation that runs out of tokens is reported early when its average exceeds the reported
+// rate by the step and this many arrivals, at most once in this time.
+constexpr auto EARLY_ARRIVALS = 2.0;
+constexpr auto EARLY_REPORT_INTERVAL = std::chrono::milliseconds(50);
+
 // An average below this is reported as zero.
 constexpr auto IDLE_PER_S = 0.01;
 
+/// What is left of an average after `elapsed`.
+auto averageKept(Duration elapsed) -> double
+{
+    return std::exp(-std::chrono::duration<double>(elapsed).count() / AVERAGE_S);
+}
+
 auto reportedRate(double average, double previous) -> double
 {
     if (average < IDLE_PER_S)
@@ -58,7 +70,7 @@
         taken = share.bucket.tryTake(now);
         if (!taken) {
             ++share.refused;
-            wantsReport = !share.reported && !this->wanted;
+            wantsReport = !this->wanted && this->outgrewReport(share, now);
             this->wanted = this->wanted || wantsReport;
         }
     }
@@ -98,7 +110,7 @@
     const RankedLock lock(this->mutex);
     this->dropLapsed(now);
     const auto elapsed = this->reportedAt ? now - *this->reportedAt : Duration::zero();
-    const auto keep = std::exp(-std::chrono::duration<double>(elapsed).count() / AVERAGE_S);
+    const auto keep = averageKept(elapsed);
     this->reportedAt = now;
     this->wanted = false;
     auto report = ShareReport{.holder = this->holder, .zone = this->zone};
@@ -148,6 +160,18 @@
     return this->listShares();
 }
 
+auto ShareHolder::outgrewReport(const detail::HeldShare &share, TimePoint now) const -> bool
+{
+    if (!share.reported || !this->reportedAt)
+        return true;
+    if (now - *this->reportedAt < EARLY_REPORT_INTERVAL)
+        return false;
+    const auto average = share.arrivedPerSecond * averageKept(now - *this->reportedAt)
+                         + static_cast<double>(share.arrivals) / AVERAGE_S;
+    return average
+           > share.reportedPerSecond * (1.0 + REPORT_STEP_PART) + EARLY_ARRIVALS / AVERAGE_S;
+}
+
 auto ShareHolder::dropLapsed(TimePoint now) -> void
 {
     if (!this->leaseEnd || now < *this->leaseEnd)
--- a/libs/quota/src/ShareLedger.cpp
+++ b/libs/quota/src/ShareLedger.cpp
@@ -5,6 +5,7 @@
 #include <core/RankedLock.h>
 
 #include <algorithm>
+#include <cstdlib>
 #include <tuple>
 #include <utility>
 
@@ -15,14 +16,20 @@
 constexpr auto MILLITOKENS_PER_TOKEN = 1000.0;
 
 // A holder gets this much more than it needs, so that an even load finds a token at once.
-constexpr auto HEADROOM_FACTOR = 1.1;
+constexpr auto HEADROOM_FACTOR = 1.25;
+
+// A backlog is to be served in half a second on top of the arrivals.
+constexpr auto BACKLOG_PER_S = 2.0;
 
 // Targets of one organisation are worked out at most once in this time for each of its claims,
 // which keeps the cost of an organisation independent of how often its holders report.
 constexpr auto ALLOCATION_INTERVAL_PER_CLAIM = std::chrono::microseconds(50);
 
-// Changes of less than this part of a share are not worth a message.
-constexpr auto SMALLEST_CHANGE_DIVISOR = 32;
+// A share grows by at least this part of its target, or not at all.
+constexpr auto SMALLEST_GROWTH_DIVISOR = 32;
+
+// Changes of more than this part of a share are worth a message of their own.
+constexpr auto URGENT_CHANGE_DIVISOR = 8;
 
 auto counted(const detail::ShareClaim &claim) -> std::pair<std::int64_t, std::int64_t>
 {
@@ -38,18 +45,20 @@
     if (target <= used)
         return target;
     const auto grown = std::min(target, limit - others);
-    const auto worthwhile = used == 0 || grown - used >= target / SMALLEST_CHANGE_DIVISOR;
+    const auto worthwhile = used == 0 || grown - used >= target / SMALLEST_GROWTH_DIVISOR;
     return grown > used && worthwhile ? grown : used;
 }
 
-auto shrinksNotably(std::int64_t used, std::int64_t target) -> bool
+auto isUrgent(std::int64_t before, std::int64_t after) -> bool
 {
-    return used - target > used / SMALLEST_CHANGE_DIVISOR;
+    return std::abs(after - before) > std::max(before, after) / URGENT_CHANGE_DIVISOR;
 }
 
-auto growsNotably(std::int64_t used, std::int64_t target, std::int64_t rest) -> bool
+/// Whether an answer would change the amount urgently; `rest` is what is not lent.
+auto wouldBeUrgent(std::int64_t used, std::int64_t target, std::int64_t rest) -> bool
 {
-    return std::min(target - used, rest) > target / SMALLEST_CHANGE_DIVISOR;
+    return isUrgent(used, target > used ? used + std::clamp<std::int64_t>(rest, 0, target - used)
+                                        : target);
 }
 
 } // namespace
@@ -207,9 +216,9 @@
     for (const auto &demand : report.demands) {
         auto &claim = claims[demand.organisation];
         claim.active = true;
-        claim.wantedRate =
-            MILLITOKENS_PER_TOKEN
-            * (demand.arrivedPerSecond * HEADROOM_FACTOR + static_cast<double>(demand.backlog));
+        claim.wantedRate = MILLITOKENS_PER_TOKEN
+                           * (demand.arrivedPerSecond * HEADROOM_FACTOR
+                              + BACKLOG_PER_S * static_cast<double>(demand.backlog));
     }
     const auto before = std::exchange(record.organisations, {});
     for (auto &[organisation, claim] : claims) {
@@ -290,8 +299,11 @@
         claim.grantedBurst = std::max(claim.grantedBurst, burst);
         shares.countedRate += claim.countedRate() - countedRate;
         shares.countedBurst += claim.countedBurst() - countedBurst;
-        if (rate != claim.reportedRate || burst != claim.reportedBurst)
-            grant.shares.push_back({organisation, rate, burst});
+        if (rate == claim.reportedRate && burst == claim.reportedBurst)
+            continue;
+        grant.shares.push_back({organisation, rate, burst});
+        grant.urgent = grant.urgent || isUrgent(claim.reportedRate, rate)
+                       || isUrgent(claim.reportedBurst, burst);
     }
     return grant;
 }
@@ -337,10 +349,8 @@
     const auto restRate = shares.limits.rate - shares.countedRate;
     const auto restBurst = shares.limits.burst - shares.countedBurst;
     for (const auto &[holder, claim] : shares.claims) {
-        if (shrinksNotably(claim.usedRate, claim.targetRate)
-            || shrinksNotably(claim.usedBurst, claim.targetBurst)
-            || growsNotably(claim.usedRate, claim.targetRate, restRate)
-            || growsNotably(claim.usedBurst, claim.targetBurst, restBurst))
+        if (wouldBeUrgent(claim.usedRate, claim.targetRate, restRate)
+            || wouldBeUrgent(claim.usedBurst, claim.targetBurst, restBurst))
             this->ready.insert(holder);
     }
 }
