Test repeated reports, and split the ledger's arithmetic from its table

Change: a table-free test of exactly that order of messages (it fails with the fault put in); nextAmount and the urgency of a change move to ShareAmounts; the ring of ExplainLog gets its own file.

--- a/libs/observe/include/observe/ExplainLog.h
+++ b/libs/observe/include/observe/ExplainLog.h
@@ -2,6 +2,7 @@
 #define AUBURNRAIL_OBSERVE_EXPLAINLOG_H
 
 #include <observe/ExplainRecord.h>
+#include <observe/detail/ExplainRing.h>
 
 #include <core/RankedMutex.h>
 
@@ -38,19 +39,13 @@
 private:
     using Predicate = std::function<auto(const ExplainRecord &record)->bool>;
 
-    struct Ring
-    {
-        std::vector<ExplainRecord> records;
-        std::size_t next = 0; ///< Where the next record goes, once the ring is full the oldest one.
-    };
-
     ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
     auto newest(ExplainKind kind, std::size_t limit, const Predicate &matches) const
         -> std::vector<ExplainRecord>;
 
     const std::size_t capacity;
     RankedMutex mutex{LockRank::ExplainLog};
-    std::array<Ring, ENUM_NAMES<ExplainKind>.size()> rings ABSL_GUARDED_BY(mutex);
+    std::array<detail::ExplainRing, ENUM_NAMES<ExplainKind>.size()> rings ABSL_GUARDED_BY(mutex);
 };
 
 } // namespace auburnrail
--- a/libs/quota/src/ShareLedger.cpp
+++ b/libs/quota/src/ShareLedger.cpp
@@ -1,11 +1,11 @@
 #include <quota/ShareLedger.h>
 
 #include <ShareAllocation.h>
+#include <ShareAmounts.h>
 
 #include <core/RankedLock.h>
 
 #include <algorithm>
-#include <cstdlib>
 #include <tuple>
 #include <utility>
 
@@ -25,42 +25,11 @@
 // which keeps the cost of an organisation independent of how often its holders report.
 constexpr auto ALLOCATION_INTERVAL_PER_CLAIM = std::chrono::microseconds(50);
 
-// A share grows by at least this part of its target, or not at all.
-constexpr auto SMALLEST_GROWTH_DIVISOR = 32;
-
-// Changes of more than this part of a share are worth a message of their own.
-constexpr auto URGENT_CHANGE_DIVISOR = 8;
-
 auto counted(const detail::ShareClaim &claim) -> std::pair<std::int64_t, std::int64_t>
 {
     return {claim.countedRate(), claim.countedBurst()};
 }
 
-/// What one part (rate or burst) of a share becomes. `others` counts all other claims.
-auto nextAmount(std::int64_t used, std::int64_t target, std::int64_t others, std::int64_t limit,
-                bool lending) -> std::int64_t
-{
-    if (!lending)
-        return used + others > limit ? std::min(used, target) : used;
-    if (target <= used)
-        return target;
-    const auto grown = std::min(target, limit - others);
-    const auto worthwhile = used == 0 || grown - used >= target / SMALLEST_GROWTH_DIVISOR;
-    return grown > used && worthwhile ? grown : used;
-}
-
-auto isUrgent(std::int64_t before, std::int64_t after) -> bool
-{
-    return std::abs(after - before) > std::max(before, after) / URGENT_CHANGE_DIVISOR;
-}
-
-/// Whether an answer would change the amount urgently; `rest` is what is not lent.
-auto wouldBeUrgent(std::int64_t used, std::int64_t target, std::int64_t rest) -> bool
-{
-    return isUrgent(used, target > used ? used + std::clamp<std::int64_t>(rest, 0, target - used)
-                                        : target);
-}
-
 } // namespace
 
 ShareLedger::ShareLedger(QuotaTiming timing, ShareLedgerHooks hooks)
@@ -290,11 +259,11 @@
         auto &claim = shares.claims[holder];
         const auto [countedRate, countedBurst] = counted(claim);
         const auto rate =
-            nextAmount(claim.usedRate, claim.targetRate, shares.countedRate - countedRate,
-                       shares.limits.rate, this->lending);
-        const auto burst =
-            nextAmount(claim.usedBurst, claim.targetBurst, shares.countedBurst - countedBurst,
-                       shares.limits.burst, this->lending);
+            detail::nextAmount(claim.usedRate, claim.targetRate, shares.countedRate - countedRate,
+                               shares.limits.rate, this->lending);
+        const auto burst = detail::nextAmount(claim.usedBurst, claim.targetBurst,
+                                              shares.countedBurst - countedBurst,
+                                              shares.limits.burst, this->lending);
         claim.grantedRate = std::max(claim.grantedRate, rate);
         claim.grantedBurst = std::max(claim.grantedBurst, burst);
         shares.countedRate += claim.countedRate() - countedRate;
@@ -302,8 +271,8 @@
         if (rate == claim.reportedRate && burst == claim.reportedBurst)
             continue;
         grant.shares.push_back({organisation, rate, burst});
-        grant.urgent = grant.urgent || isUrgent(claim.reportedRate, rate)
-                       || isUrgent(claim.reportedBurst, burst);
+        grant.urgent = grant.urgent || detail::isUrgent(claim.reportedRate, rate)
+                       || detail::isUrgent(claim.reportedBurst, burst);
     }
     return grant;
 }
@@ -349,8 +318,8 @@
     const auto restRate = shares.limits.rate - shares.countedRate;
     const auto restBurst = shares.limits.burst - shares.countedBurst;
     for (const auto &[holder, claim] : shares.claims) {
-        if (wouldBeUrgent(claim.usedRate, claim.targetRate, restRate)
-            || wouldBeUrgent(claim.usedBurst, claim.targetBurst, restBurst))
+        if (detail::wouldBeUrgent(claim.usedRate, claim.targetRate, restRate)
+            || detail::wouldBeUrgent(claim.usedBurst, claim.targetBurst, restBurst))
             this->ready.insert(holder);
     }
 }
--- a/libs/quota/tests/ShareLendingTest.cpp
+++ b/libs/quota/tests/ShareLendingTest.cpp
@@ -160,6 +160,31 @@
     CHECK(fleet.ledger.lent("bale").rate <= 100'000);
 }
 
+// Guards against forgetting the first of two answers to a repeated report: the holder may adopt
+// either.
+TEST_CASE("all answers to a repeated report stay counted until the next report")
+{
+    auto fleet = Fleet({"a"});
+    fleet.ledger.setLimits("bale", {100'000, 50'000}, fleet.now);
+    auto report = ShareReport{{"one", 1}, "a", 1, {{"bale", 90}}, {}};
+    const auto first = fleet.ledger.report(report, fleet.now);
+    REQUIRE(first.shares.size() == 1);
+    fleet.ledger.setLimits("bale", {10'000, 5'000}, fleet.now + 1s);
+    const auto second = fleet.ledger.report(report, fleet.now + 1s);
+    REQUIRE(second.shares.size() == 1);
+    CHECK(second.shares[0].rate < first.shares[0].rate);
+    CHECK(second.shares[0].burst < first.shares[0].burst);
+    CHECK(fleet.ledger.lent("bale") == first.shares[0]);
+    report.sequence = 2;
+    report.heldShares = second.shares;
+    CHECK(fleet.ledger.report(report, fleet.now + 1s).shares.empty());
+    CHECK(fleet.ledger.lent("bale") == second.shares[0]);
+    report.sequence = 1;
+    report.heldShares = {};
+    CHECK(fleet.ledger.report(report, fleet.now + 1s).shares.empty());
+    CHECK(fleet.ledger.lent("bale") == second.shares[0]);
+}
+
 // Guards against a held answer that nobody sends: without the hook a shrink waits for long polling.
 TEST_CASE("the ledger announces holders whose share would change")
 {
