--- a/libs/quota/src/ShareLedger.cpp
+++ b/libs/quota/src/ShareLedger.cpp
@@ -1,6 +1,7 @@
 #include <quota/ShareLedger.h>
 
 #include <ShareAllocation.h>
+#include <ShareAmounts.h>
 
 #include <core/RankedLock.h>
 
@@ -15,43 +16,20 @@
 constexpr auto MILLITOKENS_PER_TOKEN = 1000.0;
 
 // A holder gets this much more than it needs, so that an even load finds a token at once.
-constexpr auto HEADROOM_FACTOR = 1.1;
+constexpr auto HEADROOM_FACTOR = 1.25;
+
+// A backlog is to be served in half a second on top of the arrivals.
+constexpr auto BACKLOG_PER_S = 2.0;
 
 // Targets of one organisation are worked out at most once in this time for each of its claims,
 // which keeps the cost of an organisation independent of how often its holders report.
 constexpr auto ALLOCATION_INTERVAL_PER_CLAIM = std::chrono::microseconds(50);
 
-// Changes of less than this part of a share are not worth a message.
-constexpr auto SMALLEST_CHANGE_DIVISOR = 32;
-
 auto counted(const detail::ShareClaim &claim) -> std::pair<std::int64_t, std::int64_t>
 {
     return {claim.countedRate(), claim.countedBurst()};
 }
 
-/// What one part (rate or burst) of a share becomes. `others` counts all other claims.
-auto nextAmount(std::int64_t used, std::int64_t target, std::int64_t others, std::int64_t limit,
-                bool lending) -> std::int64_t
-{
-    if (!lending)
-        return used + others > limit ? std::min(used, target) : used;
-    if (target <= used)
-        return target;
-    const auto grown = std::min(target, limit - others);
-    const auto worthwhile = used == 0 || grown - used >= target / SMALLEST_CHANGE_DIVISOR;
-    return grown > used && worthwhile ? grown : used;
-}
-
-auto shrinksNotably(std::int64_t used, std::int64_t target) -> bool
-{
-    return used - target > used / SMALLEST_CHANGE_DIVISOR;
-}
-
-auto growsNotably(std::int64_t used, std::int64_t target, std::int64_t rest) -> bool
-{
-    return std::min(target - used, rest) > target / SMALLEST_CHANGE_DIVISOR;
-}
-
 } // namespace
 
 ShareLedger::ShareLedger(QuotaTiming timing, ShareLedgerHooks hooks)
@@ -207,9 +185,9 @@
     for (const auto &demand : report.demands) {
         auto &claim = claims[demand.organisation];
         claim.active = true;
-        claim.wantedRate =
-            MILLITOKENS_PER_TOKEN
-            * (demand.arrivedPerSecond * HEADROOM_FACTOR + static_cast<double>(demand.backlog));
+        claim.wantedRate = MILLITOKENS_PER_TOKEN
+                           * (demand.arrivedPerSecond * HEADROOM_FACTOR
+                              + BACKLOG_PER_S * static_cast<double>(demand.backlog));
     }
     const auto before = std::exchange(record.organisations, {});
     for (auto &[organisation, claim] : claims) {
@@ -281,17 +259,20 @@
         auto &claim = shares.claims[holder];
         const auto [countedRate, countedBurst] = counted(claim);
         const auto rate =
-            nextAmount(claim.usedRate, claim.targetRate, shares.countedRate - countedRate,
-                       shares.limits.rate, this->lending);
-        const auto burst =
-            nextAmount(claim.usedBurst, claim.targetBurst, shares.countedBurst - countedBurst,
-                       shares.limits.burst, this->lending);
+            detail::nextAmount(claim.usedRate, claim.targetRate, shares.countedRate - countedRate,
+                               shares.limits.rate, this->lending);
+        const auto burst = detail::nextAmount(claim.usedBurst, claim.targetBurst,
+                                              shares.countedBurst - countedBurst,
+                                              shares.limits.burst, this->lending);
         claim.grantedRate = std::max(claim.grantedRate, rate);
         claim.grantedBurst = std::max(claim.grantedBurst, burst);
         shares.countedRate += claim.countedRate() - countedRate;
         shares.countedBurst += claim.countedBurst() - countedBurst;
-        if (rate != claim.reportedRate || burst != claim.reportedBurst)
-            grant.shares.push_back({organisation, rate, burst});
+        if (rate == claim.reportedRate && burst == claim.reportedBurst)
+            continue;
+        grant.shares.push_back({organisation, rate, burst});
+        grant.urgent = grant.urgent || detail::isUrgent(claim.reportedRate, rate)
+                       || detail::isUrgent(claim.reportedBurst, burst);
     }
     return grant;
 }
@@ -337,10 +318,8 @@
     const auto restRate = shares.limits.rate - shares.countedRate;
     const auto restBurst = shares.limits.burst - shares.countedBurst;
     for (const auto &[holder, claim] : shares.claims) {
-        if (shrinksNotably(claim.usedRate, claim.targetRate)
-            || shrinksNotably(claim.usedBurst, claim.targetBurst)
-            || growsNotably(claim.usedRate, claim.targetRate, restRate)
-            || growsNotably(claim.usedBurst, claim.targetBurst, restBurst))
+        if (detail::wouldBeUrgent(claim.usedRate, claim.targetRate, restRate)
+            || detail::wouldBeUrgent(claim.usedBurst, claim.targetBurst, restBurst))
             this->ready.insert(holder);
     }
 }
