Satisfy clang-tidy and the format in the stand-in, failover and load code

Cause: tools/check-lint.sh reported findings in five files. One of them, modernize-use-nullptr, lies in the defaulted comparison of Position: clang-tidy 14 takes the zero inside it for a null pointer. Ruled out: suppressing the check, because the comparison can be written out with the same result. Change: Position's ordering is written out; the other findings are corrected. The tests of core, endpoint, failover, standin and load pass with GCC and with the address and undefined-behaviour sanitizers.

--- a/libs/core/include/core/Position.h
+++ b/libs/core/include/core/Position.h
@@ -14,7 +14,13 @@
     std::uint64_t term = 0;
     std::uint64_t index = 0;
 
-    auto operator<=>(const Position &) const = default;
+    // Not defaulted: clang-tidy 14 reports the comparison with zero inside a defaulted one.
+    auto operator<=>(const Position &other) const -> std::strong_ordering
+    {
+        return this->term == other.term ? this->index <=> other.index : this->term <=> other.term;
+    }
+
+    auto operator==(const Position &) const -> bool = default;
 };
 
 } // namespace auburnrail
--- a/libs/failover/include/failover/FenceAnswer.h
+++ b/libs/failover/include/failover/FenceAnswer.h
@@ -14,8 +14,8 @@
     Position position;             ///< Last entry of its log.
     std::uint64_t highestTerm = 0; ///< Highest term that it knows.
     bool wasPrimary = false;
-    /// It lost its data and has not caught up since. It does not count towards the majority, because
-    /// it may have held writes that were acknowledged.
+    /// It lost its data and has not caught up since. It does not count towards the majority,
+    /// because it may have held writes that were acknowledged.
     bool rebuilding = false;
 };
 
--- a/libs/failover/src/FailoverAttempt.cpp
+++ b/libs/failover/src/FailoverAttempt.cpp
@@ -1,6 +1,7 @@
 #include <failover/detail/FailoverAttempt.h>
 
 #include <algorithm>
+#include <compare>
 #include <tuple>
 
 namespace auburnrail::detail {
@@ -46,7 +47,7 @@
     const auto wanted = this->fences.find(this->record.wantedPrimary);
     const auto best = this->fences.find(this->mostAdvanced().name);
     return wanted == this->fences.end() || best == this->fences.end()
-           || wanted->second.position < best->second.position;
+           || std::is_lt(wanted->second.position <=> best->second.position);
 }
 
 auto FailoverAttempt::retryDelay(const FailoverLimits &limits) const -> Duration
--- a/libs/failover/tests/FailoverContractTest.cpp
+++ b/libs/failover/tests/FailoverContractTest.cpp
@@ -136,7 +136,8 @@
 // Guards against a failover that is forgotten or done twice in one term by the next leader.
 TEST_CASE("a new leader completes the failover from every phase")
 {
-    for (const auto delay : {1000ms, 1104ms, 1108ms, 1116ms, 1500ms, 3206ms, 3212ms, 3220ms, 4000ms}) {
+    for (const auto delay :
+         {1000ms, 1104ms, 1108ms, 1116ms, 1500ms, 3206ms, 3212ms, 3220ms, 4000ms}) {
         INFO("leader changed " << delay.count() << " ms after the fault");
         auto group = GroupSimulation();
         isolatePrimary(group);
--- a/libs/load/src/LoadPlan.cpp
+++ b/libs/load/src/LoadPlan.cpp
@@ -7,10 +7,11 @@
 
 namespace {
 
+constexpr auto MANTISSA_BITS = 53;
+
 /// Uniform in (0, 1].
 auto drawUnit(const RandomSource &random) -> double
 {
-    constexpr auto MANTISSA_BITS = 53;
     return std::ldexp(static_cast<double>((random() >> 11) + 1), -MANTISSA_BITS);
 }
 
--- a/libs/standin/src/StandInDatabase.cpp
+++ b/libs/standin/src/StandInDatabase.cpp
@@ -5,6 +5,7 @@
 #include <core/RankedLock.h>
 
 #include <algorithm>
+#include <compare>
 
 namespace auburnrail {
 
@@ -93,8 +94,8 @@
     if (request.mode == AccessMode::Write && this->role != StandInRole::Primary)
         return this->role == StandInRole::Fenced ? EndpointRefusal::Fenced
                                                  : EndpointRefusal::NotPrimary;
-    return this->log.last() < request.minimumPosition ? EndpointRefusal::Behind
-                                                      : EndpointRefusal::None;
+    return std::is_lt(this->log.last() <=> request.minimumPosition) ? EndpointRefusal::Behind
+                                                                    : EndpointRefusal::None;
 }
 
 auto StandInDatabase::open(std::uint64_t connection) -> EndpointRefusal
@@ -116,7 +117,7 @@
     case EndpointOperation::Status:
         return;
     case EndpointOperation::Await:
-        if (this->log.last() < request.minimumPosition)
+        if (std::is_lt(this->log.last() <=> request.minimumPosition))
             answer.refusal = EndpointRefusal::Behind;
         return;
     case EndpointOperation::Connect:
@@ -133,8 +134,11 @@
     if (answer.refusal != EndpointRefusal::None || request.operation == EndpointOperation::Connect)
         return;
     auto &session = this->sessions[connection];
-    if (session.transaction && session.transaction->aborted
-        && request.operation != EndpointOperation::Rollback) {
+    const auto ends = request.operation == EndpointOperation::Commit
+                      || request.operation == EndpointOperation::Rollback;
+    const auto isAborted = session.transaction && session.transaction->aborted
+                           && request.operation != EndpointOperation::Rollback;
+    if (isAborted || (ends && !session.transaction)) {
         answer.refusal = EndpointRefusal::NoTransaction;
     } else if (request.operation == EndpointOperation::Execute) {
         this->execute(session, request, answer);
@@ -144,13 +148,11 @@
             answer.refusal = EndpointRefusal::BadStatement;
         else
             session.transaction.emplace();
-    } else if (!session.transaction) {
-        answer.refusal = EndpointRefusal::NoTransaction;
-    } else {
-        if (request.operation == EndpointOperation::Commit)
-            this->commit(session, request, answer);
-        session.transaction.reset();
+    } else if (request.operation == EndpointOperation::Commit) {
+        this->commit(session, request, answer);
     }
+    if (ends)
+        session.transaction.reset();
 }
 
 auto StandInDatabase::execute(StandInSession &session, const EndpointRequest &request,
@@ -206,7 +208,8 @@
             answer.result = marker->result;
             // An entry of an earlier term is safe only once an entry of this term is on a majority:
             // until then a log without it may still rank higher in a fence.
-            answer.position = std::max(marker->position, this->termStart);
+            answer.position = std::is_lt(marker->position <=> this->termStart) ? this->termStart
+                                                                               : marker->position;
             return;
         }
     }
--- a/libs/standin/src/StandInFaults.cpp
+++ b/libs/standin/src/StandInFaults.cpp
@@ -155,7 +155,7 @@
         return;
     this->recorded += request.method + " " + request.target + "\n";
     for (const auto &[name, value] : request.headers)
-        this->recorded += name + ": " + value + "\n";
+        this->recorded.append(name).append(": ").append(value).append("\n");
     this->recorded += "\n" + request.body + "\n";
 }
 
