--- a/libs/core/include/core/Position.h
+++ b/libs/core/include/core/Position.h
@@ -14,8 +14,13 @@
     std::uint64_t term = 0;
     std::uint64_t index = 0;
 
-    // clang-tidy 14 takes the 0 of a rewritten comparison for a null pointer.
-    auto operator<=>(const Position &) const = default; // NOLINT(modernize-use-nullptr)
+    // Not defaulted: clang-tidy 14 reports the comparison with zero inside a defaulted one.
+    auto operator<=>(const Position &other) const -> std::strong_ordering
+    {
+        return this->term == other.term ? this->index <=> other.index : this->term <=> other.term;
+    }
+
+    auto operator==(const Position &) const -> bool = default;
 };
 
 } // namespace auburnrail
