--- a/libs/consensus/include/consensus/ConsensusNode.h
+++ b/libs/consensus/include/consensus/ConsensusNode.h
@@ -84,18 +84,15 @@
     auto becomeFollower(Term newTerm, TimePoint now) -> void;
     auto endLeadership() -> void;
     auto restartElectionTimer(TimePoint now) -> void;
-    auto onVoteRequest(const Message &message, const VoteRequest &request, TimePoint now) -> void;
-    auto onVoteResponse(const Message &message, const VoteResponse &response, TimePoint now)
-        -> void;
+    auto handle(const Message &message, const VoteRequest &request, TimePoint now) -> void;
+    auto handle(const Message &message, const VoteResponse &response, TimePoint now) -> void;
 
     // Follower (ConsensusNodeFollower.cpp).
     auto followLeader(const Message &message, TimePoint now) -> bool;
-    auto onAppendRequest(const Message &message, const AppendRequest &request, TimePoint now)
-        -> void;
+    auto handle(const Message &message, const AppendRequest &request, TimePoint now) -> void;
     auto appendFrom(const AppendRequest &request) -> LogIndex;
     auto retryIndex(const AppendRequest &request) const -> std::optional<LogIndex>;
-    auto onSnapshotRequest(const Message &message, const SnapshotRequest &request, TimePoint now)
-        -> void;
+    auto handle(const Message &message, const SnapshotRequest &request, TimePoint now) -> void;
     auto askToJoin() -> void;
 
     // Leader (ConsensusNodeLeader.cpp).
@@ -107,11 +104,9 @@
         -> void;
     auto answeredBy(const Message &message, Duration sentAt, TimePoint now)
         -> detail::MemberProgress *;
-    auto onAppendResponse(const Message &message, const AppendResponse &response, TimePoint now)
-        -> void;
-    auto onSnapshotResponse(const Message &message, const SnapshotResponse &response, TimePoint now)
-        -> void;
-    auto onJoinRequest(const Message &message, TimePoint now) -> void;
+    auto handle(const Message &message, const AppendResponse &response, TimePoint now) -> void;
+    auto handle(const Message &message, const SnapshotResponse &response, TimePoint now) -> void;
+    auto handle(const Message &message, const JoinRequest &request, TimePoint now) -> void;
     auto advanceCommit() -> void;
     auto changeMembers(TimePoint now) -> void;
 
--- a/libs/consensus/include/consensus/ConsensusSettings.h
+++ b/libs/consensus/include/consensus/ConsensusSettings.h
@@ -24,8 +24,9 @@
     Duration minElectionTimeout = std::chrono::milliseconds(500);
     Duration maxElectionTimeout = std::chrono::milliseconds(1000);
     std::size_t maxEntriesPerMessage = 64;
-    std::size_t maxBytesPerMessage = 256 * 1024; ///< Also the size of a snapshot chunk.
-    std::size_t maxPayloadBytes = 1024 * 1024;
+    std::size_t maxBytesPerMessage =
+        std::size_t(256) * 1024; ///< Also the size of a snapshot chunk.
+    std::size_t maxPayloadBytes = std::size_t(1024) * 1024;
     LogIndex learnerLag = 64; ///< A learner this close to the commit index may become a voter.
     LogIndex snapshotInterval = SNAPSHOT_INTERVAL;
     LogIndex entriesKept = ENTRIES_KEPT_BEFORE_SNAPSHOT;
--- a/libs/consensus/include/consensus/MemberId.h
+++ b/libs/consensus/include/consensus/MemberId.h
@@ -3,9 +3,9 @@
 
 #include <consensus/MemberName.h>
 
-#include <compare>
 #include <cstdint>
 #include <string>
+#include <tuple>
 
 namespace auburnrail {
 
@@ -16,7 +16,12 @@
     MemberName name;
     std::uint64_t incarnation = 0;
 
-    auto operator<=>(const MemberId &) const = default;
+    auto operator==(const MemberId &) const -> bool = default;
+
+    auto operator<(const MemberId &other) const -> bool
+    {
+        return std::tie(this->name, this->incarnation) < std::tie(other.name, other.incarnation);
+    }
 };
 
 /// `name/incarnation`, the form used in logs and in the stored vote.
--- a/libs/consensus/src/ConsensusNode.cpp
+++ b/libs/consensus/src/ConsensusNode.cpp
@@ -10,13 +10,6 @@
 
 constexpr auto MAX_UNCOMMITTED_ENTRIES = LogIndex(4096);
 
-/// Calls the handler of the alternative that `body` holds.
-template <typename... Handlers>
-struct Overload : Handlers...
-{
-    using Handlers::operator()...;
-};
-
 } // namespace
 
 ConsensusNode::ConsensusNode(ConsensusSettings nodeSettings, ConsensusHooks nodeHooks,
@@ -71,20 +64,8 @@
             || std::holds_alternative<SnapshotRequest>(message.body)))
         this->sendTo(message.from, this->election.term, JoinRequest());
     // The sender of a join request does not know the receiver's incarnation.
-    if (std::holds_alternative<JoinRequest>(message.body))
-        this->onJoinRequest(message, now);
-    if (forThisDisk) {
-        std::visit(
-            Overload{
-                [&](const VoteRequest &body) { this->onVoteRequest(message, body, now); },
-                [&](const VoteResponse &body) { this->onVoteResponse(message, body, now); },
-                [&](const AppendRequest &body) { this->onAppendRequest(message, body, now); },
-                [&](const AppendResponse &body) { this->onAppendResponse(message, body, now); },
-                [&](const SnapshotRequest &body) { this->onSnapshotRequest(message, body, now); },
-                [&](const SnapshotResponse &body) { this->onSnapshotResponse(message, body, now); },
-                [&](const JoinRequest &) {},
-            },
-            message.body);
+    if (forThisDisk || std::holds_alternative<JoinRequest>(message.body)) {
+        std::visit([&](const auto &body) { this->handle(message, body, now); }, message.body);
     }
     this->finish(now);
 }
--- a/libs/consensus/src/ConsensusNodeElection.cpp
+++ b/libs/consensus/src/ConsensusNodeElection.cpp
@@ -106,7 +106,7 @@
         + std::clamp(timeout, this->settings.minElectionTimeout, this->settings.maxElectionTimeout);
 }
 
-auto ConsensusNode::onVoteRequest(const Message &message, const VoteRequest &request, TimePoint now)
+auto ConsensusNode::handle(const Message &message, const VoteRequest &request, TimePoint now)
     -> void
 {
     const auto refuse = [&] {
@@ -145,8 +145,8 @@
     this->sendTo(message.from, this->election.term, VoteResponse{false, true});
 }
 
-auto ConsensusNode::onVoteResponse(const Message &message, const VoteResponse &response,
-                                   TimePoint now) -> void
+auto ConsensusNode::handle(const Message &message, const VoteResponse &response, TimePoint now)
+    -> void
 {
     if (!response.granted) {
         if (message.term > this->election.term)
--- a/libs/consensus/src/ConsensusNodeFollower.cpp
+++ b/libs/consensus/src/ConsensusNodeFollower.cpp
@@ -17,8 +17,8 @@
     return true;
 }
 
-auto ConsensusNode::onAppendRequest(const Message &message, const AppendRequest &request,
-                                    TimePoint now) -> void
+auto ConsensusNode::handle(const Message &message, const AppendRequest &request, TimePoint now)
+    -> void
 {
     auto response = AppendResponse{.sentAt = request.sentAt};
     if (this->followLeader(message, now)) {
@@ -67,8 +67,8 @@
     return index;
 }
 
-auto ConsensusNode::onSnapshotRequest(const Message &message, const SnapshotRequest &request,
-                                      TimePoint now) -> void
+auto ConsensusNode::handle(const Message &message, const SnapshotRequest &request, TimePoint now)
+    -> void
 {
     if (!this->followLeader(message, now)) {
         this->sendTo(message.from, this->election.term, AppendResponse{.sentAt = request.sentAt});
--- a/libs/consensus/src/ConsensusNodeLeader.cpp
+++ b/libs/consensus/src/ConsensusNodeLeader.cpp
@@ -110,8 +110,8 @@
     return progress;
 }
 
-auto ConsensusNode::onAppendResponse(const Message &message, const AppendResponse &response,
-                                     TimePoint now) -> void
+auto ConsensusNode::handle(const Message &message, const AppendResponse &response, TimePoint now)
+    -> void
 {
     auto *progress = this->answeredBy(message, response.sentAt, now);
     if (progress == nullptr)
@@ -132,8 +132,8 @@
         this->replicateTo(message.from, *progress, now);
 }
 
-auto ConsensusNode::onSnapshotResponse(const Message &message, const SnapshotResponse &response,
-                                       TimePoint now) -> void
+auto ConsensusNode::handle(const Message &message, const SnapshotResponse &response, TimePoint now)
+    -> void
 {
     auto *progress = this->answeredBy(message, response.sentAt, now);
     if (progress == nullptr || progress->awaited != response.sentAt)
@@ -143,7 +143,7 @@
     this->replicateTo(message.from, *progress, now);
 }
 
-auto ConsensusNode::onJoinRequest(const Message &message, TimePoint now) -> void
+auto ConsensusNode::handle(const Message &message, const JoinRequest &, TimePoint now) -> void
 {
     if (this->currentRole != NodeRole::Leader)
         return;
--- a/libs/control/src/detail/RunnerState.cpp
+++ b/libs/control/src/detail/RunnerState.cpp
@@ -48,12 +48,12 @@
 {
     // The node calls its hooks with the lock held, and lives as long as this object.
     auto *queue = &this->effects;
-    auto *disk = &*this->disk;
+    auto *opened = &*this->disk;
     const auto *outer = &this->hooks;
     return ConsensusHooks{
         .persist =
-            [queue, disk, outer](const PersistBatch &batch) {
-                auto result = disk->persist(batch);
+            [queue, opened, outer](const PersistBatch &batch) {
+                auto result = opened->persist(batch);
                 if (!result.ok())
                     queue->push([outer, result] { outer->failed(result); });
                 return result;
--- a/libs/wire/src/ConsensusConverter.h
+++ b/libs/wire/src/ConsensusConverter.h
@@ -1,8 +1,7 @@
 #ifndef AUBURNRAIL_WIRE_CONSENSUSCONVERTER_H
 #define AUBURNRAIL_WIRE_CONSENSUSCONVERTER_H
 
-#include "gen/Consensus_types.h"
-
+#include <Consensus_types.h>
 #include <consensus/LogEntry.h>
 #include <consensus/Message.h>
 #include <consensus/Snapshot.h>
--- a/libs/wire/src/MessageBodyConverter.h
+++ b/libs/wire/src/MessageBodyConverter.h
@@ -1,8 +1,7 @@
 #ifndef AUBURNRAIL_WIRE_MESSAGEBODYCONVERTER_H
 #define AUBURNRAIL_WIRE_MESSAGEBODYCONVERTER_H
 
-#include "gen/Consensus_types.h"
-
+#include <Consensus_types.h>
 #include <consensus/Message.h>
 
 #include <absl/status/statusor.h>
--- a/libs/wire/src/ScalarConverter.h
+++ b/libs/wire/src/ScalarConverter.h
@@ -1,8 +1,7 @@
 #ifndef AUBURNRAIL_WIRE_SCALARCONVERTER_H
 #define AUBURNRAIL_WIRE_SCALARCONVERTER_H
 
-#include "gen/Consensus_types.h"
-
+#include <Consensus_types.h>
 #include <consensus/Configuration.h>
 #include <consensus/MemberId.h>
 
--- a/libs/wire/src/detail/ConsensusHandler.h
+++ b/libs/wire/src/detail/ConsensusHandler.h
@@ -2,8 +2,8 @@
 #define AUBURNRAIL_WIRE_DETAIL_CONSENSUSHANDLER_H
 
 #include "../ConsensusConverter.h"
-#include "../gen/Consensus.h"
 
+#include <Consensus.h>
 #include <consensus/Message.h>
 
 #include <functional>
--- a/libs/wire/src/detail/MemberSender.cpp
+++ b/libs/wire/src/detail/MemberSender.cpp
@@ -1,8 +1,8 @@
 #include "MemberSender.h"
 
 #include "../ConsensusConverter.h"
-#include "../gen/Consensus.h"
 
+#include <Consensus.h>
 #include <core/RankedLock.h>
 
 #include <thrift/protocol/TCompactProtocol.h>
