--- a/libs/consensus/src/ConsensusNodeElection.cpp
+++ b/libs/consensus/src/ConsensusNodeElection.cpp
@@ -17,6 +17,10 @@
         this->askToJoin();
     if (!voter)
         return;
+    // An attempt fails mostly because another voter heard from the leader slightly later or
+    // campaigned at the same time, so the next one follows sooner than a full timeout.
+    const auto spread = this->electionDeadline - now - this->settings.minElectionTimeout;
+    this->electionDeadline = now + this->settings.heartbeatInterval + spread / 2;
     this->currentRole = NodeRole::PreCandidate;
     this->votes = {this->settings.self};
     this->requestVotes(true);
@@ -106,7 +110,7 @@
         + std::clamp(timeout, this->settings.minElectionTimeout, this->settings.maxElectionTimeout);
 }
 
-auto ConsensusNode::onVoteRequest(const Message &message, const VoteRequest &request, TimePoint now)
+auto ConsensusNode::handle(const Message &message, const VoteRequest &request, TimePoint now)
     -> void
 {
     const auto refuse = [&] {
@@ -145,8 +149,8 @@
     this->sendTo(message.from, this->election.term, VoteResponse{false, true});
 }
 
-auto ConsensusNode::onVoteResponse(const Message &message, const VoteResponse &response,
-                                   TimePoint now) -> void
+auto ConsensusNode::handle(const Message &message, const VoteResponse &response, TimePoint now)
+    -> void
 {
     if (!response.granted) {
         if (message.term > this->election.term)
--- a/libs/wire/src/ConsensusConverter.h
+++ b/libs/wire/src/ConsensusConverter.h
@@ -2,7 +2,6 @@
 #define AUBURNRAIL_WIRE_CONSENSUSCONVERTER_H
 
 #include <Consensus_types.h>
-
 #include <consensus/LogEntry.h>
 #include <consensus/Message.h>
 #include <consensus/Snapshot.h>
--- a/libs/wire/src/MessageBodyConverter.h
+++ b/libs/wire/src/MessageBodyConverter.h
@@ -2,7 +2,6 @@
 #define AUBURNRAIL_WIRE_MESSAGEBODYCONVERTER_H
 
 #include <Consensus_types.h>
-
 #include <consensus/Message.h>
 
 #include <absl/status/statusor.h>
--- a/libs/wire/src/ScalarConverter.h
+++ b/libs/wire/src/ScalarConverter.h
@@ -2,7 +2,6 @@
 #define AUBURNRAIL_WIRE_SCALARCONVERTER_H
 
 #include <Consensus_types.h>
-
 #include <consensus/Configuration.h>
 #include <consensus/MemberId.h>
 
