Add explain, report, members, entries and promote to the program auburnrail

Cause: the program could change the fleet but not show why it acted, although members and entries already record requests, refusals and failovers.

Entries are found through the longest answer of all members to /v1/entries, because only the leader hears them. Reports and promotions go to the member that leads; a promotion is sent once, and a lost answer is reported as unknown. A request that no entry recorded is refused (1), but unavailable (3) when an entry did not answer.

Ruled out: sending a promotion to each member in turn, which could repeat a completed one.

--- a/apps/auburnrail/Main.cpp
+++ b/apps/auburnrail/Main.cpp
@@ -1,5 +1,6 @@
 #include <http/HttpConnection.h>
 #include <operators/OperatorProgram.h>
+#include <settings/ControlSettings.h>
 #include <settings/EntrySettings.h>
 #include <standin/StandInSettings.h>
 
@@ -25,6 +26,14 @@
     return std::string(std::istreambuf_iterator<char>(stream), {});
 }
 
+auto writeFile(const std::string &path, const std::string &text) -> absl::Status
+{
+    auto stream = std::ofstream(path, std::ios::binary);
+    stream << text;
+    stream.close();
+    return stream ? absl::OkStatus() : absl::UnavailableError("can't write " + path);
+}
+
 auto checkEntry(const std::string &path, auburnrail::Findings &findings) -> void
 {
     const auto file =
@@ -32,6 +41,13 @@
     (void)auburnrail::parseEntrySettings(file, findings);
 }
 
+auto checkControl(const std::string &path, auburnrail::Findings &findings) -> void
+{
+    const auto file =
+        auburnrail::SettingsFile::load(path, auburnrail::controlSettingsTable(), findings);
+    (void)auburnrail::parseControlSettings(file, findings);
+}
+
 auto checkStandIn(const std::string &path, auburnrail::Findings &findings) -> void
 {
     const auto file =
@@ -50,7 +66,8 @@
                        }},
         .random = auburnrail::makeSecureRandom(),
         .readFile = readFile,
-        .checks = {{"entry", checkEntry}, {"standin", checkStandIn}},
+        .writeFile = writeFile,
+        .checks = {{"control", checkControl}, {"entry", checkEntry}, {"standin", checkStandIn}},
         .operatorName = environment("USER").empty() ? "operator" : environment("USER"),
         .controlAddresses = environment("AUBURNRAIL_CONTROL"),
     };
--- a/libs/operators/include/operators/OperatorClient.h
+++ b/libs/operators/include/operators/OperatorClient.h
@@ -10,6 +10,7 @@
 
 #include <absl/status/statusor.h>
 
+#include <map>
 #include <string>
 #include <vector>
 
@@ -33,6 +34,15 @@
     [[nodiscard]] auto get(const std::string &target, Duration limit)
         -> absl::StatusOr<std::string>;
 
+    /// Answers of all members to one GET each, by address; a member that does not answer with 200
+    /// is left out. Each member gets at most `limit`.
+    [[nodiscard]] auto getFromEach(const std::string &target, Duration limit)
+        -> std::map<std::string, std::string>;
+
+    /// Address of the member that leads, asked for again until `limit` has passed. `kUnavailable`
+    /// when none leads.
+    [[nodiscard]] auto findLeader(Duration limit) -> absl::StatusOr<std::string>;
+
 private:
     ClientHooks hooks;
     std::vector<std::string> addresses;
--- a/libs/operators/include/operators/ProgramHooks.h
+++ b/libs/operators/include/operators/ProgramHooks.h
@@ -20,6 +20,7 @@
     ClientHooks client;
     RandomSource random; ///< Secure; for keys and command ids.
     std::function<auto(const std::string &path)->absl::StatusOr<std::string>> readFile;
+    std::function<auto(const std::string &path, const std::string &text)->absl::Status> writeFile;
 
     /// Checks of settings files, by program name; each adds its findings.
     std::map<std::string, std::function<auto(const std::string &path, Findings &)->void>> checks;
--- a/libs/operators/src/CommandLine.cpp
+++ b/libs/operators/src/CommandLine.cpp
@@ -5,6 +5,7 @@
 #include <CLI/CLI.hpp>
 
 #include <algorithm>
+#include <array>
 #include <memory>
 #include <sstream>
 
@@ -92,6 +93,50 @@
     }
 }
 
+/// Adds a subcommand without verbs.
+auto addPlainNoun(CLI::App &app, const std::string &noun, const std::string &meaning,
+                  Invocation &invocation) -> CLI::App &
+{
+    auto *command = app.add_subcommand(noun, meaning);
+    command->fallthrough();
+    command->callback([&invocation, noun] { invocation.noun = noun; });
+    return *command;
+}
+
+/// Commands on what the fleet did and who is in it.
+auto addFleetNouns(CLI::App &app, Invocation &invocation) -> void
+{
+    struct Explanation
+    {
+        const char *verb;
+        const char *argument;
+        const char *meaning;
+    };
+    constexpr auto EXPLANATIONS = std::to_array<Explanation>({
+        {"request", "id", "Show what entries recorded of a request"},
+        {"refusal", "organisation", "Show the last refusals of an organisation"},
+        {"failover", "group", "Show the failovers of a group with the time of each phase"},
+        {"selector", "expression", "Show the objects of every kind that a selector matches"},
+    });
+    auto &explain = addNoun(app, "explain", "Why the fleet did what it did");
+    for (const auto &row : EXPLANATIONS) {
+        addVerb(explain, row.verb, row.meaning, invocation)
+            .add_option(row.argument, invocation.name)
+            ->required();
+    }
+    auto &report = addNoun(app, "report", "Reports");
+    addVerb(report, "burn", "Show how fast error budgets are spent", invocation)
+        .add_option("--html", invocation.htmlFile, "write the report to this file as one page");
+    addPlainNoun(app, "members", "List the control members", invocation);
+    addPlainNoun(app, "entries", "List the entries that renewed their lease", invocation);
+    auto &promote = addPlainNoun(app, "promote",
+                                 "Make an endpoint its group's primary; "
+                                 "returns once started, see explain failover",
+                                 invocation);
+    promote.add_option("group", invocation.name)->required();
+    promote.add_option("endpoint", invocation.endpoint)->required();
+}
+
 auto addOtherNouns(CLI::App &app, Invocation &invocation) -> void
 {
     auto &selector = addNoun(app, "selector", "Selectors");
@@ -99,14 +144,11 @@
     test.add_option("expression", invocation.name)->required();
     test.add_option("--label", invocation.labels, "match these instead of the fleet's objects");
     test.add_option("--kind", invocation.kind, "objects to match, default organisation");
-    auto *check = app.add_subcommand("check", "Check a settings file");
-    check->fallthrough();
-    check->add_option("file", invocation.name)->required();
-    check->add_option("--program", invocation.program, "entry, control or standin")->required();
-    check->callback([&invocation] { invocation.noun = "check"; });
-    auto *status = app.add_subcommand("status", "Show the status of a control member");
-    status->fallthrough();
-    status->callback([&invocation] { invocation.noun = "status"; });
+    addFleetNouns(app, invocation);
+    auto &check = addPlainNoun(app, "check", "Check a settings file", invocation);
+    check.add_option("file", invocation.name)->required();
+    check.add_option("--program", invocation.program, "entry, control or standin")->required();
+    addPlainNoun(app, "status", "Show the status of a control member", invocation);
 }
 
 } // namespace
--- a/libs/operators/src/Invocation.h
+++ b/libs/operators/src/Invocation.h
@@ -22,7 +22,9 @@
     std::map<std::string, std::string> members; ///< Given options of an object by JSON member.
     std::string program;                        ///< Whose settings `check` reads.
     std::string secretFile;
-    std::string control; ///< IP:port, joined by commas.
+    std::string endpoint; ///< That `promote` makes the primary.
+    std::string htmlFile; ///< File that `report burn` writes.
+    std::string control;  ///< IP:port, joined by commas.
     std::string commandId;
     std::optional<std::uint64_t> expectedRevision;
     std::int64_t timeLimitS = 15; ///< Seconds.
--- a/libs/operators/src/OperatorClient.cpp
+++ b/libs/operators/src/OperatorClient.cpp
@@ -1,5 +1,6 @@
 #include <operators/OperatorClient.h>
 
+#include <http/JsonReader.h>
 #include <operators/CommandJson.h>
 
 #include "ResultStatusTable.h"
@@ -97,4 +98,33 @@
     return absl::UnavailableError(error);
 }
 
+auto OperatorClient::getFromEach(const std::string &target, Duration limit)
+    -> std::map<std::string, std::string>
+{
+    const auto request =
+        HttpRequest{.method = "GET", .target = target, .headers = {}, .body = {}, .peer = {}};
+    auto answers = std::map<std::string, std::string>();
+    for (const auto &address : this->addresses) {
+        auto exchange = this->hooks.exchange(address, request, std::min(ATTEMPT_TIMEOUT, limit));
+        if (exchange.phase == ExchangePhase::Answered
+            && exchange.response.status == detail::HTTP_OK)
+            answers[address] = std::move(exchange.response.body);
+    }
+    return answers;
+}
+
+auto OperatorClient::findLeader(Duration limit) -> absl::StatusOr<std::string>
+{
+    const auto deadline = this->hooks.now() + limit;
+    for (auto now = this->hooks.now(); now < deadline; now = this->hooks.now()) {
+        for (const auto &[address, body] : this->getFromEach("/v1/status", deadline - now)) {
+            auto reader = JsonReader(body, "status");
+            if (reader.boolean("leading"))
+                return address;
+        }
+        this->hooks.pause(std::min(ROUND_PAUSE, deadline - now));
+    }
+    return absl::UnavailableError("no control member leads");
+}
+
 } // namespace auburnrail
--- a/libs/operators/src/OperatorProgram.cpp
+++ b/libs/operators/src/OperatorProgram.cpp
@@ -2,6 +2,7 @@
 
 #include "CommandLine.h"
 #include "CommandMaker.h"
+#include "FleetQuery.h"
 #include "ProgramPrinter.h"
 
 #include <operators/CommandJson.h>
@@ -50,6 +51,8 @@
             return this->testSelector();
         if (this->addresses.empty())
             return badInput(NO_CONTROL);
+        if (detail::FleetQuery::takes(this->invocation))
+            return detail::FleetQuery(this->hooks, this->invocation, this->addresses).run();
         if (this->invocation.noun == "status")
             return this->show("/v1/status", false);
         if (this->invocation.verb == "show" || this->invocation.verb == "list")
--- a/libs/operators/tests/FakeControl.h
+++ b/libs/operators/tests/FakeControl.h
@@ -7,7 +7,10 @@
 
 #include <deque>
 #include <functional>
+#include <map>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace auburnrail {
@@ -22,6 +25,10 @@
     std::deque<Fault> script;
     FleetState state;
     std::vector<std::string> asked; ///< Addresses, in order.
+    /// Answers by address and target, before those of the real handler.
+    std::map<std::pair<std::string, std::string>, HttpResponse> answers;
+    std::set<std::string> down;               ///< Addresses that refuse connections.
+    std::map<std::string, std::string> files; ///< Written files.
 
     [[nodiscard]] auto clientHooks() -> ClientHooks
     {
@@ -43,6 +50,11 @@
                     return "cluster\n";
                 return absl::NotFoundError("no file");
             },
+            .writeFile =
+                [this](const std::string &path, const std::string &text) {
+                    this->files[path] = text;
+                    return absl::OkStatus();
+                },
             .checks = {{"entry",
                         [](const std::string &, Findings &findings) {
                             findings.add(Place{"f", 3, "entry", "zone"}, "must be set");
@@ -68,6 +80,11 @@
             return ExchangeResult{.phase = ExchangePhase::Connecting, .error = "refused"};
         if (fault == Fault::RequestLost)
             return ExchangeResult{.phase = ExchangePhase::TimedOut, .error = "timeout"};
+        if (this->down.contains(address))
+            return ExchangeResult{.phase = ExchangePhase::Connecting, .error = "refused"};
+        const auto known = this->answers.find({address, request.target});
+        if (known != this->answers.end() && fault == Fault::None)
+            return ExchangeResult{.phase = ExchangePhase::Answered, .response = known->second};
         auto response = this->handle(request, fault == Fault::NotLeader);
         if (fault == Fault::AnswerLost)
             return ExchangeResult{.phase = ExchangePhase::Truncated, .error = "truncated"};
@@ -87,7 +104,8 @@
             .state = [this] { return std::make_shared<FleetObjects>(this->state.objects()); },
             .status = [this] { return ControlStatus{.revision = this->state.revision()}; },
         };
-        return *handleOperatorRequest(hooks, request);
+        return handleOperatorRequest(hooks, request)
+            .value_or(HttpResponse{.status = 404, .body = R"({"error":"unknown path"})"});
     }
 
     TimePoint clock{};
