--- a/libs/callers/tests/CallerCodecTest.cpp
+++ b/libs/callers/tests/CallerCodecTest.cpp
@@ -69,7 +69,7 @@
 
 TEST_CASE("arbitrary bodies never crash the caller codec")
 {
-    rc::check([](const std::string &body, const std::string &tail) {
+    CHECK(rc::check([](const std::string &body, const std::string &tail) {
         std::ignore = decodeCallerRequest(
             HttpRequest{.target = "/v1/services/" + tail, .body = body}, "r", TimePoint());
         RC_ASSERT(decodeCallerAnswer(HttpResponse{.body = body}).outcome == Outcome::Unknown);
--- a/libs/http/tests/JsonTest.cpp
+++ b/libs/http/tests/JsonTest.cpp
@@ -34,7 +34,7 @@
 TEST_CASE("arbitrary text never crashes the JSON reader")
 {
     CHECK_FALSE(JsonReader(std::string(1000000, '['), "body").findings().empty());
-    rc::check([](const std::string &text) {
+    CHECK(rc::check([](const std::string &text) {
         auto reader = JsonReader(text, "body");
         std::ignore = reader.labels("labels");
         std::ignore = reader.objects("items");
