--- a/tools/bench.sh
+++ b/tools/bench.sh
@@ -46,6 +46,7 @@
     operate route set "$service" --service "$service" --selector tier >/dev/null
 done
 
+sleep 3 # The quota ledger of a new leader lends after its lease wait.
 load calm
 load overload --overload "$(head -n 1 "$work/organisations" | cut -d' ' -f1)" --overload-factor 5
 primary=$(operate --json group show "${services[0]}" | grep -o '"primary": *"[^"]*"' | cut -d'"' -f4)
