--- a/libs/standin/tests/FailoverPropertyTest.cpp
+++ b/libs/standin/tests/FailoverPropertyTest.cpp
@@ -39,9 +39,9 @@
         this->databases.emplace_back(
             StandInDatabaseSettings{.endpoint = "c", .primaryAddress = "a"});
         this->view = FailoverGroup{.name = "g",
-                               .term = 1,
-                               .primary = "a",
-                               .endpoints = {{"a", "a"}, {"b", "b"}, {"c", "c"}}};
+                                   .term = 1,
+                                   .primary = "a",
+                                   .endpoints = {{"a", "a"}, {"b", "b"}, {"c", "c"}}};
         this->changeLeader();
         this->step();
     }
