--- a/idl/Control.thrift
+++ b/idl/Control.thrift
@@ -32,6 +32,21 @@
   3: optional i64 unreachableMillis
 }
 
+struct BurnRowMessage {
+  1: string objective
+  2: string serviceName
+  3: string organisation
+  4: i32 reason
+  5: i64 good
+  6: i64 bad
+}
+
+struct BurnContributionMessage {
+  1: string source
+  2: i64 startMillis
+  3: list<BurnRowMessage> rows
+}
+
 struct HeartbeatMessage {
   1: string instance
   2: i64 incarnation
@@ -44,6 +59,7 @@
   9: list<PrimaryReportMessage> primaries
   10: i64 holdMillis
   11: string operatorsAddress
+  12: list<BurnContributionMessage> burn
 }
 
 struct HeartbeatAnswerMessage {
--- a/libs/control/include/control/ControlOperators.h
+++ b/libs/control/include/control/ControlOperators.h
@@ -34,6 +34,8 @@
     [[nodiscard]] auto status() -> ControlStatus;
     [[nodiscard]] auto addressOfLeader() const -> std::string;
     [[nodiscard]] auto explainFailover(const std::string &group) -> HttpResponse;
+    /// Burn report of what this member knows; `format` is json, text or html, empty is json.
+    [[nodiscard]] auto reportBurn(const std::string &format) -> HttpResponse;
     [[nodiscard]] auto promote(const HttpRequest &request) -> HttpResponse;
     [[nodiscard]] auto listMembers() -> HttpResponse;
     [[nodiscard]] auto listEntries() -> HttpResponse;
--- a/libs/control/include/control/ControlTables.h
+++ b/libs/control/include/control/ControlTables.h
@@ -12,6 +12,7 @@
 
 #include <failover/FailoverCoordinator.h>
 #include <lease/LeaseTable.h>
+#include <observe/BurnReport.h>
 #include <quota/ShareLedger.h>
 
 #include <core/Executor.h>
@@ -57,12 +58,16 @@
     EntryDirectory entries;
     EndpointCommander commander;
     FailoverLog failovers;
+    BurnReport burn; ///< Of all entries; complete on the leader only.
     FailoverCoordinator failover;
 
 private:
     [[nodiscard]] auto makeFailoverHooks() -> FailoverHooks;
     [[nodiscard]] auto makeCommand(CommandBody body) -> Command;
 
+    /// Counts a failover in the objectives of the services on its group.
+    auto countFailover(const FailoverRecord &record) -> void;
+
     /// Tells the tables that follow the fleet state what it says now.
     auto stateChanged(bool isWhole) -> void;
 
--- a/libs/control/include/control/ControlTablesHooks.h
+++ b/libs/control/include/control/ControlTablesHooks.h
@@ -3,6 +3,7 @@
 
 #include <core/Revision.h>
 #include <core/Time.h>
+#include <core/WallClock.h>
 
 #include <absl/status/statusor.h>
 
@@ -22,6 +23,8 @@
 
     /// Name of the leading member; empty when unknown.
     std::function<auto()->std::string> leader;
+
+    WallClock wallClock;
 };
 
 } // namespace auburnrail
--- a/libs/control/src/ControlNode.cpp
+++ b/libs/control/src/ControlNode.cpp
@@ -66,10 +66,8 @@
         .propose = [this](std::string payload) { return this->runner.propose(std::move(payload)); },
         .isLeaderWithQuorum =
             [this](TimePoint /*now*/) { return this->runner.isLeaderWithQuorum(); },
-        .leader =
-            [this] {
-                return this->runner.status().leader;
-            }};
+        .leader = [this] { return this->runner.status().leader; },
+        .wallClock = systemWallClockMillis};
 }
 
 auto ControlNode::makeRunnerHooks() -> ConsensusRunnerHooks
--- a/libs/control/src/ControlOperators.cpp
+++ b/libs/control/src/ControlOperators.cpp
@@ -5,6 +5,9 @@
 #include <http/JsonReader.h>
 #include <http/JsonWriter.h>
 #include <http/QueryString.h>
+#include <observe/BurnHtml.h>
+#include <observe/BurnJson.h>
+#include <observe/BurnText.h>
 #include <operators/OperatorHandler.h>
 
 #include <future>
@@ -176,6 +179,25 @@
     return jsonResponse(writer);
 }
 
+auto ControlOperators::reportBurn(const std::string &format) -> HttpResponse
+{
+    const auto statuses = this->tables.burn.evaluate(this->tables.hooks.wallClock());
+    if (format == "text")
+        return textResponse(burnText(statuses));
+    if (format == "html") {
+        return HttpResponse{.body = burnHtml(statuses), .contentType = "text/html; charset=utf-8"};
+    }
+    auto writer = burnJson(statuses);
+    if (format.empty() || format == "json") {
+        writer.boolean("leading",
+                       this->tables.hooks.isLeaderWithQuorum(this->tables.executor.now()));
+        return jsonResponse(writer);
+    }
+    auto fault = JsonWriter();
+    fault.text("error", "format must be json, text or html, not '" + format + "'");
+    return HttpResponse{.status = STATUS_BAD_REQUEST, .body = fault.toString()};
+}
+
 auto ControlOperators::promote(const HttpRequest &request) -> HttpResponse
 {
     auto reader = JsonReader(request.body, "body");
@@ -217,6 +239,8 @@
         return this->listEntries();
     if (query.path == "/v1/explain/failover")
         return this->explainFailover(query.value("group"));
+    if (query.path == "/v1/report/burn")
+        return this->reportBurn(query.value("format"));
     if (query.path == "/v1/promote" && request.method == "POST")
         return this->promote(request);
     return HttpResponse{.status = STATUS_NOT_FOUND, .body = R"({"error":"unknown path"})"};
--- a/libs/control/src/ControlTables.cpp
+++ b/libs/control/src/ControlTables.cpp
@@ -1,5 +1,9 @@
 #include <control/ControlTables.h>
 
+#include "FailoverGap.h"
+
+#include <observe/BurnObjectives.h>
+
 #include <absl/strings/str_cat.h>
 
 namespace auburnrail {
@@ -53,6 +57,7 @@
                                                      this->held.sharesChanged(holder);
                                                  }})
     , commander(this->random)
+    , burn("control")
     , failover(FailoverLimits(), this->makeFailoverHooks())
 {
 }
@@ -118,10 +123,23 @@
     };
     failoverHooks.explain = [this](const FailoverRecord &record) {
         this->failovers.add(record);
+        this->countFailover(record);
     };
     return failoverHooks;
 }
 
+auto ControlTables::countFailover(const FailoverRecord &record) -> void
+{
+    const auto gap = detail::failoverGap(record, FailoverLimits());
+    if (!gap)
+        return;
+    const auto now = this->hooks.wallClock();
+    this->store.objects().table<Service>().forEach([&](const Service &service) {
+        if (service.group == record.group)
+            this->burn.recordFailover(service.name, *gap, ReasonCode::NoPrimary, now);
+    });
+}
+
 auto ControlTables::committed(Revision index, const std::string &payload) -> void
 {
     const auto result = this->store.apply(index, payload);
@@ -159,6 +177,7 @@
         if (objects.find<Group>(group.name) == nullptr)
             this->failover.groupRemoved(group.name);
     });
+    this->burn.setObjectives(burnObjectivesOf(std::make_shared<const FleetObjects>(objects)));
     this->followed = std::move(objects);
 }
 
--- a/libs/control/src/HeartbeatService.cpp
+++ b/libs/control/src/HeartbeatService.cpp
@@ -51,6 +51,8 @@
         this->tables.failover.reportSuspicion(heartbeat.instance, report.group, report.term,
                                               report.unreachableFor, now);
     }
+    for (const auto &contribution : heartbeat.burn)
+        std::ignore = this->tables.burn.merge(contribution, this->tables.hooks.wallClock());
     if (heartbeat.endpoints.empty())
         return;
     const auto state = this->tables.store.objects();
--- /dev/null
+++ b/libs/control/tests/BurnMergeTest.cpp
@@ -0,0 +1,133 @@
+#include <control/ControlTables.h>
+#include <control/HeartbeatService.h>
+
+#include "FailoverGap.h"
+
+#include <core/VirtualScheduler.h>
+#include <wire/FleetCodec.h>
+
+#include <catch2/catch.hpp>
+
+namespace auburnrail {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr auto WALL_MILLIS = std::int64_t(1'700'000'000'000);
+constexpr auto MINUTE_MILLIS = std::int64_t(60'000);
+
+/// The tables of a leading control member on a virtual clock, with one objective of each used kind.
+class LeadingMember
+{
+public:
+    LeadingMember()
+        : tables(scheduler.executor(), makeSeededRandom(1),
+                 {.propose = [](const std::string &) -> absl::StatusOr<Revision> {
+                      return absl::UnavailableError("no log");
+                  },
+                  .isLeaderWithQuorum = [](TimePoint) { return true; },
+                  .leader = [] { return std::string("m1"); },
+                  .wallClock =
+                      [] {
+                          return WALL_MILLIS;
+                      }})
+        , service(tables)
+    {
+        this->set(Service{.name = "logs", .group = "g"});
+        this->set(Objective{
+            .name = "up", .kind = ObjectiveKind::Availability, .target = 0.9, .window = 24h});
+        this->set(Objective{
+            .name = "gap", .kind = ObjectiveKind::FailoverGap, .target = 2000, .window = 24h});
+        this->tables.leadershipChanged(true);
+    }
+
+    auto beat(const std::string &instance, std::int64_t minutesAgo, BurnCount count) -> void
+    {
+        auto heartbeat = Heartbeat{.instance = instance, .incarnation = 1, .zone = "z"};
+        heartbeat.shares.holder = HolderId{instance, 1};
+        heartbeat.burn = {{.source = instance + "/1",
+                           .startMillis = WALL_MILLIS / MINUTE_MILLIS * MINUTE_MILLIS
+                                          - minutesAgo * MINUTE_MILLIS,
+                           .rows = {{BurnKey{"up", "logs", "o", ReasonCode::NoPrimary}, count}}}};
+        std::ignore = this->service.answer(heartbeat);
+    }
+
+    auto countOf(const std::string &objective) -> BurnCount
+    {
+        for (const auto &status : this->tables.burn.evaluate(WALL_MILLIS)) {
+            if (status.objective == objective)
+                return status.count;
+        }
+        return BurnCount();
+    }
+
+private:
+    auto set(FleetObject object) -> void
+    {
+        ++this->index;
+        this->tables.committed(
+            this->index,
+            encodeCommand(Command{CommandHeader{.commandId = std::to_string(this->index),
+                                                .baseRevision = this->index - 1,
+                                                .operatorName = "test"},
+                                  SetObject{std::move(object)}}));
+    }
+
+    Revision index = 0;
+    VirtualScheduler scheduler;
+
+public:
+    ControlTables tables;
+
+private:
+    HeartbeatService service;
+};
+
+} // namespace
+
+// Guards against counts that are lost with an entry or counted twice, on this leader or the next.
+TEST_CASE("a leader merges what entries send again and again")
+{
+    auto first = LeadingMember();
+    first.beat("e1", 0, {90, 10});
+    first.beat("e1", 0, {90, 10});
+    first.beat("e1", 0, {91, 12});
+    first.beat("e2", 1, {5, 0});
+    first.beat("e2", 31, {1000, 1000});
+    CHECK(first.countOf("up") == BurnCount{96, 12});
+    auto next = LeadingMember();
+    next.beat("e1", 0, {91, 12});
+    next.beat("e2", 1, {5, 0});
+    CHECK(next.countOf("up") == first.countOf("up"));
+}
+
+// Guards against a failover that no objective sees, and a first primary that counts as one.
+TEST_CASE("the gap of a failover")
+{
+    struct Row
+    {
+        const char *name;
+        FailoverCause cause;
+        bool completed;
+        std::optional<Duration> gap;
+    };
+    const auto row = GENERATE(values<Row>({
+        {"suspicion, with its detection", FailoverCause::Suspicion, true, 1700ms},
+        {"planned", FailoverCause::Planned, true, 700ms},
+        {"resumed", FailoverCause::Resumed, true, 700ms},
+        {"first primary", FailoverCause::Initial, true, std::nullopt},
+        {"abandoned", FailoverCause::Suspicion, false, std::nullopt},
+    }));
+    CAPTURE(row.name);
+    const auto start = TimePoint(10s);
+    const auto record =
+        FailoverRecord{.group = "g",
+                       .cause = row.cause,
+                       .completed = row.completed,
+                       .endedAt = start + 700ms,
+                       .phases = {{.phase = FailoverPhase::GrantingTerm, .startedAt = start}}};
+    CHECK(detail::failoverGap(record, FailoverLimits{.suspicionHold = 1s}) == row.gap);
+}
+
+} // namespace auburnrail
--- a/libs/entry/include/entry/EntryTables.h
+++ b/libs/entry/include/entry/EntryTables.h
@@ -75,7 +75,6 @@
     auto openConnection(const ConnectionHandle &handle) -> void;
     auto sendAwait(const std::string &group, const std::string &endpoint, Position position)
         -> void;
-    auto setObjectives(const std::shared_ptr<const FleetObjects> &objects) -> void;
 };
 
 } // namespace auburnrail
--- a/libs/entry/include/entry/HeartbeatLoop.h
+++ b/libs/entry/include/entry/HeartbeatLoop.h
@@ -1,6 +1,7 @@
 #ifndef AUBURNRAIL_ENTRY_HEARTBEATLOOP_H
 #define AUBURNRAIL_ENTRY_HEARTBEATLOOP_H
 
+#include <entry/BurnSender.h>
 #include <entry/EntryTables.h>
 #include <entry/HeartbeatLoopHooks.h>
 
@@ -48,6 +49,7 @@
     EntryTables &tables;
     std::vector<MemberAddress> members;
     HeartbeatLoopHooks hooks;
+    BurnSender burnSender;   ///< Used by the thread only.
     std::size_t current = 0; ///< Member that gets the next heartbeat; used by the thread only.
     RankedMutex mutex{LockRank::WorkerQueue};
     RankedCondition stopped;
--- a/libs/entry/include/entry/HeartbeatLoopHooks.h
+++ b/libs/entry/include/entry/HeartbeatLoopHooks.h
@@ -5,6 +5,7 @@
 #include <heartbeat/HeartbeatAnswer.h>
 
 #include <core/Time.h>
+#include <core/WallClock.h>
 
 #include <absl/status/statusor.h>
 
@@ -20,6 +21,8 @@
     std::function<auto(const std::string &name, const Heartbeat &heartbeat, Duration timeLimit)
                       ->absl::StatusOr<HeartbeatAnswer>>
         send;
+
+    WallClock wallClock;
 };
 
 } // namespace auburnrail
--- a/libs/entry/src/EntryNode.cpp
+++ b/libs/entry/src/EntryNode.cpp
@@ -30,9 +30,11 @@
     for (const auto &member : members)
         clients->try_emplace(member.name, member.address);
     return HeartbeatLoopHooks{
-        .send = [clients](const std::string &name, const Heartbeat &heartbeat, Duration timeLimit) {
-            return clients->at(name).heartbeat(heartbeat, timeLimit);
-        }};
+        .send =
+            [clients](const std::string &name, const Heartbeat &heartbeat, Duration timeLimit) {
+                return clients->at(name).heartbeat(heartbeat, timeLimit);
+            },
+        .wallClock = systemWallClockMillis};
 }
 
 } // namespace
--- a/libs/entry/src/EntryOperators.cpp
+++ b/libs/entry/src/EntryOperators.cpp
@@ -5,6 +5,8 @@
 #include <observe/BurnJson.h>
 #include <observe/ExplainJson.h>
 
+#include <core/WallClock.h>
+
 #include <chrono>
 
 namespace auburnrail {
@@ -31,13 +33,6 @@
     return HttpResponse{.body = writer.toString()};
 }
 
-auto wallClockMillis() -> std::int64_t
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(
-               std::chrono::system_clock::now().time_since_epoch())
-        .count();
-}
-
 } // namespace
 
 EntryOperators::EntryOperators(const EntrySettings &settings, EntryTables &entryTables)
@@ -89,7 +84,7 @@
             this->tables.explain.refusals(query.value("organisation"), REFUSAL_LIMIT));
     }
     if (query.path == "/v1/report/burn") {
-        const auto report = burnJson(this->tables.burn.evaluate(wallClockMillis()));
+        const auto report = burnJson(this->tables.burn.evaluate(systemWallClockMillis()));
         return HttpResponse{.body = report.toString()};
     }
     return HttpResponse{.status = STATUS_NOT_FOUND, .body = R"({"error":"unknown path"})"};
--- a/libs/entry/src/EntryTables.cpp
+++ b/libs/entry/src/EntryTables.cpp
@@ -1,5 +1,7 @@
 #include <entry/EntryTables.h>
 
+#include <observe/BurnObjectives.h>
+
 #include <algorithm>
 
 namespace auburnrail {
@@ -13,9 +15,6 @@
 
 constexpr auto EXPLAIN_RECORDS = std::size_t(4096);
 constexpr auto METRIC_SERIES = std::size_t(1024);
-constexpr auto WINDOW_DAYS_DEFAULT = std::chrono::hours(24 * 28);
-/// Part of the events that has to be within a latency or gap objective's limit.
-constexpr auto THRESHOLD_TARGET = 0.99;
 
 /// Label with which operators take an endpoint out of service; its own announcements set `leaving`.
 constexpr auto DRAIN_LABEL = "drain";
@@ -43,27 +42,6 @@
     return description;
 }
 
-auto toBurnObjective(const Objective &objective, const std::shared_ptr<const FleetObjects> &objects)
-    -> BurnObjective
-{
-    auto result = BurnObjective();
-    result.name = objective.name;
-    result.kind = objective.kind;
-    const auto hasThreshold =
-        objective.kind == ObjectiveKind::Latency || objective.kind == ObjectiveKind::FailoverGap;
-    result.target = hasThreshold ? THRESHOLD_TARGET : objective.target;
-    if (hasThreshold)
-        result.threshold = std::chrono::milliseconds(static_cast<std::int64_t>(objective.target));
-    result.window =
-        objective.window > Duration() ? objective.window : Duration(WINDOW_DAYS_DEFAULT);
-    result.applies = [objects, selector = objective.selector](std::string_view service,
-                                                              std::string_view /*organisation*/) {
-        const auto *found = objects->find<Service>(service);
-        return found != nullptr && selector.matches(found->labels);
-    };
-    return result;
-}
-
 } // namespace
 
 EntryTables::EntryTables(const EntryIdentity &entryIdentity, Executor entryExecutor,
@@ -163,16 +141,7 @@
         this->replication.setGroup(group.name, group.term, names);
     });
     this->endpoints.updateFromState(descriptions);
-    this->setObjectives(objects);
-}
-
-auto EntryTables::setObjectives(const std::shared_ptr<const FleetObjects> &objects) -> void
-{
-    auto objectives = std::vector<BurnObjective>();
-    objects->table<Objective>().forEach([&](const Objective &objective) {
-        objectives.push_back(toBurnObjective(objective, objects));
-    });
-    this->burn.setObjectives(std::move(objectives));
+    this->burn.setObjectives(burnObjectivesOf(objects));
 }
 
 auto EntryTables::countRequest(const CallerAnswer &answer, Duration latency) -> void
--- a/libs/entry/src/HeartbeatLoop.cpp
+++ b/libs/entry/src/HeartbeatLoop.cpp
@@ -23,8 +23,12 @@
     : tables(entryTables)
     , members(std::move(controlMembers))
     , hooks(std::move(loopHooks))
+    , burnSender([this](int minutes) {
+        return this->tables.burn.contributions(minutes, this->hooks.wallClock());
+    })
 {
     assert(!this->members.empty() && "there must be at least one control member");
+    assert(this->hooks.wallClock && "hooks.wallClock must be set");
     assert(this->hooks.send && "hooks.send must be set");
 }
 
@@ -71,9 +75,11 @@
     const auto ticket = this->tables.lease.beginHeartbeat(this->tables.executor.now());
     auto heartbeat = this->compose(ticket.revision);
     heartbeat.shares = report;
-    const auto answer =
-        this->hooks.send(this->members[this->current].name, heartbeat, ANSWER_TIME_LIMIT);
+    const auto &member = this->members[this->current].name;
+    heartbeat.burn = this->burnSender.begin(member, this->tables.executor.now());
+    const auto answer = this->hooks.send(member, heartbeat, ANSWER_TIME_LIMIT);
     if (!answer.ok()) {
+        this->burnSender.end(false, this->tables.executor.now());
         this->chooseMember("", false);
         return false;
     }
@@ -84,6 +90,7 @@
         std::ignore = this->tables.shares.adopt(
             answer->shares, ticket.sentAt + answer->lease.duration, this->tables.executor.now());
     }
+    this->burnSender.end(isGranted, this->tables.executor.now());
     this->chooseMember(answer->leader, isGranted);
     return isGranted;
 }
--- a/libs/entry/src/RequestTrail.cpp
+++ b/libs/entry/src/RequestTrail.cpp
@@ -2,6 +2,8 @@
 
 #include <daemon/Logging.h>
 
+#include <core/WallClock.h>
+
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
@@ -36,13 +38,6 @@
     return std::find(CALLER_REASONS.begin(), CALLER_REASONS.end(), reason) == CALLER_REASONS.end();
 }
 
-auto wallClockMillis() -> std::int64_t
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(
-               std::chrono::system_clock::now().time_since_epoch())
-        .count();
-}
-
 auto describe(const RequestRecord &record) -> std::string
 {
     auto text = record.detail;
@@ -89,7 +84,7 @@
 auto RequestTrail::finish(const CallerAnswer &answer, EntryTables &tables) -> void
 {
     const auto latency = tables.executor.now() - this->startedAt;
-    const auto nowMillis = wallClockMillis();
+    const auto nowMillis = systemWallClockMillis();
     tables.explain.record(this->explain(answer, nowMillis));
     tables.burn.recordRequest(RequestSample{.service = this->service,
                                             .organisation = this->organisation,
--- a/libs/heartbeat/include/heartbeat/Heartbeat.h
+++ b/libs/heartbeat/include/heartbeat/Heartbeat.h
@@ -4,6 +4,7 @@
 #include <heartbeat/PrimaryReport.h>
 
 #include <endpoint/Announcement.h>
+#include <observe/BurnContribution.h>
 #include <quota/ShareReport.h>
 
 #include <core/Revision.h>
@@ -27,6 +28,7 @@
     ShareReport shares;
     std::vector<Announcement> endpoints; ///< Arrivals and changes that the state does not show yet.
     std::vector<PrimaryReport> primaries;
+    std::vector<BurnContribution> burn; ///< What this run of the entry counted; see BurnSender.
     Duration holdLimit{}; ///< Longest time the answer may be held for a newer revision.
 };
 
--- a/libs/wire/src/HeartbeatCodec.cpp
+++ b/libs/wire/src/HeartbeatCodec.cpp
@@ -1,5 +1,7 @@
 #include "HeartbeatCodec.h"
 
+#include "BurnConversion.h"
+
 #include <wire/FleetCodec.h>
 
 #include <algorithm>
@@ -140,6 +142,8 @@
         message.endpoints.push_back(toAnnouncementMessage(announcement));
     for (const auto &report : heartbeat.primaries)
         message.primaries.push_back(toPrimaryMessage(report));
+    for (const auto &contribution : heartbeat.burn)
+        message.burn.push_back(toBurnMessage(contribution));
     message.holdMillis = toMillis(heartbeat.holdLimit);
     return message;
 }
@@ -161,6 +165,8 @@
         heartbeat.endpoints.push_back(fromAnnouncementMessage(announcement));
     for (const auto &report : message.primaries)
         heartbeat.primaries.push_back(fromPrimaryMessage(report));
+    for (const auto &contribution : message.burn)
+        heartbeat.burn.push_back(fromBurnMessage(contribution));
     heartbeat.holdLimit = std::chrono::milliseconds(message.holdMillis);
     return heartbeat;
 }
--- a/libs/wire/src/gen/Control_types.cpp
+++ b/libs/wire/src/gen/Control_types.cpp
@@ -774,6 +774,382 @@
 }
 
 
+BurnRowMessage::~BurnRowMessage() noexcept {
+}
+
+
+void BurnRowMessage::__set_objective(const std::string& val) {
+  this->objective = val;
+}
+
+void BurnRowMessage::__set_serviceName(const std::string& val) {
+  this->serviceName = val;
+}
+
+void BurnRowMessage::__set_organisation(const std::string& val) {
+  this->organisation = val;
+}
+
+void BurnRowMessage::__set_reason(const int32_t val) {
+  this->reason = val;
+}
+
+void BurnRowMessage::__set_good(const int64_t val) {
+  this->good = val;
+}
+
+void BurnRowMessage::__set_bad(const int64_t val) {
+  this->bad = val;
+}
+std::ostream& operator<<(std::ostream& out, const BurnRowMessage& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t BurnRowMessage::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->objective);
+          this->__isset.objective = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->serviceName);
+          this->__isset.serviceName = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->organisation);
+          this->__isset.organisation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->reason);
+          this->__isset.reason = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->good);
+          this->__isset.good = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->bad);
+          this->__isset.bad = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t BurnRowMessage::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("BurnRowMessage");
+
+  xfer += oprot->writeFieldBegin("objective", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->objective);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("serviceName", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->serviceName);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("organisation", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->organisation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("reason", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->reason);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("good", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->good);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("bad", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->bad);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(BurnRowMessage &a, BurnRowMessage &b) {
+  using ::std::swap;
+  swap(a.objective, b.objective);
+  swap(a.serviceName, b.serviceName);
+  swap(a.organisation, b.organisation);
+  swap(a.reason, b.reason);
+  swap(a.good, b.good);
+  swap(a.bad, b.bad);
+  swap(a.__isset, b.__isset);
+}
+
+BurnRowMessage::BurnRowMessage(const BurnRowMessage& other24) {
+  objective = other24.objective;
+  serviceName = other24.serviceName;
+  organisation = other24.organisation;
+  reason = other24.reason;
+  good = other24.good;
+  bad = other24.bad;
+  __isset = other24.__isset;
+}
+BurnRowMessage::BurnRowMessage(BurnRowMessage&& other25) noexcept {
+  objective = std::move(other25.objective);
+  serviceName = std::move(other25.serviceName);
+  organisation = std::move(other25.organisation);
+  reason = other25.reason;
+  good = other25.good;
+  bad = other25.bad;
+  __isset = other25.__isset;
+}
+BurnRowMessage& BurnRowMessage::operator=(const BurnRowMessage& other26) {
+  objective = other26.objective;
+  serviceName = other26.serviceName;
+  organisation = other26.organisation;
+  reason = other26.reason;
+  good = other26.good;
+  bad = other26.bad;
+  __isset = other26.__isset;
+  return *this;
+}
+BurnRowMessage& BurnRowMessage::operator=(BurnRowMessage&& other27) noexcept {
+  objective = std::move(other27.objective);
+  serviceName = std::move(other27.serviceName);
+  organisation = std::move(other27.organisation);
+  reason = other27.reason;
+  good = other27.good;
+  bad = other27.bad;
+  __isset = other27.__isset;
+  return *this;
+}
+void BurnRowMessage::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "BurnRowMessage(";
+  out << "objective=" << to_string(objective);
+  out << ", " << "serviceName=" << to_string(serviceName);
+  out << ", " << "organisation=" << to_string(organisation);
+  out << ", " << "reason=" << to_string(reason);
+  out << ", " << "good=" << to_string(good);
+  out << ", " << "bad=" << to_string(bad);
+  out << ")";
+}
+
+
+BurnContributionMessage::~BurnContributionMessage() noexcept {
+}
+
+
+void BurnContributionMessage::__set_source(const std::string& val) {
+  this->source = val;
+}
+
+void BurnContributionMessage::__set_startMillis(const int64_t val) {
+  this->startMillis = val;
+}
+
+void BurnContributionMessage::__set_rows(const std::vector<BurnRowMessage> & val) {
+  this->rows = val;
+}
+std::ostream& operator<<(std::ostream& out, const BurnContributionMessage& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t BurnContributionMessage::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->source);
+          this->__isset.source = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->startMillis);
+          this->__isset.startMillis = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->rows.clear();
+            uint32_t _size28;
+            ::apache::thrift::protocol::TType _etype31;
+            xfer += iprot->readListBegin(_etype31, _size28);
+            this->rows.resize(_size28);
+            uint32_t _i32;
+            for (_i32 = 0; _i32 < _size28; ++_i32)
+            {
+              xfer += this->rows[_i32].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.rows = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t BurnContributionMessage::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("BurnContributionMessage");
+
+  xfer += oprot->writeFieldBegin("source", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->source);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("startMillis", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->startMillis);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("rows", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rows.size()));
+    std::vector<BurnRowMessage> ::const_iterator _iter33;
+    for (_iter33 = this->rows.begin(); _iter33 != this->rows.end(); ++_iter33)
+    {
+      xfer += (*_iter33).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(BurnContributionMessage &a, BurnContributionMessage &b) {
+  using ::std::swap;
+  swap(a.source, b.source);
+  swap(a.startMillis, b.startMillis);
+  swap(a.rows, b.rows);
+  swap(a.__isset, b.__isset);
+}
+
+BurnContributionMessage::BurnContributionMessage(const BurnContributionMessage& other34) {
+  source = other34.source;
+  startMillis = other34.startMillis;
+  rows = other34.rows;
+  __isset = other34.__isset;
+}
+BurnContributionMessage::BurnContributionMessage(BurnContributionMessage&& other35) noexcept {
+  source = std::move(other35.source);
+  startMillis = other35.startMillis;
+  rows = std::move(other35.rows);
+  __isset = other35.__isset;
+}
+BurnContributionMessage& BurnContributionMessage::operator=(const BurnContributionMessage& other36) {
+  source = other36.source;
+  startMillis = other36.startMillis;
+  rows = other36.rows;
+  __isset = other36.__isset;
+  return *this;
+}
+BurnContributionMessage& BurnContributionMessage::operator=(BurnContributionMessage&& other37) noexcept {
+  source = std::move(other37.source);
+  startMillis = other37.startMillis;
+  rows = std::move(other37.rows);
+  __isset = other37.__isset;
+  return *this;
+}
+void BurnContributionMessage::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "BurnContributionMessage(";
+  out << "source=" << to_string(source);
+  out << ", " << "startMillis=" << to_string(startMillis);
+  out << ", " << "rows=" << to_string(rows);
+  out << ")";
+}
+
+
 HeartbeatMessage::~HeartbeatMessage() noexcept {
 }
 
@@ -821,6 +1197,10 @@
 void HeartbeatMessage::__set_operatorsAddress(const std::string& val) {
   this->operatorsAddress = val;
 }
+
+void HeartbeatMessage::__set_burn(const std::vector<BurnContributionMessage> & val) {
+  this->burn = val;
+}
 std::ostream& operator<<(std::ostream& out, const HeartbeatMessage& obj)
 {
   obj.printTo(out);
@@ -893,14 +1273,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->demands.clear();
-            uint32_t _size24;
-            ::apache::thrift::protocol::TType _etype27;
-            xfer += iprot->readListBegin(_etype27, _size24);
-            this->demands.resize(_size24);
-            uint32_t _i28;
-            for (_i28 = 0; _i28 < _size24; ++_i28)
+            uint32_t _size38;
+            ::apache::thrift::protocol::TType _etype41;
+            xfer += iprot->readListBegin(_etype41, _size38);
+            this->demands.resize(_size38);
+            uint32_t _i42;
+            for (_i42 = 0; _i42 < _size38; ++_i42)
             {
-              xfer += this->demands[_i28].read(iprot);
+              xfer += this->demands[_i42].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -913,14 +1293,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->heldShares.clear();
-            uint32_t _size29;
-            ::apache::thrift::protocol::TType _etype32;
-            xfer += iprot->readListBegin(_etype32, _size29);
-            this->heldShares.resize(_size29);
-            uint32_t _i33;
-            for (_i33 = 0; _i33 < _size29; ++_i33)
+            uint32_t _size43;
+            ::apache::thrift::protocol::TType _etype46;
+            xfer += iprot->readListBegin(_etype46, _size43);
+            this->heldShares.resize(_size43);
+            uint32_t _i47;
+            for (_i47 = 0; _i47 < _size43; ++_i47)
             {
-              xfer += this->heldShares[_i33].read(iprot);
+              xfer += this->heldShares[_i47].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -933,14 +1313,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->endpoints.clear();
-            uint32_t _size34;
-            ::apache::thrift::protocol::TType _etype37;
-            xfer += iprot->readListBegin(_etype37, _size34);
-            this->endpoints.resize(_size34);
-            uint32_t _i38;
-            for (_i38 = 0; _i38 < _size34; ++_i38)
+            uint32_t _size48;
+            ::apache::thrift::protocol::TType _etype51;
+            xfer += iprot->readListBegin(_etype51, _size48);
+            this->endpoints.resize(_size48);
+            uint32_t _i52;
+            for (_i52 = 0; _i52 < _size48; ++_i52)
             {
-              xfer += this->endpoints[_i38].read(iprot);
+              xfer += this->endpoints[_i52].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -953,14 +1333,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->primaries.clear();
-            uint32_t _size39;
-            ::apache::thrift::protocol::TType _etype42;
-            xfer += iprot->readListBegin(_etype42, _size39);
-            this->primaries.resize(_size39);
-            uint32_t _i43;
-            for (_i43 = 0; _i43 < _size39; ++_i43)
+            uint32_t _size53;
+            ::apache::thrift::protocol::TType _etype56;
+            xfer += iprot->readListBegin(_etype56, _size53);
+            this->primaries.resize(_size53);
+            uint32_t _i57;
+            for (_i57 = 0; _i57 < _size53; ++_i57)
             {
-              xfer += this->primaries[_i43].read(iprot);
+              xfer += this->primaries[_i57].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -985,6 +1365,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->burn.clear();
+            uint32_t _size58;
+            ::apache::thrift::protocol::TType _etype61;
+            xfer += iprot->readListBegin(_etype61, _size58);
+            this->burn.resize(_size58);
+            uint32_t _i62;
+            for (_i62 = 0; _i62 < _size58; ++_i62)
+            {
+              xfer += this->burn[_i62].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.burn = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1025,10 +1425,10 @@
   xfer += oprot->writeFieldBegin("demands", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->demands.size()));
-    std::vector<DemandMessage> ::const_iterator _iter44;
-    for (_iter44 = this->demands.begin(); _iter44 != this->demands.end(); ++_iter44)
+    std::vector<DemandMessage> ::const_iterator _iter63;
+    for (_iter63 = this->demands.begin(); _iter63 != this->demands.end(); ++_iter63)
     {
-      xfer += (*_iter44).write(oprot);
+      xfer += (*_iter63).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1037,10 +1437,10 @@
   xfer += oprot->writeFieldBegin("heldShares", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->heldShares.size()));
-    std::vector<ShareMessage> ::const_iterator _iter45;
-    for (_iter45 = this->heldShares.begin(); _iter45 != this->heldShares.end(); ++_iter45)
+    std::vector<ShareMessage> ::const_iterator _iter64;
+    for (_iter64 = this->heldShares.begin(); _iter64 != this->heldShares.end(); ++_iter64)
     {
-      xfer += (*_iter45).write(oprot);
+      xfer += (*_iter64).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1049,10 +1449,10 @@
   xfer += oprot->writeFieldBegin("endpoints", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->endpoints.size()));
-    std::vector<AnnouncementMessage> ::const_iterator _iter46;
-    for (_iter46 = this->endpoints.begin(); _iter46 != this->endpoints.end(); ++_iter46)
+    std::vector<AnnouncementMessage> ::const_iterator _iter65;
+    for (_iter65 = this->endpoints.begin(); _iter65 != this->endpoints.end(); ++_iter65)
     {
-      xfer += (*_iter46).write(oprot);
+      xfer += (*_iter65).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1061,10 +1461,10 @@
   xfer += oprot->writeFieldBegin("primaries", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->primaries.size()));
-    std::vector<PrimaryReportMessage> ::const_iterator _iter47;
-    for (_iter47 = this->primaries.begin(); _iter47 != this->primaries.end(); ++_iter47)
+    std::vector<PrimaryReportMessage> ::const_iterator _iter66;
+    for (_iter66 = this->primaries.begin(); _iter66 != this->primaries.end(); ++_iter66)
     {
-      xfer += (*_iter47).write(oprot);
+      xfer += (*_iter66).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1078,6 +1478,18 @@
   xfer += oprot->writeString(this->operatorsAddress);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("burn", ::apache::thrift::protocol::T_LIST, 12);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->burn.size()));
+    std::vector<BurnContributionMessage> ::const_iterator _iter67;
+    for (_iter67 = this->burn.begin(); _iter67 != this->burn.end(); ++_iter67)
+    {
+      xfer += (*_iter67).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1096,65 +1508,70 @@
   swap(a.primaries, b.primaries);
   swap(a.holdMillis, b.holdMillis);
   swap(a.operatorsAddress, b.operatorsAddress);
+  swap(a.burn, b.burn);
   swap(a.__isset, b.__isset);
 }
 
-HeartbeatMessage::HeartbeatMessage(const HeartbeatMessage& other48) {
-  instance = other48.instance;
-  incarnation = other48.incarnation;
-  zone = other48.zone;
-  appliedRevision = other48.appliedRevision;
-  shareSequence = other48.shareSequence;
-  demands = other48.demands;
-  heldShares = other48.heldShares;
-  endpoints = other48.endpoints;
-  primaries = other48.primaries;
-  holdMillis = other48.holdMillis;
-  operatorsAddress = other48.operatorsAddress;
-  __isset = other48.__isset;
-}
-HeartbeatMessage::HeartbeatMessage(HeartbeatMessage&& other49) noexcept {
-  instance = std::move(other49.instance);
-  incarnation = other49.incarnation;
-  zone = std::move(other49.zone);
-  appliedRevision = other49.appliedRevision;
-  shareSequence = other49.shareSequence;
-  demands = std::move(other49.demands);
-  heldShares = std::move(other49.heldShares);
-  endpoints = std::move(other49.endpoints);
-  primaries = std::move(other49.primaries);
-  holdMillis = other49.holdMillis;
-  operatorsAddress = std::move(other49.operatorsAddress);
-  __isset = other49.__isset;
-}
-HeartbeatMessage& HeartbeatMessage::operator=(const HeartbeatMessage& other50) {
-  instance = other50.instance;
-  incarnation = other50.incarnation;
-  zone = other50.zone;
-  appliedRevision = other50.appliedRevision;
-  shareSequence = other50.shareSequence;
-  demands = other50.demands;
-  heldShares = other50.heldShares;
-  endpoints = other50.endpoints;
-  primaries = other50.primaries;
-  holdMillis = other50.holdMillis;
-  operatorsAddress = other50.operatorsAddress;
-  __isset = other50.__isset;
+HeartbeatMessage::HeartbeatMessage(const HeartbeatMessage& other68) {
+  instance = other68.instance;
+  incarnation = other68.incarnation;
+  zone = other68.zone;
+  appliedRevision = other68.appliedRevision;
+  shareSequence = other68.shareSequence;
+  demands = other68.demands;
+  heldShares = other68.heldShares;
+  endpoints = other68.endpoints;
+  primaries = other68.primaries;
+  holdMillis = other68.holdMillis;
+  operatorsAddress = other68.operatorsAddress;
+  burn = other68.burn;
+  __isset = other68.__isset;
+}
+HeartbeatMessage::HeartbeatMessage(HeartbeatMessage&& other69) noexcept {
+  instance = std::move(other69.instance);
+  incarnation = other69.incarnation;
+  zone = std::move(other69.zone);
+  appliedRevision = other69.appliedRevision;
+  shareSequence = other69.shareSequence;
+  demands = std::move(other69.demands);
+  heldShares = std::move(other69.heldShares);
+  endpoints = std::move(other69.endpoints);
+  primaries = std::move(other69.primaries);
+  holdMillis = other69.holdMillis;
+  operatorsAddress = std::move(other69.operatorsAddress);
+  burn = std::move(other69.burn);
+  __isset = other69.__isset;
+}
+HeartbeatMessage& HeartbeatMessage::operator=(const HeartbeatMessage& other70) {
+  instance = other70.instance;
+  incarnation = other70.incarnation;
+  zone = other70.zone;
+  appliedRevision = other70.appliedRevision;
+  shareSequence = other70.shareSequence;
+  demands = other70.demands;
+  heldShares = other70.heldShares;
+  endpoints = other70.endpoints;
+  primaries = other70.primaries;
+  holdMillis = other70.holdMillis;
+  operatorsAddress = other70.operatorsAddress;
+  burn = other70.burn;
+  __isset = other70.__isset;
   return *this;
 }
-HeartbeatMessage& HeartbeatMessage::operator=(HeartbeatMessage&& other51) noexcept {
-  instance = std::move(other51.instance);
-  incarnation = other51.incarnation;
-  zone = std::move(other51.zone);
-  appliedRevision = other51.appliedRevision;
-  shareSequence = other51.shareSequence;
-  demands = std::move(other51.demands);
-  heldShares = std::move(other51.heldShares);
-  endpoints = std::move(other51.endpoints);
-  primaries = std::move(other51.primaries);
-  holdMillis = other51.holdMillis;
-  operatorsAddress = std::move(other51.operatorsAddress);
-  __isset = other51.__isset;
+HeartbeatMessage& HeartbeatMessage::operator=(HeartbeatMessage&& other71) noexcept {
+  instance = std::move(other71.instance);
+  incarnation = other71.incarnation;
+  zone = std::move(other71.zone);
+  appliedRevision = other71.appliedRevision;
+  shareSequence = other71.shareSequence;
+  demands = std::move(other71.demands);
+  heldShares = std::move(other71.heldShares);
+  endpoints = std::move(other71.endpoints);
+  primaries = std::move(other71.primaries);
+  holdMillis = other71.holdMillis;
+  operatorsAddress = std::move(other71.operatorsAddress);
+  burn = std::move(other71.burn);
+  __isset = other71.__isset;
   return *this;
 }
 void HeartbeatMessage::printTo(std::ostream& out) const {
@@ -1171,6 +1588,7 @@
   out << ", " << "primaries=" << to_string(primaries);
   out << ", " << "holdMillis=" << to_string(holdMillis);
   out << ", " << "operatorsAddress=" << to_string(operatorsAddress);
+  out << ", " << "burn=" << to_string(burn);
   out << ")";
 }
 
@@ -1292,14 +1710,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->shares.clear();
-            uint32_t _size52;
-            ::apache::thrift::protocol::TType _etype55;
-            xfer += iprot->readListBegin(_etype55, _size52);
-            this->shares.resize(_size52);
-            uint32_t _i56;
-            for (_i56 = 0; _i56 < _size52; ++_i56)
+            uint32_t _size72;
+            ::apache::thrift::protocol::TType _etype75;
+            xfer += iprot->readListBegin(_etype75, _size72);
+            this->shares.resize(_size72);
+            uint32_t _i76;
+            for (_i76 = 0; _i76 < _size72; ++_i76)
             {
-              xfer += this->shares[_i56].read(iprot);
+              xfer += this->shares[_i76].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1362,10 +1780,10 @@
   xfer += oprot->writeFieldBegin("shares", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->shares.size()));
-    std::vector<ShareMessage> ::const_iterator _iter57;
-    for (_iter57 = this->shares.begin(); _iter57 != this->shares.end(); ++_iter57)
+    std::vector<ShareMessage> ::const_iterator _iter77;
+    for (_iter77 = this->shares.begin(); _iter77 != this->shares.end(); ++_iter77)
     {
-      xfer += (*_iter57).write(oprot);
+      xfer += (*_iter77).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1393,50 +1811,50 @@
   swap(a.__isset, b.__isset);
 }
 
-HeartbeatAnswerMessage::HeartbeatAnswerMessage(const HeartbeatAnswerMessage& other58) {
-  status = other58.status;
-  leader = other58.leader;
-  leaseMillis = other58.leaseMillis;
-  update = other58.update;
-  snapshot = other58.snapshot;
-  shareSequence = other58.shareSequence;
-  shares = other58.shares;
-  minimumRevision = other58.minimumRevision;
-  __isset = other58.__isset;
-}
-HeartbeatAnswerMessage::HeartbeatAnswerMessage(HeartbeatAnswerMessage&& other59) noexcept {
-  status = other59.status;
-  leader = std::move(other59.leader);
-  leaseMillis = other59.leaseMillis;
-  update = std::move(other59.update);
-  snapshot = std::move(other59.snapshot);
-  shareSequence = other59.shareSequence;
-  shares = std::move(other59.shares);
-  minimumRevision = other59.minimumRevision;
-  __isset = other59.__isset;
-}
-HeartbeatAnswerMessage& HeartbeatAnswerMessage::operator=(const HeartbeatAnswerMessage& other60) {
-  status = other60.status;
-  leader = other60.leader;
-  leaseMillis = other60.leaseMillis;
-  update = other60.update;
-  snapshot = other60.snapshot;
-  shareSequence = other60.shareSequence;
-  shares = other60.shares;
-  minimumRevision = other60.minimumRevision;
-  __isset = other60.__isset;
+HeartbeatAnswerMessage::HeartbeatAnswerMessage(const HeartbeatAnswerMessage& other78) {
+  status = other78.status;
+  leader = other78.leader;
+  leaseMillis = other78.leaseMillis;
+  update = other78.update;
+  snapshot = other78.snapshot;
+  shareSequence = other78.shareSequence;
+  shares = other78.shares;
+  minimumRevision = other78.minimumRevision;
+  __isset = other78.__isset;
+}
+HeartbeatAnswerMessage::HeartbeatAnswerMessage(HeartbeatAnswerMessage&& other79) noexcept {
+  status = other79.status;
+  leader = std::move(other79.leader);
+  leaseMillis = other79.leaseMillis;
+  update = std::move(other79.update);
+  snapshot = std::move(other79.snapshot);
+  shareSequence = other79.shareSequence;
+  shares = std::move(other79.shares);
+  minimumRevision = other79.minimumRevision;
+  __isset = other79.__isset;
+}
+HeartbeatAnswerMessage& HeartbeatAnswerMessage::operator=(const HeartbeatAnswerMessage& other80) {
+  status = other80.status;
+  leader = other80.leader;
+  leaseMillis = other80.leaseMillis;
+  update = other80.update;
+  snapshot = other80.snapshot;
+  shareSequence = other80.shareSequence;
+  shares = other80.shares;
+  minimumRevision = other80.minimumRevision;
+  __isset = other80.__isset;
   return *this;
 }
-HeartbeatAnswerMessage& HeartbeatAnswerMessage::operator=(HeartbeatAnswerMessage&& other61) noexcept {
-  status = other61.status;
-  leader = std::move(other61.leader);
-  leaseMillis = other61.leaseMillis;
-  update = std::move(other61.update);
-  snapshot = std::move(other61.snapshot);
-  shareSequence = other61.shareSequence;
-  shares = std::move(other61.shares);
-  minimumRevision = other61.minimumRevision;
-  __isset = other61.__isset;
+HeartbeatAnswerMessage& HeartbeatAnswerMessage::operator=(HeartbeatAnswerMessage&& other81) noexcept {
+  status = other81.status;
+  leader = std::move(other81.leader);
+  leaseMillis = other81.leaseMillis;
+  update = std::move(other81.update);
+  snapshot = std::move(other81.snapshot);
+  shareSequence = other81.shareSequence;
+  shares = std::move(other81.shares);
+  minimumRevision = other81.minimumRevision;
+  __isset = other81.__isset;
   return *this;
 }
 void HeartbeatAnswerMessage::printTo(std::ostream& out) const {
--- a/libs/wire/src/gen/Control_types.h
+++ b/libs/wire/src/gen/Control_types.h
@@ -29,6 +29,10 @@
 
 class PrimaryReportMessage;
 
+class BurnRowMessage;
+
+class BurnContributionMessage;
+
 class HeartbeatMessage;
 
 class HeartbeatAnswerMessage;
@@ -319,8 +323,146 @@
 
 std::ostream& operator<<(std::ostream& out, const PrimaryReportMessage& obj);
 
+typedef struct _BurnRowMessage__isset {
+  _BurnRowMessage__isset() : objective(false), serviceName(false), organisation(false), reason(false), good(false), bad(false) {}
+  bool objective :1;
+  bool serviceName :1;
+  bool organisation :1;
+  bool reason :1;
+  bool good :1;
+  bool bad :1;
+} _BurnRowMessage__isset;
+
+class BurnRowMessage : public virtual ::apache::thrift::TBase {
+ public:
+
+  BurnRowMessage(const BurnRowMessage&);
+  BurnRowMessage(BurnRowMessage&&) noexcept;
+  BurnRowMessage& operator=(const BurnRowMessage&);
+  BurnRowMessage& operator=(BurnRowMessage&&) noexcept;
+  BurnRowMessage() noexcept
+                 : objective(),
+                   serviceName(),
+                   organisation(),
+                   reason(0),
+                   good(0),
+                   bad(0) {
+  }
+
+  virtual ~BurnRowMessage() noexcept;
+  std::string objective;
+  std::string serviceName;
+  std::string organisation;
+  int32_t reason;
+  int64_t good;
+  int64_t bad;
+
+  _BurnRowMessage__isset __isset;
+
+  void __set_objective(const std::string& val);
+
+  void __set_serviceName(const std::string& val);
+
+  void __set_organisation(const std::string& val);
+
+  void __set_reason(const int32_t val);
+
+  void __set_good(const int64_t val);
+
+  void __set_bad(const int64_t val);
+
+  bool operator == (const BurnRowMessage & rhs) const
+  {
+    if (!(objective == rhs.objective))
+      return false;
+    if (!(serviceName == rhs.serviceName))
+      return false;
+    if (!(organisation == rhs.organisation))
+      return false;
+    if (!(reason == rhs.reason))
+      return false;
+    if (!(good == rhs.good))
+      return false;
+    if (!(bad == rhs.bad))
+      return false;
+    return true;
+  }
+  bool operator != (const BurnRowMessage &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const BurnRowMessage & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(BurnRowMessage &a, BurnRowMessage &b);
+
+std::ostream& operator<<(std::ostream& out, const BurnRowMessage& obj);
+
+typedef struct _BurnContributionMessage__isset {
+  _BurnContributionMessage__isset() : source(false), startMillis(false), rows(false) {}
+  bool source :1;
+  bool startMillis :1;
+  bool rows :1;
+} _BurnContributionMessage__isset;
+
+class BurnContributionMessage : public virtual ::apache::thrift::TBase {
+ public:
+
+  BurnContributionMessage(const BurnContributionMessage&);
+  BurnContributionMessage(BurnContributionMessage&&) noexcept;
+  BurnContributionMessage& operator=(const BurnContributionMessage&);
+  BurnContributionMessage& operator=(BurnContributionMessage&&) noexcept;
+  BurnContributionMessage() noexcept
+                          : source(),
+                            startMillis(0) {
+  }
+
+  virtual ~BurnContributionMessage() noexcept;
+  std::string source;
+  int64_t startMillis;
+  std::vector<BurnRowMessage>  rows;
+
+  _BurnContributionMessage__isset __isset;
+
+  void __set_source(const std::string& val);
+
+  void __set_startMillis(const int64_t val);
+
+  void __set_rows(const std::vector<BurnRowMessage> & val);
+
+  bool operator == (const BurnContributionMessage & rhs) const
+  {
+    if (!(source == rhs.source))
+      return false;
+    if (!(startMillis == rhs.startMillis))
+      return false;
+    if (!(rows == rhs.rows))
+      return false;
+    return true;
+  }
+  bool operator != (const BurnContributionMessage &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const BurnContributionMessage & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(BurnContributionMessage &a, BurnContributionMessage &b);
+
+std::ostream& operator<<(std::ostream& out, const BurnContributionMessage& obj);
+
 typedef struct _HeartbeatMessage__isset {
-  _HeartbeatMessage__isset() : instance(false), incarnation(false), zone(false), appliedRevision(false), shareSequence(false), demands(false), heldShares(false), endpoints(false), primaries(false), holdMillis(false), operatorsAddress(false) {}
+  _HeartbeatMessage__isset() : instance(false), incarnation(false), zone(false), appliedRevision(false), shareSequence(false), demands(false), heldShares(false), endpoints(false), primaries(false), holdMillis(false), operatorsAddress(false), burn(false) {}
   bool instance :1;
   bool incarnation :1;
   bool zone :1;
@@ -332,6 +474,7 @@
   bool primaries :1;
   bool holdMillis :1;
   bool operatorsAddress :1;
+  bool burn :1;
 } _HeartbeatMessage__isset;
 
 class HeartbeatMessage : public virtual ::apache::thrift::TBase {
@@ -363,6 +506,7 @@
   std::vector<PrimaryReportMessage>  primaries;
   int64_t holdMillis;
   std::string operatorsAddress;
+  std::vector<BurnContributionMessage>  burn;
 
   _HeartbeatMessage__isset __isset;
 
@@ -388,6 +532,8 @@
 
   void __set_operatorsAddress(const std::string& val);
 
+  void __set_burn(const std::vector<BurnContributionMessage> & val);
+
   bool operator == (const HeartbeatMessage & rhs) const
   {
     if (!(instance == rhs.instance))
@@ -412,6 +558,8 @@
       return false;
     if (!(operatorsAddress == rhs.operatorsAddress))
       return false;
+    if (!(burn == rhs.burn))
+      return false;
     return true;
   }
   bool operator != (const HeartbeatMessage &rhs) const {
