Satisfy clang-tidy in the operators' command line and the entry's metrics

Cause: clang-tidy rejects an upper-case local table in CommandLine.cpp, and Clang's -Wshadow a local variable of EntryTables::metricsText that has the name of a member.

Change: the table is at namespace scope with its type in a file of its own; the variable is renamed.

--- a/libs/entry/src/EntryTables.cpp
+++ b/libs/entry/src/EntryTables.cpp
@@ -159,9 +159,9 @@
 
 auto EntryTables::metricsText() -> std::string
 {
-    const auto lease = this->metrics.series(MetricKind::Gauge, "auburnrail_lease_held",
-                                            "1 while the entry holds its lease.");
-    this->metrics.set(lease, this->lease.holds(this->executor.now()) ? 1 : 0);
+    const auto leaseHeld = this->metrics.series(MetricKind::Gauge, "auburnrail_lease_held",
+                                                "1 while the entry holds its lease.");
+    this->metrics.set(leaseHeld, this->lease.holds(this->executor.now()) ? 1 : 0);
     const auto revision = this->metrics.series(MetricKind::Gauge, "auburnrail_applied_revision",
                                                "Revision of the fleet state in force here.");
     this->metrics.set(revision, static_cast<double>(this->state.revision()));
--- a/libs/operators/src/CommandLine.cpp
+++ b/libs/operators/src/CommandLine.cpp
@@ -1,5 +1,6 @@
 #include "CommandLine.h"
 
+#include "Explanation.h"
 #include "ObjectOption.h"
 
 #include <CLI/CLI.hpp>
@@ -103,21 +104,16 @@
     return *command;
 }
 
+constexpr auto EXPLANATIONS = std::to_array<Explanation>({
+    {"request", "id", "Show what entries recorded of a request"},
+    {"refusal", "organisation", "Show the last refusals of an organisation"},
+    {"failover", "group", "Show the failovers of a group with the time of each phase"},
+    {"selector", "expression", "Show the objects of every kind that a selector matches"},
+});
+
 /// Commands on what the fleet did and who is in it.
 auto addFleetNouns(CLI::App &app, Invocation &invocation) -> void
 {
-    struct Explanation
-    {
-        const char *verb;
-        const char *argument;
-        const char *meaning;
-    };
-    constexpr auto EXPLANATIONS = std::to_array<Explanation>({
-        {"request", "id", "Show what entries recorded of a request"},
-        {"refusal", "organisation", "Show the last refusals of an organisation"},
-        {"failover", "group", "Show the failovers of a group with the time of each phase"},
-        {"selector", "expression", "Show the objects of every kind that a selector matches"},
-    });
     auto &explain = addNoun(app, "explain", "Why the fleet did what it did");
     for (const auto &row : EXPLANATIONS) {
         addVerb(explain, row.verb, row.meaning, invocation)
