--- a/tests/process/ControlQueries.cpp
+++ b/tests/process/ControlQueries.cpp
@@ -16,6 +16,25 @@
 constexpr auto SUBMIT_LIMIT = 30s;
 constexpr auto HTTP_OK = 200;
 
+/// Waits for the status of a member, other than `except`, that leads.
+auto leaderStatus(TestFleet &fleet, const std::string &except) -> JsonReader
+{
+    auto status = std::optional<JsonReader>();
+    const auto found = fleet.eventually(WAIT_LIMIT, [&] {
+        for (const auto &name : controlNames()) {
+            if (name == except)
+                continue;
+            status = getJson(fleet, name, "/v1/status");
+            if (status && status->boolean("leading"))
+                return true;
+        }
+        return false;
+    });
+    if (!found)
+        throw std::runtime_error("no control member leads");
+    return *std::move(status);
+}
+
 } // namespace
 
 auto controlNames() -> std::vector<std::string>
@@ -41,22 +60,12 @@
 
 auto waitForLeader(TestFleet &fleet, const std::string &except) -> std::string
 {
-    auto leader = std::string();
-    const auto found = fleet.eventually(WAIT_LIMIT, [&] {
-        for (const auto &name : controlNames()) {
-            if (name == except)
-                continue;
-            auto status = getJson(fleet, name, "/v1/status");
-            if (status && status->boolean("leading")) {
-                leader = name;
-                return true;
-            }
-        }
-        return false;
-    });
-    if (!found)
-        throw std::runtime_error("no control member leads");
-    return leader;
+    return leaderStatus(fleet, except).text("instance");
+}
+
+auto leaderRevision(TestFleet &fleet, const std::string &except) -> std::uint64_t
+{
+    return static_cast<std::uint64_t>(leaderStatus(fleet, except).integer("revision"));
 }
 
 auto revisionOf(const TestFleet &fleet, const std::string &control) -> std::uint64_t
--- a/tests/process/ControlQueries.h
+++ b/tests/process/ControlQueries.h
@@ -27,6 +27,10 @@
 /// Waits for a control member, other than `except`, that leads with a majority. Throws after 60 s.
 [[nodiscard]] auto waitForLeader(TestFleet &fleet, const std::string &except = "") -> std::string;
 
+/// Revision that the leader, other than `except`, has applied. Throws after 60 s.
+[[nodiscard]] auto leaderRevision(TestFleet &fleet, const std::string &except = "")
+    -> std::uint64_t;
+
 /// Revision that the control member has applied; 0 when it does not answer.
 [[nodiscard]] auto revisionOf(const TestFleet &fleet, const std::string &control) -> std::uint64_t;
 
