--- a/libs/callers/tests/CallerCodecTest.cpp
+++ b/libs/callers/tests/CallerCodecTest.cpp
@@ -73,7 +73,7 @@
         std::ignore = decodeCallerRequest(
             HttpRequest{.target = "/v1/services/" + tail, .body = body}, "r", TimePoint());
         RC_ASSERT(decodeCallerAnswer(HttpResponse{.body = body}).outcome == Outcome::Unknown);
-    });
+    }));
 }
 
 } // namespace auburnrail
--- a/libs/http/tests/JsonTest.cpp
+++ b/libs/http/tests/JsonTest.cpp
@@ -38,7 +38,7 @@
         auto reader = JsonReader(text, "body");
         std::ignore = reader.labels("labels");
         std::ignore = reader.objects("items");
-    });
+    }));
 }
 
 } // namespace auburnrail
--- a/libs/settings/tests/SettingsFileTest.cpp
+++ b/libs/settings/tests/SettingsFileTest.cpp
@@ -80,8 +80,7 @@
 // Guards against crashes on damaged files.
 TEST_CASE("arbitrary bytes never crash the settings parser")
 {
-    CHECK(rc::check([](const std::string &text) {
-        std::ignore = findingsOf(text); });
+    CHECK(rc::check([](const std::string &text) { std::ignore = findingsOf(text); }));
 }
 
 } // namespace auburnrail
--- a/libs/wire/src/BurnConversion.h
+++ b/libs/wire/src/BurnConversion.h
@@ -1,7 +1,7 @@
 #ifndef AUBURNRAIL_WIRE_BURNCONVERSION_H
 #define AUBURNRAIL_WIRE_BURNCONVERSION_H
 
-#include "gen/Control_types.h"
+#include <Control_types.h>
 
 #include <observe/BurnContribution.h>
 
