--- a/libs/control/benchmarks/HeartbeatBenchmarks.cpp
+++ b/libs/control/benchmarks/HeartbeatBenchmarks.cpp
@@ -1,5 +1,5 @@
-// Cost of the heartbeats that control is made of: at the leader by number of entries and by number of
-// changes, and on the wire by number of groups and organisations that an entry serves.
+// Cost of the heartbeats that control is made of: at the leader by number of entries and by number
+// of changes, and on the wire by number of groups and organisations that an entry serves.
 
 #include <control/ControlTables.h>
 #include <control/HeartbeatService.h>
@@ -15,8 +15,7 @@
 
 namespace {
 
-auto makeHeartbeat(std::size_t instance, std::size_t groups, std::size_t organisations)
-    -> Heartbeat
+auto makeHeartbeat(std::size_t instance, std::size_t groups, std::size_t organisations) -> Heartbeat
 {
     auto heartbeat = Heartbeat();
     heartbeat.instance = "entry-" + std::to_string(instance);
@@ -44,12 +43,14 @@
     Leader()
         : workers(1)
         , tables(this->workers.executor(), makeSeededRandom(1),
-                 ControlTablesHooks{
-                     .propose = [](const std::string &) -> absl::StatusOr<Revision> {
-                         return absl::UnavailableError("not in this benchmark");
-                     },
-                     .isLeaderWithQuorum = [](TimePoint) { return true; },
-                     .leader = [] { return std::string("control-1"); }})
+                 ControlTablesHooks{.propose = [](const std::string &) -> absl::StatusOr<Revision> {
+                                        return absl::UnavailableError("not in this benchmark");
+                                    },
+                                    .isLeaderWithQuorum = [](TimePoint) { return true; },
+                                    .leader =
+                                        [] {
+                                            return std::string("control-1");
+                                        }})
         , service(tables)
     {
         this->tables.leadershipChanged(true);
--- a/libs/control/include/control/CommandPipeline.h
+++ b/libs/control/include/control/CommandPipeline.h
@@ -34,7 +34,7 @@
     auto submit(const Command &command, Done done) -> void;
 
     /// Like submit(), but `done` waits until an applied command is in force everywhere.
-    auto submitAndAccept(const Command &command, Done done) -> void;
+    auto submitAndAccept(const Command &command, const Done &done) -> void;
 
     /// The entry at `index` was committed and applied with this result.
     auto committed(Revision index, const CommandResult &result) -> void;
--- a/libs/control/src/CommandPipeline.cpp
+++ b/libs/control/src/CommandPipeline.cpp
@@ -42,7 +42,7 @@
         done(*std::move(ended));
 }
 
-auto CommandPipeline::submitAndAccept(const Command &command, Done done) -> void
+auto CommandPipeline::submitAndAccept(const Command &command, const Done &done) -> void
 {
     this->submit(command, [this, done](absl::StatusOr<CommandResult> result) {
         if (!result.ok() || result->status != CommandStatus::Applied) {
--- a/libs/entry/include/entry/RateAdmission.h
+++ b/libs/entry/include/entry/RateAdmission.h
@@ -52,6 +52,11 @@
     [[nodiscard]] auto refusal(ReasonCode reason, const std::string &organisation, TimePoint now)
         -> RequestRefusal;
 
+    /// Why a request that finds no token is refused at once; nothing when it may wait.
+    [[nodiscard]] auto refusalReason(const std::string &organisation, std::size_t waiting,
+                                     TimePoint deadline, TimePoint now)
+        -> std::optional<ReasonCode>;
+
     ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
     auto advanceQueue(const std::string &organisation, Queue &queue, TimePoint now,
                       std::vector<Ended> &ended) -> std::optional<TimePoint>;
--- a/libs/entry/src/RateAdmission.cpp
+++ b/libs/entry/src/RateAdmission.cpp
@@ -30,6 +30,20 @@
                           .retryAfter = this->hooks.timeToToken(organisation, now)};
 }
 
+auto RateAdmission::refusalReason(const std::string &organisation, std::size_t waiting,
+                                  TimePoint deadline, TimePoint now) -> std::optional<ReasonCode>
+{
+    if (waiting >= MAX_WAITERS)
+        return ReasonCode::QueueFull;
+    if (now >= deadline)
+        return ReasonCode::RateLimited;
+    // Without others ahead a new share may still bring a token in time.
+    const auto wait = this->hooks.timeToToken(organisation, now);
+    const auto isHopeless =
+        waiting > 0 && wait && now + *wait * static_cast<Duration::rep>(waiting + 1) > deadline;
+    return isHopeless ? std::optional(ReasonCode::RateLimited) : std::nullopt;
+}
+
 auto RateAdmission::admit(const std::string &organisation, TimePoint deadline, TimePoint now,
                           AdmissionDone done) -> void
 {
@@ -45,19 +59,13 @@
             std::rotate(queue.begin(), std::next(queue.begin()), queue.end());
         }
         if (!hasToken) {
-            const auto wait = this->hooks.timeToToken(organisation, now);
-            const auto ahead = static_cast<Duration::rep>(queue.size() + 1);
-            if (queue.size() >= MAX_WAITERS) {
-                refused = this->refusal(ReasonCode::QueueFull, organisation, now);
-            } else if (wait && now + *wait * ahead > deadline && !queue.empty()) {
-                refused = this->refusal(ReasonCode::RateLimited, organisation, now);
-            } else if (now >= deadline) {
-                refused = this->refusal(ReasonCode::RateLimited, organisation, now);
-            } else {
+            const auto reason = this->refusalReason(organisation, queue.size(), deadline, now);
+            if (!reason) {
                 queue.push_back(Waiter{deadline, std::move(done)});
                 this->hooks.setBacklog(organisation, queue.size(), now);
                 return;
             }
+            refused = this->refusal(*reason, organisation, now);
         }
     }
     done(std::move(refused));
--- a/libs/processtest/src/ChildProcess.cpp
+++ b/libs/processtest/src/ChildProcess.cpp
@@ -10,8 +10,6 @@
 #include <csignal>
 #include <stdexcept>
 
-extern char **environ;
-
 namespace auburnrail {
 
 namespace {
--- a/libs/wire/include/wire/HeartbeatSize.h
+++ b/libs/wire/include/wire/HeartbeatSize.h
@@ -7,8 +7,8 @@
 
 namespace auburnrail {
 
-/// Bytes of the heartbeat in the compact protocol, without framing, TCP and IP headers. For capacity
-/// figures.
+/// Bytes of the heartbeat in the compact protocol, without framing, TCP and IP headers. For
+/// capacity figures.
 [[nodiscard]] auto encodedSize(const Heartbeat &heartbeat) -> std::size_t;
 
 } // namespace auburnrail
