--- a/libs/processtest/src/LinkPipe.cpp
+++ b/libs/processtest/src/LinkPipe.cpp
@@ -14,9 +14,10 @@
 
 } // namespace
 
-LinkPipe::LinkPipe(Poco::Net::StreamSocket from, Poco::Net::StreamSocket to, LinkState &linkState)
-    : source(std::move(from))
-    , target(std::move(to))
+LinkPipe::LinkPipe(const Poco::Net::StreamSocket &from, const Poco::Net::StreamSocket &to,
+                   LinkState &linkState)
+    : source(from)
+    , target(to)
     , link(linkState)
     , reader([this] { this->readLoop(); })
     , writer([this] { this->writeLoop(); })
--- a/libs/processtest/src/LinkPipe.h
+++ b/libs/processtest/src/LinkPipe.h
@@ -16,7 +16,8 @@
 class LinkPipe
 {
 public:
-    LinkPipe(Poco::Net::StreamSocket from, Poco::Net::StreamSocket to, LinkState &linkState);
+    LinkPipe(const Poco::Net::StreamSocket &from, const Poco::Net::StreamSocket &to,
+             LinkState &linkState);
     LinkPipe(const LinkPipe &) = delete;
     auto operator=(const LinkPipe &) -> LinkPipe & = delete;
 
--- a/libs/processtest/src/TestFleet.cpp
+++ b/libs/processtest/src/TestFleet.cpp
@@ -7,6 +7,7 @@
 
 #include <Poco/File.h>
 #include <Poco/TemporaryFile.h>
+#include <absl/strings/str_cat.h>
 
 #include <fstream>
 #include <sstream>
@@ -141,10 +142,12 @@
         }
         const auto &self = this->members.at(name);
         this->writeFile(name + ".ini",
-                        "[entry]\ninstance = " + name + "\nzone = " + this->zoneOf(index)
-                            + "\ncallers_address = " + self.address + "\noperators_address = "
-                            + self.operatorsAddress + "\n[control]\nmembers = " + join(controls)
-                            + "\n[security]\ncluster_secret_file = " + this->path + "/secret\n");
+                        absl::StrCat("[entry]\ninstance = ", name, "\nzone = ", this->zoneOf(index),
+                                     "\ncallers_address = ", self.address,
+                                     "\noperators_address = ", self.operatorsAddress,
+                                     "\n[control]\nmembers = ", join(controls),
+                                     "\n[security]\ncluster_secret_file = ", this->path,
+                                     "/secret\n"));
     }
 }
 
@@ -156,11 +159,13 @@
     for (const auto &group : this->settings.groups) {
         for (auto index = std::size_t(0); index < this->settings.endpointsPerGroup; ++index) {
             const auto name = numbered(group, index);
-            this->writeFile(name + ".ini", "[standin]\nendpoint = " + name + "\ngroup = " + group
-                                               + "\nzone = " + this->zoneOf(index) + "\naddress = "
-                                               + this->members.at(name).address + "\nentries = "
-                                               + join(entries) + "\nannounce_interval_ms = 200\n"
-                                               + this->settings.standInExtra + "\n");
+            this->writeFile(name + ".ini",
+                            absl::StrCat("[standin]\nendpoint = ", name, "\ngroup = ", group,
+                                         "\nzone = ", this->zoneOf(index),
+                                         "\naddress = ", this->members.at(name).address,
+                                         "\nentries = ", join(entries),
+                                         "\nannounce_interval_ms = 200\n",
+                                         this->settings.standInExtra, "\n"));
         }
     }
 }
--- a/libs/wire/src/ControlServer.cpp
+++ b/libs/wire/src/ControlServer.cpp
@@ -99,7 +99,7 @@
             signal->listening.set_value(absl::UnavailableError(error.what()));
         }
     });
-    const auto status = listening.get();
+    auto status = listening.get();
     if (status.ok())
         return status;
     this->impl->thread.join();
