Limit what damaged consensus messages can announce

Ruled out: a fault of the test; a member could be made to allocate without limit. Change: lists are limited by the bytes that hold them, servers and clients by MAX_CONTAINER_ITEMS, and the kind of a log entry is an integer on the wire (same bytes).

--- a/idl/Consensus.thrift
+++ b/idl/Consensus.thrift
@@ -10,6 +10,8 @@
     1: list<MemberId> voters
 }
 
+// Values of LogEntry.kind, which is an integer: a received value outside the enumeration would be
+// undefined behaviour in the generated type.
 enum EntryKind {
     NOOP = 0
     COMMAND = 1
@@ -19,7 +21,7 @@
 // Also the stored form of a log entry.
 struct LogEntry {
     1: i64 term
-    2: EntryKind kind
+    2: i32 kind
     3: optional binary payload
     4: optional Configuration configuration
 }
--- a/libs/wire/src/ConsensusCodec.cpp
+++ b/libs/wire/src/ConsensusCodec.cpp
@@ -1,5 +1,7 @@
 #include <wire/ConsensusCodec.h>
 
+#include "WireLimits.h"
+
 #include "ConsensusConverter.h"
 
 #include <thrift/protocol/TCompactProtocol.h>
@@ -8,6 +10,8 @@
 #include <cstdint>
 #include <memory>
 
+#include <algorithm>
+
 namespace auburnrail {
 
 namespace {
@@ -33,7 +37,10 @@
         auto buffer = std::make_shared<TMemoryBuffer>();
         buffer->write(reinterpret_cast<const std::uint8_t *>(bytes.data()),
                       static_cast<std::uint32_t>(bytes.size()));
-        auto protocol = TCompactProtocol(buffer);
+        // An item takes at least a byte, so no list is longer than the bytes that hold it.
+        const auto itemLimit = std::min<std::size_t>(bytes.size() + 1, detail::MAX_CONTAINER_ITEMS);
+        auto protocol =
+            TCompactProtocol(buffer, detail::NO_STRING_LIMIT, static_cast<std::int32_t>(itemLimit));
         value.read(&protocol);
     } catch (const std::exception &error) {
         return absl::DataLossError(std::string("can't decode a consensus value: ") + error.what());
--- a/libs/wire/src/ConsensusTransport.cpp
+++ b/libs/wire/src/ConsensusTransport.cpp
@@ -1,5 +1,7 @@
 #include <wire/ConsensusTransport.h>
 
+#include "WireLimits.h"
+
 #include "detail/ConsensusHandler.h"
 #include "detail/MemberSender.h"
 #include "detail/StartSignal.h"
@@ -79,7 +81,8 @@
         std::make_shared<wire::ConsensusProcessor>(
             std::make_shared<detail::ConsensusHandler>(this->impl->hooks.received)),
         this->impl->socket, std::make_shared<TFramedTransportFactory>(),
-        std::make_shared<TCompactProtocolFactory>());
+        std::make_shared<TCompactProtocolFactory>(detail::NO_STRING_LIMIT,
+                                                  detail::MAX_CONTAINER_ITEMS));
     auto signal = std::make_shared<detail::StartSignal>();
     this->impl->server->setServerEventHandler(signal);
     auto started = signal->future();
--- a/libs/wire/src/ControlClient.cpp
+++ b/libs/wire/src/ControlClient.cpp
@@ -1,5 +1,7 @@
 #include <wire/ControlClient.h>
 
+#include "WireLimits.h"
+
 #include "HeartbeatCodec.h"
 #include <Control.h>
 
@@ -20,7 +22,8 @@
         this->transport =
             std::make_shared<apache::thrift::transport::TFramedTransport>(this->socket);
         this->client = std::make_unique<thriftgen::ControlClient>(
-            std::make_shared<apache::thrift::protocol::TCompactProtocol>(this->transport));
+            std::make_shared<apache::thrift::protocol::TCompactProtocol>(
+                this->transport, detail::NO_STRING_LIMIT, detail::MAX_CONTAINER_ITEMS));
     }
 
     std::shared_ptr<apache::thrift::transport::TSocket> socket;
--- a/libs/wire/src/ControlServer.cpp
+++ b/libs/wire/src/ControlServer.cpp
@@ -1,5 +1,7 @@
 #include <wire/ControlServer.h>
 
+#include "WireLimits.h"
+
 #include "HeartbeatCodec.h"
 #include <Control.h>
 
@@ -84,7 +86,8 @@
             std::make_shared<thriftgen::ControlProcessor>(
                 std::make_shared<ControlHandler>(this->impl->handler)),
             socket, std::make_shared<apache::thrift::transport::TFramedTransportFactory>(),
-            std::make_shared<apache::thrift::protocol::TCompactProtocolFactory>());
+            std::make_shared<apache::thrift::protocol::TCompactProtocolFactory>(
+                detail::NO_STRING_LIMIT, detail::MAX_CONTAINER_ITEMS));
     } catch (const Poco::Exception &error) {
         return absl::UnavailableError("can't listen on " + this->impl->address + ": "
                                       + error.displayText());
--- a/libs/wire/src/gen/Consensus_types.cpp
+++ b/libs/wire/src/gen/Consensus_types.cpp
@@ -297,7 +297,7 @@
   this->term = val;
 }
 
-void LogEntry::__set_kind(const EntryKind::type val) {
+void LogEntry::__set_kind(const int32_t val) {
   this->kind = val;
 }
 
@@ -348,9 +348,7 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast14;
-          xfer += iprot->readI32(ecast14);
-          this->kind = static_cast<EntryKind::type>(ecast14);
+          xfer += iprot->readI32(this->kind);
           this->__isset.kind = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -394,7 +392,7 @@
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldBegin("kind", ::apache::thrift::protocol::T_I32, 2);
-  xfer += oprot->writeI32(static_cast<int32_t>(this->kind));
+  xfer += oprot->writeI32(this->kind);
   xfer += oprot->writeFieldEnd();
 
   if (this->__isset.payload) {
@@ -421,36 +419,36 @@
   swap(a.__isset, b.__isset);
 }
 
-LogEntry::LogEntry(const LogEntry& other15) {
+LogEntry::LogEntry(const LogEntry& other14) {
+  term = other14.term;
+  kind = other14.kind;
+  payload = other14.payload;
+  configuration = other14.configuration;
+  __isset = other14.__isset;
+}
+LogEntry::LogEntry(LogEntry&& other15) noexcept {
   term = other15.term;
   kind = other15.kind;
-  payload = other15.payload;
-  configuration = other15.configuration;
+  payload = std::move(other15.payload);
+  configuration = std::move(other15.configuration);
   __isset = other15.__isset;
 }
-LogEntry::LogEntry(LogEntry&& other16) noexcept {
+LogEntry& LogEntry::operator=(const LogEntry& other16) {
   term = other16.term;
   kind = other16.kind;
-  payload = std::move(other16.payload);
-  configuration = std::move(other16.configuration);
+  payload = other16.payload;
+  configuration = other16.configuration;
   __isset = other16.__isset;
+  return *this;
 }
-LogEntry& LogEntry::operator=(const LogEntry& other17) {
+LogEntry& LogEntry::operator=(LogEntry&& other17) noexcept {
   term = other17.term;
   kind = other17.kind;
-  payload = other17.payload;
-  configuration = other17.configuration;
+  payload = std::move(other17.payload);
+  configuration = std::move(other17.configuration);
   __isset = other17.__isset;
   return *this;
 }
-LogEntry& LogEntry::operator=(LogEntry&& other18) noexcept {
-  term = other18.term;
-  kind = other18.kind;
-  payload = std::move(other18.payload);
-  configuration = std::move(other18.configuration);
-  __isset = other18.__isset;
-  return *this;
-}
 void LogEntry::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "LogEntry(";
@@ -588,36 +586,36 @@
   swap(a.__isset, b.__isset);
 }
 
-Snapshot::Snapshot(const Snapshot& other19) {
+Snapshot::Snapshot(const Snapshot& other18) {
+  index = other18.index;
+  term = other18.term;
+  configuration = other18.configuration;
+  content = other18.content;
+  __isset = other18.__isset;
+}
+Snapshot::Snapshot(Snapshot&& other19) noexcept {
   index = other19.index;
   term = other19.term;
-  configuration = other19.configuration;
-  content = other19.content;
+  configuration = std::move(other19.configuration);
+  content = std::move(other19.content);
   __isset = other19.__isset;
 }
-Snapshot::Snapshot(Snapshot&& other20) noexcept {
+Snapshot& Snapshot::operator=(const Snapshot& other20) {
   index = other20.index;
   term = other20.term;
-  configuration = std::move(other20.configuration);
-  content = std::move(other20.content);
+  configuration = other20.configuration;
+  content = other20.content;
   __isset = other20.__isset;
+  return *this;
 }
-Snapshot& Snapshot::operator=(const Snapshot& other21) {
+Snapshot& Snapshot::operator=(Snapshot&& other21) noexcept {
   index = other21.index;
   term = other21.term;
-  configuration = other21.configuration;
-  content = other21.content;
+  configuration = std::move(other21.configuration);
+  content = std::move(other21.content);
   __isset = other21.__isset;
   return *this;
 }
-Snapshot& Snapshot::operator=(Snapshot&& other22) noexcept {
-  index = other22.index;
-  term = other22.term;
-  configuration = std::move(other22.configuration);
-  content = std::move(other22.content);
-  __isset = other22.__isset;
-  return *this;
-}
 void Snapshot::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "Snapshot(";
@@ -738,32 +736,32 @@
   swap(a.__isset, b.__isset);
 }
 
-VoteRequest::VoteRequest(const VoteRequest& other23) noexcept {
+VoteRequest::VoteRequest(const VoteRequest& other22) noexcept {
+  preVote = other22.preVote;
+  lastIndex = other22.lastIndex;
+  lastTerm = other22.lastTerm;
+  __isset = other22.__isset;
+}
+VoteRequest::VoteRequest(VoteRequest&& other23) noexcept {
   preVote = other23.preVote;
   lastIndex = other23.lastIndex;
   lastTerm = other23.lastTerm;
   __isset = other23.__isset;
 }
-VoteRequest::VoteRequest(VoteRequest&& other24) noexcept {
+VoteRequest& VoteRequest::operator=(const VoteRequest& other24) noexcept {
   preVote = other24.preVote;
   lastIndex = other24.lastIndex;
   lastTerm = other24.lastTerm;
   __isset = other24.__isset;
+  return *this;
 }
-VoteRequest& VoteRequest::operator=(const VoteRequest& other25) noexcept {
+VoteRequest& VoteRequest::operator=(VoteRequest&& other25) noexcept {
   preVote = other25.preVote;
   lastIndex = other25.lastIndex;
   lastTerm = other25.lastTerm;
   __isset = other25.__isset;
   return *this;
 }
-VoteRequest& VoteRequest::operator=(VoteRequest&& other26) noexcept {
-  preVote = other26.preVote;
-  lastIndex = other26.lastIndex;
-  lastTerm = other26.lastTerm;
-  __isset = other26.__isset;
-  return *this;
-}
 void VoteRequest::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "VoteRequest(";
@@ -866,28 +864,28 @@
   swap(a.__isset, b.__isset);
 }
 
-VoteResponse::VoteResponse(const VoteResponse& other27) noexcept {
+VoteResponse::VoteResponse(const VoteResponse& other26) noexcept {
+  preVote = other26.preVote;
+  granted = other26.granted;
+  __isset = other26.__isset;
+}
+VoteResponse::VoteResponse(VoteResponse&& other27) noexcept {
   preVote = other27.preVote;
   granted = other27.granted;
   __isset = other27.__isset;
 }
-VoteResponse::VoteResponse(VoteResponse&& other28) noexcept {
+VoteResponse& VoteResponse::operator=(const VoteResponse& other28) noexcept {
   preVote = other28.preVote;
   granted = other28.granted;
   __isset = other28.__isset;
+  return *this;
 }
-VoteResponse& VoteResponse::operator=(const VoteResponse& other29) noexcept {
+VoteResponse& VoteResponse::operator=(VoteResponse&& other29) noexcept {
   preVote = other29.preVote;
   granted = other29.granted;
   __isset = other29.__isset;
   return *this;
 }
-VoteResponse& VoteResponse::operator=(VoteResponse&& other30) noexcept {
-  preVote = other30.preVote;
-  granted = other30.granted;
-  __isset = other30.__isset;
-  return *this;
-}
 void VoteResponse::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "VoteResponse(";
@@ -984,14 +982,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->entries.clear();
-            uint32_t _size31;
-            ::apache::thrift::protocol::TType _etype34;
-            xfer += iprot->readListBegin(_etype34, _size31);
-            this->entries.resize(_size31);
-            uint32_t _i35;
-            for (_i35 = 0; _i35 < _size31; ++_i35)
+            uint32_t _size30;
+            ::apache::thrift::protocol::TType _etype33;
+            xfer += iprot->readListBegin(_etype33, _size30);
+            this->entries.resize(_size30);
+            uint32_t _i34;
+            for (_i34 = 0; _i34 < _size30; ++_i34)
             {
-              xfer += this->entries[_i35].read(iprot);
+              xfer += this->entries[_i34].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1036,10 +1034,10 @@
   xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
-    std::vector<LogEntry> ::const_iterator _iter36;
-    for (_iter36 = this->entries.begin(); _iter36 != this->entries.end(); ++_iter36)
+    std::vector<LogEntry> ::const_iterator _iter35;
+    for (_iter35 = this->entries.begin(); _iter35 != this->entries.end(); ++_iter35)
     {
-      xfer += (*_iter36).write(oprot);
+      xfer += (*_iter35).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1060,40 +1058,40 @@
   swap(a.__isset, b.__isset);
 }
 
-AppendRequest::AppendRequest(const AppendRequest& other37) {
+AppendRequest::AppendRequest(const AppendRequest& other36) {
+  previousIndex = other36.previousIndex;
+  previousTerm = other36.previousTerm;
+  commitIndex = other36.commitIndex;
+  sentAtNanos = other36.sentAtNanos;
+  entries = other36.entries;
+  __isset = other36.__isset;
+}
+AppendRequest::AppendRequest(AppendRequest&& other37) noexcept {
   previousIndex = other37.previousIndex;
   previousTerm = other37.previousTerm;
   commitIndex = other37.commitIndex;
   sentAtNanos = other37.sentAtNanos;
-  entries = other37.entries;
+  entries = std::move(other37.entries);
   __isset = other37.__isset;
 }
-AppendRequest::AppendRequest(AppendRequest&& other38) noexcept {
+AppendRequest& AppendRequest::operator=(const AppendRequest& other38) {
   previousIndex = other38.previousIndex;
   previousTerm = other38.previousTerm;
   commitIndex = other38.commitIndex;
   sentAtNanos = other38.sentAtNanos;
-  entries = std::move(other38.entries);
+  entries = other38.entries;
   __isset = other38.__isset;
+  return *this;
 }
-AppendRequest& AppendRequest::operator=(const AppendRequest& other39) {
+AppendRequest& AppendRequest::operator=(AppendRequest&& other39) noexcept {
   previousIndex = other39.previousIndex;
   previousTerm = other39.previousTerm;
   commitIndex = other39.commitIndex;
   sentAtNanos = other39.sentAtNanos;
-  entries = other39.entries;
+  entries = std::move(other39.entries);
   __isset = other39.__isset;
   return *this;
 }
-AppendRequest& AppendRequest::operator=(AppendRequest&& other40) noexcept {
-  previousIndex = other40.previousIndex;
-  previousTerm = other40.previousTerm;
-  commitIndex = other40.commitIndex;
-  sentAtNanos = other40.sentAtNanos;
-  entries = std::move(other40.entries);
-  __isset = other40.__isset;
-  return *this;
-}
 void AppendRequest::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "AppendRequest(";
@@ -1232,21 +1230,29 @@
   swap(a.__isset, b.__isset);
 }
 
-AppendResponse::AppendResponse(const AppendResponse& other41) noexcept {
+AppendResponse::AppendResponse(const AppendResponse& other40) noexcept {
+  accepted = other40.accepted;
+  matchIndex = other40.matchIndex;
+  retryFrom = other40.retryFrom;
+  sentAtNanos = other40.sentAtNanos;
+  __isset = other40.__isset;
+}
+AppendResponse::AppendResponse(AppendResponse&& other41) noexcept {
   accepted = other41.accepted;
   matchIndex = other41.matchIndex;
   retryFrom = other41.retryFrom;
   sentAtNanos = other41.sentAtNanos;
   __isset = other41.__isset;
 }
-AppendResponse::AppendResponse(AppendResponse&& other42) noexcept {
+AppendResponse& AppendResponse::operator=(const AppendResponse& other42) noexcept {
   accepted = other42.accepted;
   matchIndex = other42.matchIndex;
   retryFrom = other42.retryFrom;
   sentAtNanos = other42.sentAtNanos;
   __isset = other42.__isset;
+  return *this;
 }
-AppendResponse& AppendResponse::operator=(const AppendResponse& other43) noexcept {
+AppendResponse& AppendResponse::operator=(AppendResponse&& other43) noexcept {
   accepted = other43.accepted;
   matchIndex = other43.matchIndex;
   retryFrom = other43.retryFrom;
@@ -1254,14 +1260,6 @@
   __isset = other43.__isset;
   return *this;
 }
-AppendResponse& AppendResponse::operator=(AppendResponse&& other44) noexcept {
-  accepted = other44.accepted;
-  matchIndex = other44.matchIndex;
-  retryFrom = other44.retryFrom;
-  sentAtNanos = other44.sentAtNanos;
-  __isset = other44.__isset;
-  return *this;
-}
 void AppendResponse::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "AppendResponse(";
@@ -1450,48 +1448,48 @@
   swap(a.__isset, b.__isset);
 }
 
-SnapshotRequest::SnapshotRequest(const SnapshotRequest& other45) {
+SnapshotRequest::SnapshotRequest(const SnapshotRequest& other44) {
+  index = other44.index;
+  term = other44.term;
+  configuration = other44.configuration;
+  offset = other44.offset;
+  chunk = other44.chunk;
+  last = other44.last;
+  sentAtNanos = other44.sentAtNanos;
+  __isset = other44.__isset;
+}
+SnapshotRequest::SnapshotRequest(SnapshotRequest&& other45) noexcept {
   index = other45.index;
   term = other45.term;
-  configuration = other45.configuration;
+  configuration = std::move(other45.configuration);
   offset = other45.offset;
-  chunk = other45.chunk;
+  chunk = std::move(other45.chunk);
   last = other45.last;
   sentAtNanos = other45.sentAtNanos;
   __isset = other45.__isset;
 }
-SnapshotRequest::SnapshotRequest(SnapshotRequest&& other46) noexcept {
+SnapshotRequest& SnapshotRequest::operator=(const SnapshotRequest& other46) {
   index = other46.index;
   term = other46.term;
-  configuration = std::move(other46.configuration);
+  configuration = other46.configuration;
   offset = other46.offset;
-  chunk = std::move(other46.chunk);
+  chunk = other46.chunk;
   last = other46.last;
   sentAtNanos = other46.sentAtNanos;
   __isset = other46.__isset;
+  return *this;
 }
-SnapshotRequest& SnapshotRequest::operator=(const SnapshotRequest& other47) {
+SnapshotRequest& SnapshotRequest::operator=(SnapshotRequest&& other47) noexcept {
   index = other47.index;
   term = other47.term;
-  configuration = other47.configuration;
+  configuration = std::move(other47.configuration);
   offset = other47.offset;
-  chunk = other47.chunk;
+  chunk = std::move(other47.chunk);
   last = other47.last;
   sentAtNanos = other47.sentAtNanos;
   __isset = other47.__isset;
   return *this;
 }
-SnapshotRequest& SnapshotRequest::operator=(SnapshotRequest&& other48) noexcept {
-  index = other48.index;
-  term = other48.term;
-  configuration = std::move(other48.configuration);
-  offset = other48.offset;
-  chunk = std::move(other48.chunk);
-  last = other48.last;
-  sentAtNanos = other48.sentAtNanos;
-  __isset = other48.__isset;
-  return *this;
-}
 void SnapshotRequest::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "SnapshotRequest(";
@@ -1615,32 +1613,32 @@
   swap(a.__isset, b.__isset);
 }
 
-SnapshotResponse::SnapshotResponse(const SnapshotResponse& other49) noexcept {
+SnapshotResponse::SnapshotResponse(const SnapshotResponse& other48) noexcept {
+  index = other48.index;
+  nextOffset = other48.nextOffset;
+  sentAtNanos = other48.sentAtNanos;
+  __isset = other48.__isset;
+}
+SnapshotResponse::SnapshotResponse(SnapshotResponse&& other49) noexcept {
   index = other49.index;
   nextOffset = other49.nextOffset;
   sentAtNanos = other49.sentAtNanos;
   __isset = other49.__isset;
 }
-SnapshotResponse::SnapshotResponse(SnapshotResponse&& other50) noexcept {
+SnapshotResponse& SnapshotResponse::operator=(const SnapshotResponse& other50) noexcept {
   index = other50.index;
   nextOffset = other50.nextOffset;
   sentAtNanos = other50.sentAtNanos;
   __isset = other50.__isset;
+  return *this;
 }
-SnapshotResponse& SnapshotResponse::operator=(const SnapshotResponse& other51) noexcept {
+SnapshotResponse& SnapshotResponse::operator=(SnapshotResponse&& other51) noexcept {
   index = other51.index;
   nextOffset = other51.nextOffset;
   sentAtNanos = other51.sentAtNanos;
   __isset = other51.__isset;
   return *this;
 }
-SnapshotResponse& SnapshotResponse::operator=(SnapshotResponse&& other52) noexcept {
-  index = other52.index;
-  nextOffset = other52.nextOffset;
-  sentAtNanos = other52.sentAtNanos;
-  __isset = other52.__isset;
-  return *this;
-}
 void SnapshotResponse::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "SnapshotResponse(";
@@ -1705,18 +1703,18 @@
   (void) b;
 }
 
-JoinRequest::JoinRequest(const JoinRequest& other53) noexcept {
+JoinRequest::JoinRequest(const JoinRequest& other52) noexcept {
+  (void) other52;
+}
+JoinRequest::JoinRequest(JoinRequest&& other53) noexcept {
   (void) other53;
 }
-JoinRequest::JoinRequest(JoinRequest&& other54) noexcept {
+JoinRequest& JoinRequest::operator=(const JoinRequest& other54) noexcept {
   (void) other54;
-}
-JoinRequest& JoinRequest::operator=(const JoinRequest& other55) noexcept {
-  (void) other55;
   return *this;
 }
-JoinRequest& JoinRequest::operator=(JoinRequest&& other56) noexcept {
-  (void) other56;
+JoinRequest& JoinRequest::operator=(JoinRequest&& other55) noexcept {
+  (void) other55;
   return *this;
 }
 void JoinRequest::printTo(std::ostream& out) const {
@@ -1917,46 +1915,46 @@
   swap(a.__isset, b.__isset);
 }
 
-MessageBody::MessageBody(const MessageBody& other57) {
-  voteRequest = other57.voteRequest;
-  voteResponse = other57.voteResponse;
-  appendRequest = other57.appendRequest;
-  appendResponse = other57.appendResponse;
-  snapshotRequest = other57.snapshotRequest;
-  snapshotResponse = other57.snapshotResponse;
-  joinRequest = other57.joinRequest;
+MessageBody::MessageBody(const MessageBody& other56) {
+  voteRequest = other56.voteRequest;
+  voteResponse = other56.voteResponse;
+  appendRequest = other56.appendRequest;
+  appendResponse = other56.appendResponse;
+  snapshotRequest = other56.snapshotRequest;
+  snapshotResponse = other56.snapshotResponse;
+  joinRequest = other56.joinRequest;
+  __isset = other56.__isset;
+}
+MessageBody::MessageBody(MessageBody&& other57) noexcept {
+  voteRequest = std::move(other57.voteRequest);
+  voteResponse = std::move(other57.voteResponse);
+  appendRequest = std::move(other57.appendRequest);
+  appendResponse = std::move(other57.appendResponse);
+  snapshotRequest = std::move(other57.snapshotRequest);
+  snapshotResponse = std::move(other57.snapshotResponse);
+  joinRequest = std::move(other57.joinRequest);
   __isset = other57.__isset;
 }
-MessageBody::MessageBody(MessageBody&& other58) noexcept {
-  voteRequest = std::move(other58.voteRequest);
-  voteResponse = std::move(other58.voteResponse);
-  appendRequest = std::move(other58.appendRequest);
-  appendResponse = std::move(other58.appendResponse);
-  snapshotRequest = std::move(other58.snapshotRequest);
-  snapshotResponse = std::move(other58.snapshotResponse);
-  joinRequest = std::move(other58.joinRequest);
+MessageBody& MessageBody::operator=(const MessageBody& other58) {
+  voteRequest = other58.voteRequest;
+  voteResponse = other58.voteResponse;
+  appendRequest = other58.appendRequest;
+  appendResponse = other58.appendResponse;
+  snapshotRequest = other58.snapshotRequest;
+  snapshotResponse = other58.snapshotResponse;
+  joinRequest = other58.joinRequest;
   __isset = other58.__isset;
-}
-MessageBody& MessageBody::operator=(const MessageBody& other59) {
-  voteRequest = other59.voteRequest;
-  voteResponse = other59.voteResponse;
-  appendRequest = other59.appendRequest;
-  appendResponse = other59.appendResponse;
-  snapshotRequest = other59.snapshotRequest;
-  snapshotResponse = other59.snapshotResponse;
-  joinRequest = other59.joinRequest;
-  __isset = other59.__isset;
   return *this;
 }
-MessageBody& MessageBody::operator=(MessageBody&& other60) noexcept {
-  voteRequest = std::move(other60.voteRequest);
-  voteResponse = std::move(other60.voteResponse);
-  appendRequest = std::move(other60.appendRequest);
-  appendResponse = std::move(other60.appendResponse);
-  snapshotRequest = std::move(other60.snapshotRequest);
-  snapshotResponse = std::move(other60.snapshotResponse);
-  joinRequest = std::move(other60.joinRequest);
-  __isset = other60.__isset;
+MessageBody& MessageBody::operator=(MessageBody&& other59) noexcept {
+  voteRequest = std::move(other59.voteRequest);
+  voteResponse = std::move(other59.voteResponse);
+  appendRequest = std::move(other59.appendRequest);
+  appendResponse = std::move(other59.appendResponse);
+  snapshotRequest = std::move(other59.snapshotRequest);
+  snapshotResponse = std::move(other59.snapshotResponse);
+  joinRequest = std::move(other59.joinRequest);
+  __isset = other59.__isset;
   return *this;
 }
 void MessageBody::printTo(std::ostream& out) const {
@@ -2099,36 +2097,36 @@
   swap(a.__isset, b.__isset);
 }
 
-Message::Message(const Message& other61) {
-  sender = other61.sender;
-  receiver = other61.receiver;
+Message::Message(const Message& other60) {
+  sender = other60.sender;
+  receiver = other60.receiver;
+  term = other60.term;
+  body = other60.body;
+  __isset = other60.__isset;
+}
+Message::Message(Message&& other61) noexcept {
+  sender = std::move(other61.sender);
+  receiver = std::move(other61.receiver);
   term = other61.term;
-  body = other61.body;
+  body = std::move(other61.body);
   __isset = other61.__isset;
 }
-Message::Message(Message&& other62) noexcept {
-  sender = std::move(other62.sender);
-  receiver = std::move(other62.receiver);
+Message& Message::operator=(const Message& other62) {
+  sender = other62.sender;
+  receiver = other62.receiver;
   term = other62.term;
-  body = std::move(other62.body);
+  body = other62.body;
   __isset = other62.__isset;
+  return *this;
 }
-Message& Message::operator=(const Message& other63) {
-  sender = other63.sender;
-  receiver = other63.receiver;
+Message& Message::operator=(Message&& other63) noexcept {
+  sender = std::move(other63.sender);
+  receiver = std::move(other63.receiver);
   term = other63.term;
-  body = other63.body;
+  body = std::move(other63.body);
   __isset = other63.__isset;
   return *this;
 }
-Message& Message::operator=(Message&& other64) noexcept {
-  sender = std::move(other64.sender);
-  receiver = std::move(other64.receiver);
-  term = other64.term;
-  body = std::move(other64.body);
-  __isset = other64.__isset;
-  return *this;
-}
 void Message::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "Message(";
--- a/libs/wire/src/gen/Consensus_types.h
+++ b/libs/wire/src/gen/Consensus_types.h
@@ -174,17 +174,13 @@
   LogEntry& operator=(LogEntry&&) noexcept;
   LogEntry() noexcept
            : term(0),
-             kind(static_cast<EntryKind::type>(0)),
+             kind(0),
              payload() {
   }
 
   virtual ~LogEntry() noexcept;
   int64_t term;
-  /**
-   * 
-   * @see EntryKind
-   */
-  EntryKind::type kind;
+  int32_t kind;
   std::string payload;
   Configuration configuration;
 
@@ -192,7 +188,7 @@
 
   void __set_term(const int64_t val);
 
-  void __set_kind(const EntryKind::type val);
+  void __set_kind(const int32_t val);
 
   void __set_payload(const std::string& val);
 
