--- a/libs/wire/src/ConsensusCodec.cpp
+++ b/libs/wire/src/ConsensusCodec.cpp
@@ -1,17 +1,15 @@
 #include <wire/ConsensusCodec.h>
 
-#include "WireLimits.h"
-
 #include "ConsensusConverter.h"
+#include "WireLimits.h"
 
 #include <thrift/protocol/TCompactProtocol.h>
 #include <thrift/transport/TBufferTransports.h>
 
+#include <algorithm>
 #include <cstdint>
 #include <memory>
 
-#include <algorithm>
-
 namespace auburnrail {
 
 namespace {
--- a/libs/wire/src/ControlClient.cpp
+++ b/libs/wire/src/ControlClient.cpp
@@ -1,8 +1,8 @@
 #include <wire/ControlClient.h>
 
+#include "HeartbeatCodec.h"
 #include "WireLimits.h"
 
-#include "HeartbeatCodec.h"
 #include <Control.h>
 
 #include <Poco/Net/SocketAddress.h>
--- a/libs/wire/src/ControlServer.cpp
+++ b/libs/wire/src/ControlServer.cpp
@@ -1,8 +1,8 @@
 #include <wire/ControlServer.h>
 
+#include "HeartbeatCodec.h"
 #include "WireLimits.h"
 
-#include "HeartbeatCodec.h"
 #include <Control.h>
 
 #include <Poco/Exception.h>
