--- a/libs/load/src/LoadProfile.cpp
+++ b/libs/load/src/LoadProfile.cpp
@@ -25,7 +25,7 @@
 auto makeLoadProfile(ProfileName name, double scale) -> LoadProfile
 {
     if (name == ProfileName::Kootenay) {
-        // Tablets append readings and turn schedules; a late request makes a person wait.
+        // Mostly writes, with short deadlines because people wait for them.
         return LoadProfile{.services = {"readings", "schedules", "audits"},
                            .organisations = makeOrganisations("shed-", scale, 2),
                            .readShare = 0.35,
@@ -34,7 +34,7 @@
                            .maxAge = std::chrono::milliseconds(2000),
                            .deadline = std::chrono::milliseconds(3000)};
     }
-    // A weighbridge and dispatch write; a portal reads accounts of a stated age.
+    // Mostly reads, many of them of a stated age.
     return LoadProfile{.services = {"bales", "loads", "accounts"},
                        .organisations = makeOrganisations("yard-", scale, 1),
                        .readShare = 0.25,
