Count occurrences in one place of the process tests

Change: it stands in FleetFixture; no check changes. After: builds, format clean, and the case on late, crossed and truncated answers passes (256 assertions); the other process tests were not run again.

--- a/tests/process/AnswerFaultTest.cpp
+++ b/tests/process/AnswerFaultTest.cpp
@@ -22,14 +22,6 @@
     }
 }
 
-auto countOf(const std::string &text, const std::string &part) -> int
-{
-    auto count = 0;
-    for (auto at = text.find(part); at != std::string::npos; at = text.find(part, at + 1))
-        ++count;
-    return count;
-}
-
 auto marker(int number) -> std::string
 {
     return "[" + std::to_string(number) + "]";
--- a/tests/process/FailoverTest.cpp
+++ b/tests/process/FailoverTest.cpp
@@ -41,14 +41,6 @@
     return acknowledged;
 }
 
-auto countOf(const std::string &text, const std::string &part) -> int
-{
-    auto count = 0;
-    for (auto at = text.find(part); at != std::string::npos; at = text.find(part, at + 1))
-        ++count;
-    return count;
-}
-
 /// Every acknowledged number must stand in the value exactly once.
 auto checkAppended(TestFleet &fleet, const std::string &key, const std::set<int> &acknowledged)
     -> void
--- a/tests/process/FleetFixture.cpp
+++ b/tests/process/FleetFixture.cpp
@@ -49,4 +49,12 @@
     return answer;
 }
 
+auto countOf(const std::string &text, const std::string &part) -> int
+{
+    auto count = 0;
+    for (auto at = text.find(part); at != std::string::npos; at = text.find(part, at + 1))
+        ++count;
+    return count;
+}
+
 } // namespace auburnrail
--- a/tests/process/FleetFixture.h
+++ b/tests/process/FleetFixture.h
@@ -26,6 +26,9 @@
                                    const std::string &key, const std::string &statement)
     -> CallerAnswer;
 
+/// How often `part` stands in `text`.
+[[nodiscard]] auto countOf(const std::string &text, const std::string &part) -> int;
+
 } // namespace auburnrail
 
 #endif
