--- a/apps/auburnrail-control/Main.cpp
+++ b/apps/auburnrail-control/Main.cpp
@@ -1,6 +1,9 @@
 #include <control/ControlNode.h>
 #include <daemon/Logging.h>
 #include <daemon/ShutdownSignal.h>
+#include <platform/ControlFrontEnd.h>
+#include <platform/EndpointOrders.h>
+#include <settings/ClusterSecret.h>
 
 #include <CLI/CLI.hpp>
 
@@ -17,16 +20,28 @@
     return status.ok() ? 0 : EXIT_UNAVAILABLE;
 }
 
-auto runNode(const auburnrail::ControlSettings &settings) -> int
+auto makeOrders(const auburnrail::ControlSettings &settings) -> auburnrail::EndpointOrders
+{
+    if (settings.promotionsAddress.empty())
+        return {};
+    return auburnrail::platform::makeEndpointOrders(
+        {.address = settings.promotionsAddress, .holder = settings.member});
+}
+
+auto runNode(const auburnrail::ControlSettings &settings, const std::string &secret) -> int
 {
     auto signals = auburnrail::ShutdownSignal();
-    auto node = auburnrail::ControlNode(settings);
+    auto node = auburnrail::ControlNode(settings, makeOrders(settings));
+    const auto frontEnd = auburnrail::platform::ControlFrontEnd(node.frontEndHooks(), secret);
+    node.setFrontEnd([&frontEnd](const auto &request) { return frontEnd.handle(request); });
     if (const auto status = node.start(); !status.ok())
         return report(status);
     auburnrail::logLine(auburnrail::LogLevel::Info, "control", "started",
                         {{"member", settings.member}, {"address", settings.entriesAddress}});
     signals.wait();
     node.stop();
+    auburnrail::logLine(auburnrail::LogLevel::Info, "control", "stopped",
+                        {{"member", settings.member}});
     return 0;
 }
 
@@ -46,6 +61,9 @@
     const auto file =
         auburnrail::SettingsFile::load(path, auburnrail::controlSettingsTable(), findings);
     const auto settings = auburnrail::parseControlSettings(file, findings);
+    const auto secret = auburnrail::readClusterSecret(settings.clusterSecretFile);
+    if (findings.empty() && !secret.ok())
+        findings.add(file.place("security", "cluster_secret_file"), secret.status().ToString());
     if (!findings.empty()) {
         std::cerr << findings.toString();
         return EXIT_BAD_SETTINGS;
@@ -55,5 +73,5 @@
         return status.ok() ? 0 : report(status);
     }
     auburnrail::setUpLogging(auburnrail::LogLevel::Info);
-    return runNode(settings);
+    return runNode(settings, *secret);
 }
--- a/apps/auburnrail-entry/Main.cpp
+++ b/apps/auburnrail-entry/Main.cpp
@@ -1,6 +1,7 @@
 #include <daemon/Logging.h>
 #include <daemon/ShutdownSignal.h>
 #include <entry/EntryNode.h>
+#include <platform/LineCodec.h>
 #include <settings/ClusterSecret.h>
 
 #include <CLI/CLI.hpp>
@@ -15,15 +16,21 @@
 auto runNode(const auburnrail::EntrySettings &settings, const std::string &secret) -> int
 {
     auto signals = auburnrail::ShutdownSignal();
-    auto node = auburnrail::EntryNode(settings, secret);
+    auto node = auburnrail::EntryNode(settings, secret,
+                                      {.client = auburnrail::platform::makeClientCodec(),
+                                       .server = auburnrail::platform::makeServerCodec()});
     const auto status = node.start();
     if (!status.ok()) {
         std::cerr << status.message() << "\n";
         return EXIT_UNAVAILABLE;
     }
     auburnrail::logLine(auburnrail::LogLevel::Info, "entry", "started",
-                        {{"instance", settings.instance}, {"address", settings.callersAddress}});
+                        {{"instance", settings.instance},
+                         {"callers_address", settings.callersAddress},
+                         {"sessions_address", settings.sessionsAddress}});
     signals.wait();
+    auburnrail::logLine(auburnrail::LogLevel::Info, "entry", "shutting down",
+                        {{"instance", settings.instance}});
     node.shutDown();
     auburnrail::logLine(auburnrail::LogLevel::Info, "entry", "stopped",
                         {{"instance", settings.instance}});
--- a/cmake/AuburnrailLibrary.cmake
+++ b/cmake/AuburnrailLibrary.cmake
@@ -1,6 +1,8 @@
 # Catch2's main() is compiled once and linked into every test program.
-add_library(auburnrail_test_main OBJECT ${CMAKE_SOURCE_DIR}/libs/testing/CatchMain.cpp)
-target_link_libraries(auburnrail_test_main PUBLIC auburnrail_options Catch2::Catch2)
+if(AUBURNRAIL_TESTS)
+    add_library(auburnrail_test_main OBJECT ${CMAKE_SOURCE_DIR}/libs/testing/CatchMain.cpp)
+    target_link_libraries(auburnrail_test_main PUBLIC auburnrail_options Catch2::Catch2)
+endif()
 
 # auburnrail_library(NAME [DEPENDS target...] [PACKAGES target...])
 # Adds libs/NAME as a static library, and its tests as one program, from the files in src/ and tests/;
@@ -25,7 +27,7 @@
                                    INTERFACE ${CMAKE_CURRENT_SOURCE_DIR}/include)
         target_link_libraries(auburnrail_${NAME} INTERFACE auburnrail_options ${ARG_DEPENDS})
     endif()
-    if(TESTS)
+    if(TESTS AND AUBURNRAIL_TESTS)
         add_executable(auburnrail_${NAME}_tests ${TESTS})
         target_include_directories(auburnrail_${NAME}_tests
                                    PRIVATE ${CMAKE_CURRENT_SOURCE_DIR}/src
--- a/idl/Control.thrift
+++ b/idl/Control.thrift
@@ -71,6 +71,8 @@
   6: i64 shareSequence
   7: list<ShareMessage> shares
   8: i64 minimumRevision
+  9: i32 entries
+  10: i32 zoneEntries
 }
 
 service Control {
--- a/idl/Fleet.thrift
+++ b/idl/Fleet.thrift
@@ -7,6 +7,8 @@
   2: string group
   3: map<string, string> labels
   4: i64 changedAt
+  5: i32 connectionLimit
+  6: i32 synchronousReplicas
 }
 
 struct Organisation {
@@ -27,6 +29,17 @@
   6: i64 changedAt
 }
 
+struct SessionPolicy {
+  1: string database
+  2: i32 consistency
+  3: i64 maxStalenessNanoseconds
+  4: i64 statementTimeoutNanoseconds
+  5: i64 latencyObjectiveNanoseconds
+  6: i64 transactionIdleLimitNanoseconds
+  7: i32 priority
+  8: i32 maxAttempts
+}
+
 struct Route {
   1: string name
   2: string serviceName
@@ -35,6 +48,7 @@
   5: bool isolatedReads
   6: map<string, string> labels
   7: i64 changedAt
+  8: optional SessionPolicy sessions
 }
 
 struct Group {
@@ -55,6 +69,7 @@
   6: bool leaving
   7: map<string, string> labels
   8: i64 changedAt
+  9: i64 startedAt
 }
 
 struct Objective {
@@ -67,6 +82,14 @@
   7: i64 changedAt
 }
 
+struct ConfigurationDocument {
+  1: string name
+  2: i64 version
+  3: binary text
+  4: map<string, string> labels
+  5: i64 changedAt
+}
+
 union FleetObject {
   1: Service serviceObject
   2: Organisation organisation
@@ -75,6 +98,7 @@
   5: Group databaseGroup
   6: Endpoint endpoint
   7: Objective objective
+  8: ConfigurationDocument document
 }
 
 struct FleetChange {
@@ -129,6 +153,18 @@
   1: string endpoint
 }
 
+struct AdoptPrimary {
+  1: string groupName
+  2: string endpoint
+}
+
+// `fleetObjects` are FleetObject structs one after the other, as in a snapshot.
+struct ReplaceConfiguration {
+  1: ConfigurationDocument document
+  2: i32 objectCount
+  3: binary fleetObjects
+}
+
 union CommandBody {
   1: FleetObject setObject
   2: DeleteObject deleteObject
@@ -138,6 +174,8 @@
   6: GrantTerm grantTerm
   7: PublishPrimary publishPrimary
   8: LeaveEndpoint leaveEndpoint
+  9: AdoptPrimary adoptPrimary
+  10: ReplaceConfiguration replaceConfiguration
 }
 
 struct Command {
--- a/libs/control/include/control/ControlOperators.h
+++ b/libs/control/include/control/ControlOperators.h
@@ -27,6 +27,13 @@
 
     auto stop() -> void;
 
+    /// Asked first for each request. To be called before start().
+    auto setFrontEnd(std::function<auto(const HttpRequest &)->std::optional<HttpResponse>> handler)
+        -> void;
+
+    /// Nothing when this member leads; else the leader's operators' address, empty when unknown.
+    [[nodiscard]] auto addressOfOtherLeader() const -> std::optional<std::string>;
+
 private:
     [[nodiscard]] auto handle(const HttpRequest &request) -> HttpResponse;
     [[nodiscard]] auto makeHooks() -> OperatorHooks;
@@ -44,6 +51,7 @@
     ControlTables &tables;
     const ControlOperatorsHooks hooks;
     const OperatorHooks operatorHooks;
+    std::function<auto(const HttpRequest &)->std::optional<HttpResponse>> frontEnd;
     HttpServer server;
 };
 
--- a/libs/control/include/control/ControlTables.h
+++ b/libs/control/include/control/ControlTables.h
@@ -3,6 +3,7 @@
 
 #include <control/CommandPipeline.h>
 #include <control/ControlTablesHooks.h>
+#include <control/ControlTablesSettings.h>
 #include <control/EndpointCommander.h>
 #include <control/EndpointRegistrar.h>
 #include <control/EntryDirectory.h>
@@ -28,7 +29,7 @@
     /// `controlExecutor` must stop running tasks before this object goes. `secureRandom` is safe
     /// from any thread.
     ControlTables(Executor controlExecutor, RandomSource secureRandom,
-                  ControlTablesHooks tableHooks);
+                  ControlTablesHooks tableHooks, ControlTablesSettings tableSettings = {});
     ControlTables(const ControlTables &) = delete;
     auto operator=(const ControlTables &) -> ControlTables & = delete;
 
@@ -43,10 +44,18 @@
     /// Acts on the passing of time; called every few tens of milliseconds.
     auto tick(TimePoint now) -> void;
 
+    /// Takes an endpoint's announcement. A departure is committed before this returns OK;
+    /// `kUnavailable` when that is not known.
+    [[nodiscard]] auto announce(const Announcement &announcement) -> absl::Status;
+
+    /// A command of the system itself, with an id of its own.
+    [[nodiscard]] auto makeCommand(CommandBody body) -> Command;
+
     /// Proposes a command of the system itself; it is repeated by whoever needs it.
     auto submitInternal(CommandBody body) -> void;
 
     const ControlTablesHooks hooks;
+    const ControlTablesSettings settings;
     const Executor executor;
     const RandomSource random;
     FleetStore store;
@@ -57,13 +66,21 @@
     EndpointRegistrar registrar;
     EntryDirectory entries;
     EndpointCommander commander;
+    const EndpointOrders orders;
     FailoverLog failovers;
     BurnReport burn; ///< Of all entries; complete on the leader only.
     FailoverCoordinator failover;
 
 private:
     [[nodiscard]] auto makeFailoverHooks() -> FailoverHooks;
-    [[nodiscard]] auto makeCommand(CommandBody body) -> Command;
+
+    /// Replaces primaries that leave, and removes endpoints that fell silent.
+    auto tendEndpoints(TimePoint now) -> void;
+    auto promoteAndAwait(const GroupEndpoint &endpoint, const std::string &group,
+                         std::uint64_t term, const std::vector<GroupEndpoint> &members,
+                         const std::function<auto(bool, TimePoint)->void> &done) -> void;
+    auto awaitPrimary(const GroupEndpoint &endpoint, const std::string &group, TimePoint deadline,
+                      const std::function<auto(bool, TimePoint)->void> &done) -> void;
 
     /// Counts a failover in the objectives of the services on its group.
     auto countFailover(const FailoverRecord &record) -> void;
@@ -71,6 +88,7 @@
     /// Tells the tables that follow the fleet state what it says now.
     auto stateChanged(bool isWhole) -> void;
 
+    TimePoint nextTending; ///< Used by tick() only.
     FleetObjects followed; ///< State that the tables were told last; used on the log's thread only.
 };
 
--- a/libs/control/include/control/ControlTablesHooks.h
+++ b/libs/control/include/control/ControlTablesHooks.h
@@ -1,6 +1,8 @@
 #ifndef AUBURNRAIL_CONTROL_CONTROLTABLESHOOKS_H
 #define AUBURNRAIL_CONTROL_CONTROLTABLESHOOKS_H
 
+#include <control/EndpointOrders.h>
+
 #include <core/Revision.h>
 #include <core/Time.h>
 #include <core/WallClock.h>
@@ -25,6 +27,7 @@
     std::function<auto()->std::string> leader;
 
     WallClock wallClock;
+    EndpointOrders orders; ///< Not set: those of the project's own endpoint protocol.
 };
 
 } // namespace auburnrail
--- a/libs/control/include/control/EndpointCommander.h
+++ b/libs/control/include/control/EndpointCommander.h
@@ -1,6 +1,8 @@
 #ifndef AUBURNRAIL_CONTROL_ENDPOINTCOMMANDER_H
 #define AUBURNRAIL_CONTROL_ENDPOINTCOMMANDER_H
 
+#include <control/EndpointOrders.h>
+
 #include <failover/FenceAnswer.h>
 #include <failover/GroupEndpoint.h>
 
@@ -35,6 +37,9 @@
     [[nodiscard]] auto follow(const GroupEndpoint &endpoint, std::uint64_t term,
                               const GroupEndpoint &primary) -> bool;
 
+    /// These operations as hooks; valid while this object lives.
+    [[nodiscard]] auto orders() -> EndpointOrders;
+
 private:
     [[nodiscard]] auto newExchangeId() -> std::string;
 
--- /dev/null
+++ b/libs/control/include/control/EndpointRegistrarSettings.h
@@ -0,0 +1,17 @@
+#ifndef AUBURNRAIL_CONTROL_ENDPOINTREGISTRARSETTINGS_H
+#define AUBURNRAIL_CONTROL_ENDPOINTREGISTRARSETTINGS_H
+
+#include <core/Time.h>
+
+namespace auburnrail {
+
+/// See the fields of the same names in ControlTablesSettings.
+struct EndpointRegistrarSettings
+{
+    bool adoptsPrimaries = false;
+    Duration silenceLimit{};
+};
+
+} // namespace auburnrail
+
+#endif
--- a/libs/control/include/control/EntryDirectory.h
+++ b/libs/control/include/control/EntryDirectory.h
@@ -20,8 +20,14 @@
     /// An entry that was not heard for this long is forgotten.
     static constexpr auto LIFETIME_MS = std::chrono::minutes(10);
 
+    /// Longer than a lease, so that an entry counts for as long as it may serve.
+    static constexpr auto LIVE_MS = std::chrono::milliseconds(2500);
+
     auto record(EntryRecord record) -> void;
 
+    /// Entries of the zone that were heard within LIVE_MS.
+    [[nodiscard]] auto countInZone(const std::string &zone, TimePoint now) -> std::size_t;
+
     /// Entries by name.
     [[nodiscard]] auto list(TimePoint now) -> std::vector<EntryRecord>;
 
--- /dev/null
+++ b/libs/control/src/ConfigurationService.cpp
@@ -0,0 +1,47 @@
+#include <control/ConfigurationService.h>
+
+#include <state/CheckConfiguration.h>
+
+#include <future>
+#include <memory>
+
+namespace auburnrail {
+
+ConfigurationService::ConfigurationService(ControlTables &controlTables)
+    : tables(controlTables)
+{
+}
+
+auto ConfigurationService::replace(ReplaceConfiguration configuration) -> absl::Status
+{
+    if (auto status = checkConfiguration(configuration).toStatus(); !status.ok())
+        return status;
+    const auto promise = std::make_shared<std::promise<absl::StatusOr<CommandResult>>>();
+    auto future = promise->get_future();
+    this->tables.pipeline.submitAndAccept(
+        this->tables.makeCommand(std::move(configuration)),
+        [promise](absl::StatusOr<CommandResult> result) { promise->set_value(std::move(result)); });
+    if (future.wait_for(TIME_LIMIT_MS) != std::future_status::ready)
+        return absl::DeadlineExceededError("the configuration was not in force in time");
+    const auto result = future.get();
+    if (!result.ok())
+        return result.status();
+    if (result->status == CommandStatus::Applied)
+        return absl::OkStatus();
+    return result->status == CommandStatus::Invalid ? absl::InvalidArgumentError(result->message)
+                                                    : absl::UnavailableError(result->message);
+}
+
+auto ConfigurationService::read() -> absl::StatusOr<std::string>
+{
+    const auto objects = this->tables.store.objects();
+    // Checked after the read: whatever was committed before by another leader is in what was read.
+    if (!this->tables.hooks.isLeaderWithQuorum(this->tables.executor.now()))
+        return absl::UnavailableError("this member may not know the newest configuration");
+    const auto *document = objects.find<ConfigurationDocument>(ConfigurationDocument::NAME);
+    if (document == nullptr)
+        return absl::UnavailableError("no configuration has been put in force");
+    return document->text;
+}
+
+} // namespace auburnrail
--- a/libs/control/src/ControlNode.cpp
+++ b/libs/control/src/ControlNode.cpp
@@ -11,6 +11,10 @@
 /// Calls to endpoints block a worker each.
 constexpr auto WORKER_COUNT = std::size_t(16);
 constexpr auto TICK_INTERVAL = std::chrono::milliseconds(20);
+/// Where primaries announce themselves, a group without one for this long has none.
+constexpr auto ADOPTION_WAIT = std::chrono::seconds(10);
+/// A promotion by the platform takes up to about a second.
+constexpr auto PROMOTION_WAIT = std::chrono::milliseconds(2500);
 
 auto toConsensusSettings(const ControlSettings &settings) -> ConsensusSettings
 {
@@ -24,12 +28,24 @@
     return result;
 }
 
+auto toTablesSettings(const ControlSettings &settings) -> ControlTablesSettings
+{
+    auto result = ControlTablesSettings{.adoptsPrimaries = settings.adoptsPrimaries,
+                                        .endpointSilenceLimit = settings.endpointSilenceLimit};
+    if (settings.adoptsPrimaries)
+        result.failover.initialSettle = ADOPTION_WAIT;
+    if (!settings.promotionsAddress.empty())
+        result.failover.callTimeout = PROMOTION_WAIT;
+    return result;
+}
+
 } // namespace
 
-ControlNode::ControlNode(const ControlSettings &controlSettings)
+ControlNode::ControlNode(const ControlSettings &controlSettings, EndpointOrders endpointOrders)
     : settings(controlSettings)
+    , orders(std::move(endpointOrders))
     , workers(WORKER_COUNT)
-    , tables(workers.executor(), makeSecureRandom(), makeTableHooks())
+    , tables(workers.executor(), makeSecureRandom(), makeTableHooks(), toTablesSettings(settings))
     , transport(ConsensusTransportSettings{.address = settings.consensusAddress},
                 ConsensusTransportHooks{.received =
                                             [this](const Message &message) {
@@ -38,6 +54,7 @@
     , runner(toConsensusSettings(settings), makeRunnerHooks(), workers.executor(),
              makeSecureRandom())
     , heartbeats(tables)
+    , configurations(tables)
     , entries(settings.entriesAddress,
               [this](const Heartbeat &heartbeat) { return this->heartbeats.answer(heartbeat); })
     , operators(settings, tables, ControlOperatorsHooks{.nodeStatus = [this] {
@@ -67,13 +84,14 @@
         .isLeaderWithQuorum =
             [this](TimePoint /*now*/) { return this->runner.isLeaderWithQuorum(); },
         .leader = [this] { return this->runner.status().leader; },
-        .wallClock = systemWallClockMillis};
+        .wallClock = systemWallClockMillis,
+        .orders = this->orders};
 }
 
 auto ControlNode::makeRunnerHooks() -> ConsensusRunnerHooks
 {
     return ConsensusRunnerHooks{
-        .send = [this](Message message) { this->transport.send(std::move(message)); },
+        .send = [this](Message message) { this->send(std::move(message)); },
         .committed = [this](LogIndex index, Term /*term*/,
                             const std::string &payload) { this->tables.committed(index, payload); },
         .installSnapshot = [this](const std::string &snapshot, LogIndex /*index*/,
@@ -96,6 +114,51 @@
             }};
 }
 
+auto ControlNode::send(Message message) -> void
+{
+    // A member that joined later is not in the settings, but its name says where it is.
+    if (this->settings.membersByIp && !this->transport.knows(message.to.name)) {
+        const auto address = withPortOf(message.to.name, this->settings.consensusAddress);
+        const auto status = this->transport.addMember(message.to.name, address);
+        if (!status.ok())
+            logLine(LogLevel::Warning, "consensus", std::string(status.message()));
+    }
+    this->transport.send(std::move(message));
+}
+
+auto ControlNode::frontEndHooks() -> ControlFrontEndHooks
+{
+    return ControlFrontEndHooks{
+        .leaderAddress = [this] { return this->operators.addressOfOtherLeader(); },
+        .replaceConfiguration =
+            [this](ReplaceConfiguration configuration) {
+                return this->configurations.replace(std::move(configuration));
+            },
+        .readConfiguration = [this] { return this->configurations.read(); },
+        .announce =
+            [this](const Announcement &announcement) {
+                return this->tables.announce(announcement);
+            },
+        .ownAddress = this->settings.operatorsAddress};
+}
+
+auto ControlNode::setFrontEnd(FrontEnd newFrontEnd) -> void
+{
+    this->operators.setFrontEnd(std::move(newFrontEnd));
+}
+
+auto ControlNode::openDisk() -> absl::StatusOr<ConsensusDisk>
+{
+    if (this->settings.bootstrap) {
+        // A directory that is formatted already belongs to a member that has started before.
+        const auto status = initialise(this->settings);
+        if (!status.ok() && !absl::IsAlreadyExists(status))
+            return status;
+    }
+    return ConsensusDisk::open(this->settings.dataDirectory, this->settings.cluster,
+                               this->settings.member, makeSecureRandom()() | 1U);
+}
+
 auto ControlNode::startTransport() -> absl::Status
 {
     if (auto status = this->transport.start(); !status.ok())
@@ -111,8 +174,7 @@
 
 auto ControlNode::start() -> absl::Status
 {
-    auto disk = ConsensusDisk::open(this->settings.dataDirectory, this->settings.cluster,
-                                    this->settings.member, makeSecureRandom()() | 1U);
+    auto disk = this->openDisk();
     if (!disk.ok())
         return disk.status();
     if (auto status = this->operators.start(); !status.ok())
--- a/libs/control/src/ControlOperators.cpp
+++ b/libs/control/src/ControlOperators.cpp
@@ -109,13 +109,30 @@
 auto ControlOperators::addressOfLeader() const -> std::string
 {
     const auto leader = this->tables.hooks.leader();
+    if (leader.empty() || leader == this->settings.member)
+        return "";
+    if (this->settings.membersByIp)
+        return withPortOf(leader, this->settings.operatorsAddress);
     for (const auto &member : this->settings.memberOperators) {
-        if (member.name == leader && leader != this->settings.member)
+        if (member.name == leader)
             return member.address;
     }
     return "";
 }
 
+auto ControlOperators::addressOfOtherLeader() const -> std::optional<std::string>
+{
+    if (this->tables.hooks.isLeaderWithQuorum(this->tables.executor.now()))
+        return std::nullopt;
+    return this->addressOfLeader();
+}
+
+auto ControlOperators::setFrontEnd(
+    std::function<auto(const HttpRequest &)->std::optional<HttpResponse>> handler) -> void
+{
+    this->frontEnd = std::move(handler);
+}
+
 auto ControlOperators::status() -> ControlStatus
 {
     auto status = ControlStatus();
@@ -222,6 +239,10 @@
 
 auto ControlOperators::handle(const HttpRequest &request) -> HttpResponse
 {
+    if (this->frontEnd) {
+        if (auto response = this->frontEnd(request))
+            return *std::move(response);
+    }
     if (auto response = handleOperatorRequest(this->operatorHooks, request))
         return *std::move(response);
     const auto query = parseTarget(request.target);
--- a/libs/control/src/ControlTables.cpp
+++ b/libs/control/src/ControlTables.cpp
@@ -6,11 +6,20 @@
 
 #include <absl/strings/str_cat.h>
 
+#include <algorithm>
+#include <future>
+#include <memory>
+
 namespace auburnrail {
 
 namespace {
 
 constexpr auto MILLI = 1000.0;
+/// Between two questions whether a promoted endpoint leads; a promotion takes some hundred ms.
+constexpr auto PRIMARY_CHECK_INTERVAL = std::chrono::milliseconds(60);
+/// An endpoint's announcement waits for about a second for its answer.
+constexpr auto DEPARTURE_TIME_LIMIT = std::chrono::milliseconds(700);
+constexpr auto TENDING_INTERVAL = std::chrono::milliseconds(100);
 
 auto toLimits(const Organisation &organisation) -> ShareLimits
 {
@@ -26,17 +35,25 @@
                               .primary = group.primary,
                               .endpoints = {}};
     for (const auto &name : objects.endpointsOf(group.name)) {
-        if (const auto *endpoint = objects.find<Endpoint>(name))
-            view.endpoints.push_back(GroupEndpoint{endpoint->name, endpoint->address});
+        if (const auto *endpoint = objects.find<Endpoint>(name)) {
+            view.endpoints.push_back(
+                GroupEndpoint{endpoint->name, endpoint->address, endpoint->leaving});
+        }
     }
+    objects.table<Service>().forEach([&](const Service &service) {
+        if (service.group == group.name)
+            view.synchronousReplicas =
+                std::max(view.synchronousReplicas, service.synchronousReplicas);
+    });
     return view;
 }
 
 } // namespace
 
 ControlTables::ControlTables(Executor controlExecutor, RandomSource secureRandom,
-                             ControlTablesHooks tableHooks)
+                             ControlTablesHooks tableHooks, ControlTablesSettings tableSettings)
     : hooks(std::move(tableHooks))
+    , settings(std::move(tableSettings))
     , executor(std::move(controlExecutor))
     , random(std::move(secureRandom))
     , pipeline(CommandPipelineHooks{
@@ -56,9 +73,12 @@
                                                  [this](const HolderId &holder) {
                                                      this->held.sharesChanged(holder);
                                                  }})
+    , registrar(EndpointRegistrarSettings{.adoptsPrimaries = settings.adoptsPrimaries,
+                                          .silenceLimit = settings.endpointSilenceLimit})
     , commander(this->random)
+    , orders(hooks.orders.fence ? hooks.orders : commander.orders())
     , burn("control")
-    , failover(FailoverLimits(), this->makeFailoverHooks())
+    , failover(settings.failover, this->makeFailoverHooks())
 {
 }
 
@@ -91,20 +111,20 @@
                                        this->executor.now());
                               });
     };
-    failoverHooks.fence = [this](const GroupEndpoint &endpoint, const std::string & /*group*/,
+    failoverHooks.fence = [this](const GroupEndpoint &endpoint, const std::string &group,
                                  std::uint64_t term, auto done) {
-        this->executor.post([this, endpoint, term, done] {
-            done(this->commander.fence(endpoint, term), this->executor.now());
+        this->executor.post([this, endpoint, group, term, done] {
+            done(this->orders.fence(endpoint, group, term), this->executor.now());
         });
     };
     failoverHooks.isInForce = [this](Revision revision, TimePoint now) {
         return this->leases.isInForce(revision, now);
     };
-    failoverHooks.promote = [this](const GroupEndpoint &endpoint, const std::string & /*group*/,
+    failoverHooks.promote = [this](const GroupEndpoint &endpoint, const std::string &group,
                                    std::uint64_t term, const std::vector<GroupEndpoint> &members,
                                    auto done) {
-        this->executor.post([this, endpoint, term, members, done] {
-            done(this->commander.promote(endpoint, term, members), this->executor.now());
+        this->executor.post([this, endpoint, group, term, members, done] {
+            this->promoteAndAwait(endpoint, group, term, members, done);
         });
     };
     failoverHooks.publish = [this](const std::string &group, std::uint64_t term,
@@ -115,10 +135,10 @@
                                        this->executor.now());
                               });
     };
-    failoverHooks.follow = [this](const GroupEndpoint &endpoint, const std::string & /*group*/,
+    failoverHooks.follow = [this](const GroupEndpoint &endpoint, const std::string &group,
                                   std::uint64_t term, const GroupEndpoint &primary) {
-        this->executor.post([this, endpoint, term, primary] {
-            std::ignore = this->commander.follow(endpoint, term, primary);
+        this->executor.post([this, endpoint, group, term, primary] {
+            std::ignore = this->orders.follow(endpoint, group, term, primary);
         });
     };
     failoverHooks.explain = [this](const FailoverRecord &record) {
@@ -128,9 +148,84 @@
     return failoverHooks;
 }
 
+auto ControlTables::promoteAndAwait(const GroupEndpoint &endpoint, const std::string &group,
+                                    std::uint64_t term, const std::vector<GroupEndpoint> &members,
+                                    const std::function<auto(bool, TimePoint)->void> &done) -> void
+{
+    if (!this->orders.promote(endpoint, group, term, members)) {
+        done(false, this->executor.now());
+        return;
+    }
+    if (!this->orders.isPrimary) {
+        done(true, this->executor.now());
+        return;
+    }
+    const auto deadline = this->executor.now() + this->settings.failover.callTimeout;
+    this->awaitPrimary(endpoint, group, deadline, done);
+}
+
+auto ControlTables::awaitPrimary(const GroupEndpoint &endpoint, const std::string &group,
+                                 TimePoint deadline,
+                                 const std::function<auto(bool, TimePoint)->void> &done) -> void
+{
+    this->executor.postAfter(PRIMARY_CHECK_INTERVAL, [this, endpoint, group, deadline, done] {
+        const auto leads = this->orders.isPrimary(endpoint, group);
+        const auto now = this->executor.now();
+        if (leads || now >= deadline)
+            done(leads, now);
+        else
+            this->awaitPrimary(endpoint, group, deadline, done);
+    });
+}
+
+auto ControlTables::announce(const Announcement &announcement) -> absl::Status
+{
+    const auto state = this->store.objects();
+    auto commands = this->registrar.commandsFor(announcement, state, this->executor.now());
+    if (!announcement.leaving) {
+        for (auto &body : commands)
+            this->submitInternal(std::move(body));
+        return absl::OkStatus();
+    }
+    for (auto &body : commands) {
+        const auto promise = std::make_shared<std::promise<bool>>();
+        auto committed = promise->get_future();
+        this->pipeline.submit(this->makeCommand(std::move(body)),
+                              [promise](const absl::StatusOr<CommandResult> &result) {
+                                  promise->set_value(result.ok());
+                              });
+        if (committed.wait_for(DEPARTURE_TIME_LIMIT) != std::future_status::ready
+            || !committed.get())
+            return absl::UnavailableError("the departure was not committed");
+    }
+    return absl::OkStatus();
+}
+
+auto ControlTables::tendEndpoints(TimePoint now) -> void
+{
+    if (!this->hooks.isLeaderWithQuorum(now))
+        return;
+    const auto state = this->store.objects();
+    state.table<Group>().forEach([&](const Group &group) {
+        const auto *primary = state.find<Endpoint>(group.primary);
+        if (primary == nullptr || !primary->leaving || group.phase != GroupPhase::Serving)
+            return;
+        for (const auto &name : state.endpointsOf(group.name)) {
+            const auto *other = state.find<Endpoint>(name);
+            if (other == nullptr || other->leaving)
+                continue;
+            // An error means that a failover of the group is under way already.
+            std::ignore = this->failover.promotePlanned(group.name, name, now);
+            return;
+        }
+    });
+    for (auto &body : this->registrar.removalsOfSilent(state, now))
+        this->submitInternal(std::move(body));
+}
+
 auto ControlTables::countFailover(const FailoverRecord &record) -> void
 {
-    const auto gap = detail::failoverGap(record, FailoverLimits());
+    const auto gap = detail::failoverGap(record, this->settings.failover);
     if (!gap)
         return;
     const auto now = this->hooks.wallClock();
@@ -188,6 +283,7 @@
         this->leases.beginLeadership(this->store.revision(), now);
         this->ledger.beginLeadership(now);
         this->failover.beginLeadership(now);
+        this->registrar.beginLeadership(now);
     } else {
         this->leases.endLeadership();
         this->failover.endLeadership(now);
@@ -199,6 +295,10 @@
     this->leases.advance(now);
     this->ledger.expire(now);
     this->failover.tick(now);
+    if (now >= this->nextTending) {
+        this->nextTending = now + TENDING_INTERVAL;
+        this->tendEndpoints(now);
+    }
 }
 
 } // namespace auburnrail
--- a/libs/control/src/EndpointCommander.cpp
+++ b/libs/control/src/EndpointCommander.cpp
@@ -61,4 +61,22 @@
     return isAccepted(endpoint.address, encodeFollowRequest(request), request.exchangeId);
 }
 
+auto EndpointCommander::orders() -> EndpointOrders
+{
+    return EndpointOrders{
+        .fence = [this](const GroupEndpoint &endpoint, const std::string & /*group*/,
+                        std::uint64_t term) { return this->fence(endpoint, term); },
+        .promote =
+            [this](const GroupEndpoint &endpoint, const std::string & /*group*/, std::uint64_t term,
+                   const std::vector<GroupEndpoint> &members) {
+                return this->promote(endpoint, term, members);
+            },
+        .isPrimary = {},
+        .follow =
+            [this](const GroupEndpoint &endpoint, const std::string & /*group*/, std::uint64_t term,
+                   const GroupEndpoint &primary) {
+                return this->follow(endpoint, term, primary);
+            }};
+}
+
 } // namespace auburnrail
--- a/libs/control/src/EndpointRegistrar.cpp
+++ b/libs/control/src/EndpointRegistrar.cpp
@@ -15,6 +15,7 @@
     endpoint.address = announcement.address;
     endpoint.connectionLimit = static_cast<std::uint32_t>(announcement.connectionLimit);
     endpoint.labels = announcement.labels;
+    endpoint.startedAt = announcement.startedAt;
     return endpoint;
 }
 
@@ -28,31 +29,142 @@
         if (label == known->labels.end() || label->second != value)
             return false;
     }
-    return known->group == announcement.group && known->zone == announcement.zone
-           && known->address == announcement.address && !known->leaving
+    return known->startedAt == announcement.startedAt && known->group == announcement.group
+           && known->zone == announcement.zone && known->address == announcement.address
+           && !known->leaving
            && known->connectionLimit == static_cast<std::uint32_t>(announcement.connectionLimit);
 }
 
+/// A later process may use the address of one that ended without a word.
+auto isOlderAtAddress(const Announcement &announcement, const FleetObjects &state) -> bool
+{
+    auto older = false;
+    state.table<Endpoint>().forEach([&](const Endpoint &other) {
+        older = older
+                || (other.address == announcement.address && other.name != announcement.endpoint
+                    && other.startedAt > announcement.startedAt);
+    });
+    return older;
+}
+
+auto removeOthersAtAddress(const Announcement &announcement, const FleetObjects &state,
+                           std::vector<CommandBody> &commands) -> void
+{
+    state.table<Endpoint>().forEach([&](const Endpoint &other) {
+        if (other.address != announcement.address || other.name == announcement.endpoint)
+            return;
+        const auto *group = state.find<Group>(other.group);
+        if (group == nullptr || group->primary != other.name)
+            commands.emplace_back(DeleteObject{ObjectKind::Endpoint, other.name});
+    });
+}
+
+auto departure(const Announcement &announcement, const Endpoint &known, const FleetObjects &state)
+    -> std::vector<CommandBody>
+{
+    const auto *group = state.find<Group>(known.group);
+    const auto isPrimary = group != nullptr && group->primary == known.name;
+    if (announcement.gone && !isPrimary)
+        return {DeleteObject{ObjectKind::Endpoint, known.name}};
+    if (!known.leaving)
+        return {LeaveEndpoint{known.name}};
+    return {};
+}
+
 } // namespace
 
+EndpointRegistrar::EndpointRegistrar(EndpointRegistrarSettings registrarSettings)
+    : settings(registrarSettings)
+{
+}
+
+auto EndpointRegistrar::isLate(const Announcement &announcement, TimePoint now) -> bool
+{
+    auto &last = this->heard[announcement.endpoint];
+    // A farewell names no process; it is about the one that was heard last.
+    if (announcement.gone) {
+        last.gone = true;
+        last.at = now;
+        return false;
+    }
+    const auto isOlder = announcement.startedAt < last.startedAt
+                         || (announcement.startedAt == last.startedAt
+                             && (last.gone || announcement.sequence < last.sequence));
+    if (isOlder && last.at != TimePoint())
+        return true;
+    last = detail::HeardEndpoint{
+        .startedAt = announcement.startedAt, .sequence = announcement.sequence, .at = now};
+    return false;
+}
+
 auto EndpointRegistrar::commandsFor(const Announcement &announcement, const FleetObjects &state,
                                     TimePoint now) -> std::vector<CommandBody>
 {
-    auto commands = std::vector<CommandBody>();
+    const RankedLock lock(this->mutex);
+    if (this->isLate(announcement, now))
+        return {};
     const auto *known = state.find<Endpoint>(announcement.endpoint);
+    if (known != nullptr && !announcement.gone && announcement.startedAt < known->startedAt)
+        return {};
+    auto commands = std::vector<CommandBody>();
     if (announcement.leaving) {
-        if (known != nullptr && !known->leaving)
-            commands.emplace_back(LeaveEndpoint{announcement.endpoint});
+        if (known != nullptr)
+            commands = departure(announcement, *known, state);
     } else if (!isRegistered(announcement, state)) {
+        if (isOlderAtAddress(announcement, state))
+            return {};
+        removeOthersAtAddress(announcement, state, commands);
         commands.emplace_back(SetObject{toEndpoint(announcement)});
     }
-    if (commands.empty())
-        return commands;
+    const auto *group = state.find<Group>(announcement.group);
+    const auto hadPrimary = group != nullptr && (group->term != 0 || !group->primary.empty());
+    if (this->settings.adoptsPrimaries && announcement.primary && !announcement.leaving
+        && !hadPrimary)
+        commands.emplace_back(AdoptPrimary{announcement.group, announcement.endpoint});
+    return this->withoutRepeated(std::move(commands), announcement.endpoint, now);
+}
+
+auto EndpointRegistrar::withoutRepeated(std::vector<CommandBody> commands,
+                                        const std::string &endpoint, TimePoint now)
+    -> std::vector<CommandBody>
+{
+    std::erase_if(commands, [&](const CommandBody &body) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex) {
+        const auto key = CommandKey(endpoint, body.index());
+        const auto previous = this->proposedAt.find(key);
+        if (previous != this->proposedAt.end() && now - previous->second < REPEAT_INTERVAL_MS)
+            return true;
+        this->proposedAt.insert_or_assign(key, now);
+        return false;
+    });
+    return commands;
+}
+
+auto EndpointRegistrar::beginLeadership(TimePoint now) -> void
+{
+    const RankedLock lock(this->mutex);
+    this->leaderSince = now;
+}
+
+auto EndpointRegistrar::removalsOfSilent(const FleetObjects &state, TimePoint now)
+    -> std::vector<CommandBody>
+{
     const RankedLock lock(this->mutex);
-    const auto previous = this->proposedAt.find(announcement.endpoint);
-    if (previous != this->proposedAt.end() && now - previous->second < REPEAT_INTERVAL_MS)
+    std::erase_if(this->heard, [now](const auto &row) { return now - row.second.at > MEMORY_S; });
+    std::erase_if(this->proposedAt, [now](const auto &row) { return now - row.second > MEMORY_S; });
+    if (this->settings.silenceLimit <= Duration::zero())
         return {};
-    this->proposedAt.insert_or_assign(announcement.endpoint, now);
+    auto commands = std::vector<CommandBody>();
+    state.table<Endpoint>().forEach(
+        [&](const Endpoint &endpoint) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex) {
+            const auto found = this->heard.find(endpoint.name);
+            const auto heardAt = found == this->heard.end()
+                                     ? this->leaderSince
+                                     : std::max(this->leaderSince, found->second.at);
+            const auto *group = state.find<Group>(endpoint.group);
+            const auto isPrimary = group != nullptr && group->primary == endpoint.name;
+            if (!isPrimary && now - heardAt > this->settings.silenceLimit)
+                commands.emplace_back(DeleteObject{ObjectKind::Endpoint, endpoint.name});
+        });
     return commands;
 }
 
--- a/libs/control/src/EntryDirectory.cpp
+++ b/libs/control/src/EntryDirectory.cpp
@@ -2,6 +2,8 @@
 
 #include <core/RankedLock.h>
 
+#include <algorithm>
+
 namespace auburnrail {
 
 auto EntryDirectory::record(EntryRecord record) -> void
@@ -11,6 +13,15 @@
     this->records.insert_or_assign(std::move(name), std::move(record));
 }
 
+auto EntryDirectory::countInZone(const std::string &zone, TimePoint now) -> std::size_t
+{
+    const RankedLock lock(this->mutex);
+    return static_cast<std::size_t>(
+        std::count_if(this->records.begin(), this->records.end(), [&](const auto &row) {
+            return row.second.zone == zone && now - row.second.heardAt <= LIVE_MS;
+        }));
+}
+
 auto EntryDirectory::list(TimePoint now) -> std::vector<EntryRecord>
 {
     const RankedLock lock(this->mutex);
--- a/libs/control/src/HeartbeatService.cpp
+++ b/libs/control/src/HeartbeatService.cpp
@@ -11,6 +11,12 @@
 /// Bounds what an entry can ask for; a quarter of the lease leaves time for a lost answer.
 constexpr auto MAX_HOLD = LEASE_DURATION / 4;
 
+/// Entries act on the objects that follow from a configuration document, not on its text.
+auto isForEntries(const FleetChange &change) -> bool
+{
+    return change.kind != ObjectKind::Document;
+}
+
 } // namespace
 
 HeartbeatService::HeartbeatService(ControlTables &controlTables)
@@ -39,6 +45,9 @@
                            now + std::clamp<Duration>(heartbeat.holdLimit, Duration(), MAX_HOLD));
     now = this->tables.executor.now();
     this->addChanges(heartbeat.appliedRevision, answer);
+    answer.entries = static_cast<std::uint32_t>(this->tables.leases.size());
+    answer.zoneEntries =
+        static_cast<std::uint32_t>(this->tables.entries.countInZone(heartbeat.zone, now));
     answer.lease = this->tables.leases.renew(id, heartbeat.appliedRevision, now);
     if (answer.lease.status == LeaseStatus::Granted)
         answer.shares = this->tables.ledger.grant(heartbeat.shares.holder, now);
@@ -69,9 +78,9 @@
     this->tables.store.read([&](const FleetState &state) {
         if (state.revision() <= applied)
             return;
-        answer.update = state.changesSince(applied);
+        answer.update = state.changesSince(applied, isForEntries);
         if (!answer.update)
-            answer.snapshot = state.entrySnapshot();
+            answer.snapshot = state.entrySnapshot(isForEntries);
     });
 }
 
--- a/libs/daemon/include/daemon/Logging.h
+++ b/libs/daemon/include/daemon/Logging.h
@@ -13,7 +13,7 @@
 /// Named facts of one log line, such as {"request", id}. Never a key or a token.
 using LogFields = std::vector<std::pair<std::string_view, std::string>>;
 
-/// Sends log lines to standard error, one JSON object a line, at `level` and above. Call once,
+/// Sends log lines to standard output, one JSON object a line, at `level` and above. Call once,
 /// before the first line.
 auto setUpLogging(LogLevel level) -> void;
 
--- a/libs/daemon/src/Logging.cpp
+++ b/libs/daemon/src/Logging.cpp
@@ -32,7 +32,7 @@
     const auto layout = std::make_shared<log4cxx::JSONLayout>();
     layout->setPrettyPrint(false);
     const auto appender = std::make_shared<log4cxx::ConsoleAppender>(
-        layout, log4cxx::ConsoleAppender::getSystemErr());
+        layout, log4cxx::ConsoleAppender::getSystemOut());
     log4cxx::BasicConfigurator::configure(appender);
     log4cxx::Logger::getRootLogger()->setLevel(toLog4cxx(level));
 }
--- a/libs/daemon/src/ShutdownSignal.cpp
+++ b/libs/daemon/src/ShutdownSignal.cpp
@@ -22,6 +22,8 @@
     const auto signals = endSignals();
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     std::signal(SIGPIPE, SIG_IGN);
+    // Settings are read at the start; a request to read them again must not end the process.
+    std::signal(SIGHUP, SIG_IGN);
 }
 
 auto ShutdownSignal::wait() -> int
--- a/libs/endpoint/include/endpoint/Announcement.h
+++ b/libs/endpoint/include/endpoint/Announcement.h
@@ -21,6 +21,10 @@
     bool primary = false;
     bool leaving = false;
     std::int64_t connectionLimit = 0; ///< Connections that the endpoint accepts.
+    /// When the endpoint's process started, by its own time of day, in milliseconds; 0: not stated.
+    std::uint64_t startedAt = 0;
+    std::uint64_t sequence = 0; ///< Grows with each announcement of one process.
+    bool gone = false;          ///< The endpoint has ended its work for good.
 };
 
 } // namespace auburnrail
--- a/libs/entry/include/entry/EntryNode.h
+++ b/libs/entry/include/entry/EntryNode.h
@@ -6,6 +6,10 @@
 #include <entry/EntryTables.h>
 #include <entry/HeartbeatLoop.h>
 #include <entry/ProbeLoop.h>
+#include <entry/SessionCodecs.h>
+#include <entry/StatementLog.h>
+
+#include <proxy/ProxyServer.h>
 
 #include <settings/EntrySettings.h>
 
@@ -19,7 +23,9 @@
 class EntryNode
 {
 public:
-    EntryNode(EntrySettings entrySettings, const std::string &clusterSecret);
+    /// `sessionCodecs` are needed when the settings name an address for sessions.
+    EntryNode(EntrySettings entrySettings, const std::string &clusterSecret,
+              SessionCodecs sessionCodecs = {});
     EntryNode(const EntryNode &) = delete;
     auto operator=(const EntryNode &) -> EntryNode & = delete;
     ~EntryNode();
@@ -33,15 +39,20 @@
     auto shutDown() -> void;
 
 private:
+    [[nodiscard]] auto makeSessions(const SessionCodecs &codecs) -> std::unique_ptr<ProxyServer>;
+    auto drainSessions(TimePoint shutDownAt) -> void;
     auto scheduleExpiry() -> void;
-    auto waitForUnfinishedWork() -> void;
+    auto waitForUnfinishedWork(const std::function<auto()->std::size_t> &unfinished) -> void;
+    auto pause(Duration length) -> void;
 
     const EntrySettings settings;
     WorkerPool workers;
     EntryTables tables;
-    ProbeLoop probes;
+    StatementLog statements;
+    std::unique_ptr<ProxyServer> sessions; ///< Null without an address for sessions.
+    std::unique_ptr<ProbeLoop> probes;     ///< Null without an address for requests.
+    std::unique_ptr<EntryServer> callers;  ///< Null without an address for requests.
     HeartbeatLoop heartbeats;
-    EntryServer callers;
     EntryOperators operators;
 };
 
--- a/libs/entry/include/entry/EntryTables.h
+++ b/libs/entry/include/entry/EntryTables.h
@@ -10,6 +10,7 @@
 #include <observe/BurnReport.h>
 #include <observe/ExplainLog.h>
 #include <observe/Metrics.h>
+#include <proxy/FleetSize.h>
 #include <quota/ShareHolder.h>
 #include <request/CallerAnswer.h>
 #include <request/ConnectionPool.h>
@@ -23,6 +24,8 @@
 #include <core/Executor.h>
 #include <core/RandomSource.h>
 
+#include <atomic>
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -35,13 +38,20 @@
 public:
     /// `executor` must stop running tasks before this object goes.
     EntryTables(const EntryIdentity &entryIdentity, Executor entryExecutor,
-                RandomSource entryRandom);
+                RandomSource entryRandom, EndpointChoice endpointChoice = {});
     EntryTables(const EntryTables &) = delete;
     auto operator=(const EntryTables &) -> EntryTables & = delete;
 
     /// Tells the tables what the state's new revision says of groups and endpoints.
     auto stateChanged() -> void;
 
+    /// Called after the tables have followed a new revision. To be set before the heartbeats begin.
+    auto setStateListener(std::function<auto()->void> listener) -> void;
+
+    /// By the control leader's last answer.
+    [[nodiscard]] auto fleetSize() const -> FleetSize;
+    auto setFleetSize(FleetSize size) -> void;
+
     /// Ends waits and transactions that are due. Called every few tens of milliseconds by the
     /// executor's timer.
     auto expire(TimePoint now) -> void;
@@ -72,6 +82,9 @@
     Metrics metrics;
 
 private:
+    std::function<auto()->void> stateListener;
+    std::atomic<FleetSize> knownSize{FleetSize()};
+
     auto openConnection(const ConnectionHandle &handle) -> void;
     auto sendAwait(const std::string &group, const std::string &endpoint, Position position)
         -> void;
--- a/libs/entry/include/entry/HeartbeatLoopHooks.h
+++ b/libs/entry/include/entry/HeartbeatLoopHooks.h
@@ -23,6 +23,7 @@
         send;
 
     WallClock wallClock;
+    bool learnsMembers = false; ///< `send` takes the name of any member that another one names.
 };
 
 } // namespace auburnrail
--- a/libs/entry/src/EntryNode.cpp
+++ b/libs/entry/src/EntryNode.cpp
@@ -24,33 +24,97 @@
                          .clusterSecret = clusterSecret};
 }
 
-auto makeHeartbeatHooks(const std::vector<MemberAddress> &members) -> HeartbeatLoopHooks
+/// Connections to control members, made as their names come up. Used by the heartbeat thread only.
+class ControlClients
 {
-    auto clients = std::make_shared<std::map<std::string, ControlClient>>();
-    for (const auto &member : members)
-        clients->try_emplace(member.name, member.address);
+public:
+    explicit ControlClients(const EntrySettings &settings)
+        : membersByIp(settings.membersByIp)
+    {
+        for (const auto &member : settings.controlMembers)
+            this->clients.try_emplace(member.name, member.address);
+        this->anyAddress = settings.controlMembers.front().address;
+    }
+
+    auto heartbeat(const std::string &name, const Heartbeat &message, Duration timeLimit)
+        -> absl::StatusOr<HeartbeatAnswer>
+    {
+        auto found = this->clients.find(name);
+        if (found == this->clients.end() && this->membersByIp)
+            found = this->clients.try_emplace(name, withPortOf(name, this->anyAddress)).first;
+        if (found == this->clients.end())
+            return absl::NotFoundError("control member " + name + " is not known");
+        return found->second.heartbeat(message, timeLimit);
+    }
+
+private:
+    const bool membersByIp;
+    std::string anyAddress; ///< Of a member; all use the same port when they are named by their IP.
+    std::map<std::string, ControlClient> clients;
+};
+
+auto makeHeartbeatHooks(const EntrySettings &settings) -> HeartbeatLoopHooks
+{
+    const auto clients = std::make_shared<ControlClients>(settings);
     return HeartbeatLoopHooks{
         .send =
             [clients](const std::string &name, const Heartbeat &heartbeat, Duration timeLimit) {
-                return clients->at(name).heartbeat(heartbeat, timeLimit);
+                return clients->heartbeat(name, heartbeat, timeLimit);
             },
-        .wallClock = systemWallClockMillis};
+        .wallClock = systemWallClockMillis,
+        .learnsMembers = settings.membersByIp};
 }
 
 } // namespace
 
-EntryNode::EntryNode(EntrySettings entrySettings, const std::string &clusterSecret)
+EntryNode::EntryNode(EntrySettings entrySettings, const std::string &clusterSecret,
+                     SessionCodecs sessionCodecs)
     : settings(std::move(entrySettings))
     , workers(WORKER_COUNT)
     , tables(makeIdentity(settings, clusterSecret, makeSecureRandom()), workers.executor(),
-             makeSecureRandom())
-    , probes(tables)
-    , heartbeats(tables, settings.controlMembers, makeHeartbeatHooks(settings.controlMembers))
-    , callers(settings, tables)
+             makeSecureRandom(),
+             settings.sessionsAddress.empty() ? EndpointChoice() : makeNearestFirst())
+    , statements(tables.metrics, tables.executor.now())
+    , sessions(makeSessions(sessionCodecs))
+    , probes(settings.callersAddress.empty() ? nullptr : std::make_unique<ProbeLoop>(tables))
+    , callers(settings.callersAddress.empty() ? nullptr
+                                              : std::make_unique<EntryServer>(settings, tables))
+    , heartbeats(tables, settings.controlMembers, makeHeartbeatHooks(settings))
     , operators(settings, tables)
 {
 }
 
+auto EntryNode::makeSessions(const SessionCodecs &codecs) -> std::unique_ptr<ProxyServer>
+{
+    if (this->settings.sessionsAddress.empty())
+        return nullptr;
+    auto hooks = ProxyServerHooks{
+        .clientCodec = codecs.client,
+        .serverCodec = codecs.server,
+        .state = [this] { return this->tables.state.snapshot(); },
+        .holdsLease = [this](TimePoint now) { return this->tables.lease.holds(now); },
+        .admit =
+            [this](const std::string &organisation, TimePoint deadline, OperationAdmitted done) {
+                this->tables.admission.admit(organisation, deadline, this->tables.executor.now(),
+                                             std::move(done));
+            },
+        .report =
+            [this](const StatementReport &report) {
+                this->statements.add(report, this->tables.executor.now());
+            },
+        .random = makeSecureRandom()};
+    auto server = std::make_unique<ProxyServer>(
+        ProxyServerSettings{.zone = this->settings.zone,
+                            .address = this->settings.sessionsAddress,
+                            .threads = static_cast<std::size_t>(this->settings.sessionThreads),
+                            .maxSessions = static_cast<std::size_t>(this->settings.maxSessions),
+                            .clusterSecret = this->tables.identity.clusterSecret},
+        std::move(hooks), this->tables.endpoints);
+    this->tables.setStateListener(
+        [this, target = server.get()] { target->stateChanged(this->tables.fleetSize()); });
+    return server;
+}
+
 EntryNode::~EntryNode()
 {
     this->workers.stop();
@@ -60,10 +124,16 @@
 {
     if (auto status = this->operators.start(); !status.ok())
         return status;
-    if (auto status = this->callers.start(); !status.ok())
-        return status;
+    if (this->callers != nullptr) {
+        if (auto status = this->callers->start(); !status.ok())
+            return status;
+        this->probes->start();
+    }
+    if (this->sessions != nullptr) {
+        if (auto status = this->sessions->start(); !status.ok())
+            return status;
+    }
     this->heartbeats.start();
-    this->probes.start();
     this->scheduleExpiry();
     return absl::OkStatus();
 }
@@ -78,26 +148,47 @@
 
 auto EntryNode::shutDown() -> void
 {
+    const auto shutDownAt = this->tables.executor.now();
     this->operators.setReady(false);
-    auto graceOver = std::promise<void>();
-    this->tables.executor.postAfter(this->settings.readyGrace, [&] { graceOver.set_value(); });
-    graceOver.get_future().wait();
-    this->callers.drain();
-    this->waitForUnfinishedWork();
-    this->tables.transactions.closeAll();
-    this->callers.stop();
+    this->pause(this->settings.readyGrace);
+    if (this->sessions != nullptr)
+        this->drainSessions(shutDownAt);
+    if (this->callers != nullptr) {
+        this->callers->drain();
+        this->waitForUnfinishedWork([this] { return this->callers->unfinishedWork(); });
+        this->tables.transactions.closeAll();
+        this->callers->stop();
+    }
     this->heartbeats.stop();
+    if (this->sessions != nullptr)
+        this->sessions->stop();
     this->workers.stop();
     this->operators.stop();
 }
 
-auto EntryNode::waitForUnfinishedWork() -> void
+auto EntryNode::drainSessions(TimePoint shutDownAt) -> void
+{
+    this->sessions->drain();
+    const auto graceEnd = shutDownAt + this->settings.transactionGrace;
+    this->pause(std::max<Duration>(graceEnd - this->tables.executor.now(), Duration::zero()));
+    this->sessions->endSessions();
+    this->waitForUnfinishedWork([this] { return this->sessions->openSessions(); });
+}
+
+auto EntryNode::pause(Duration length) -> void
+{
+    auto over = std::promise<void>();
+    this->tables.executor.postAfter(length, [&over] { over.set_value(); });
+    over.get_future().wait();
+}
+
+auto EntryNode::waitForUnfinishedWork(const std::function<auto()->std::size_t> &unfinished) -> void
 {
     const auto end = this->tables.executor.now() + this->settings.drainLimit;
     auto finished = std::promise<void>();
     auto check = std::function<auto()->void>();
     check = [&] {
-        if (this->callers.unfinishedWork() == 0 || this->tables.executor.now() >= end)
+        if (unfinished() == 0 || this->tables.executor.now() >= end)
             finished.set_value();
         else
             this->tables.executor.postAfter(DRAIN_CHECK_INTERVAL, check);
--- a/libs/entry/src/EntryTables.cpp
+++ b/libs/entry/src/EntryTables.cpp
@@ -45,7 +45,7 @@
 } // namespace
 
 EntryTables::EntryTables(const EntryIdentity &entryIdentity, Executor entryExecutor,
-                         RandomSource entryRandom)
+                         RandomSource entryRandom, EndpointChoice endpointChoice)
     : identity(entryIdentity)
     , executor(std::move(entryExecutor))
     , random(std::move(entryRandom))
@@ -67,7 +67,7 @@
               [this](const std::string &organisation, std::size_t waiting, TimePoint now) {
                   this->shares.setBacklog(organisation, waiting, now);
               }})
-    , endpoints(identity.zone)
+    , endpoints(identity.zone, std::move(endpointChoice))
     , connections(EndpointSocketsHooks{
           .resolve = [this](const std::string &endpoint) -> std::optional<std::string> {
               const auto view = this->endpoints.find(endpoint, this->executor.now());
@@ -142,6 +142,26 @@
     });
     this->endpoints.updateFromState(descriptions);
     this->burn.setObjectives(burnObjectivesOf(objects));
+    if (this->stateListener)
+        this->stateListener();
+}
+
+auto EntryTables::setStateListener(std::function<auto()->void> listener) -> void
+{
+    this->stateListener = std::move(listener);
+}
+
+auto EntryTables::fleetSize() const -> FleetSize
+{
+    return this->knownSize;
+}
+
+auto EntryTables::setFleetSize(FleetSize size) -> void
+{
+    const auto known = FleetSize{.entries = std::max<std::size_t>(size.entries, 1),
+                                 .zoneEntries = std::max<std::size_t>(size.zoneEntries, 1)};
+    if (this->knownSize.exchange(known) != known && this->stateListener)
+        this->stateListener();
 }
 
 auto EntryTables::countRequest(const CallerAnswer &answer, Duration latency) -> void
--- a/libs/entry/src/HeartbeatLoop.cpp
+++ b/libs/entry/src/HeartbeatLoop.cpp
@@ -83,6 +83,7 @@
         this->chooseMember("", false);
         return false;
     }
+    this->tables.setFleetSize({.entries = answer->entries, .zoneEntries = answer->zoneEntries});
     const auto isGranted =
         answer->lease.status == LeaseStatus::Granted && this->apply(*answer)
         && this->tables.lease.completeHeartbeat(ticket, answer->lease, this->tables.executor.now());
@@ -153,7 +154,9 @@
         std::find_if(this->members.begin(), this->members.end(),
                      [&](const MemberAddress &member) { return member.name == leaderHint; });
     const auto index = static_cast<std::size_t>(hinted - this->members.begin());
-    if (hinted != this->members.end() && index != this->current)
+    if (hinted == this->members.end() && this->hooks.learnsMembers && !leaderHint.empty())
+        this->members.push_back(MemberAddress{leaderHint, ""});
+    if (index < this->members.size() && index != this->current)
         this->current = index;
     else
         this->current = (this->current + 1) % this->members.size();
--- a/libs/failover/include/failover/FailoverGroup.h
+++ b/libs/failover/include/failover/FailoverGroup.h
@@ -19,6 +19,9 @@
     GroupPhase phase = GroupPhase::Serving;
     std::string primary; ///< Last published primary; kept while fencing. Empty: there was none.
     std::vector<GroupEndpoint> endpoints;
+    /// Replicas that hold a write before the primary acknowledges it; 0: the entries wait for a
+    /// majority instead.
+    std::uint32_t synchronousReplicas = 0;
 };
 
 } // namespace auburnrail
--- a/libs/failover/include/failover/FailoverLimits.h
+++ b/libs/failover/include/failover/FailoverLimits.h
@@ -17,7 +17,9 @@
     Duration reportRound = std::chrono::milliseconds(600);
     Duration initialSettle = std::chrono::seconds(2); ///< Endpoints of a new group unchanged.
     Duration catchUpLimit = std::chrono::seconds(1);  ///< Planned: wait for the wanted endpoint.
-    Duration callTimeout = std::chrono::seconds(1);   ///< A step without an answer is repeated.
+    /// With synchronous replicas: wait for the fences of all of them, beyond the majority.
+    Duration replicaWait = std::chrono::milliseconds(500);
+    Duration callTimeout = std::chrono::seconds(1); ///< A step without an answer is repeated.
     Duration retryInitial = std::chrono::milliseconds(50);
     Duration retryMaximum = std::chrono::seconds(1);
     std::size_t promoteTries = 2;  ///< Then a fresh term is granted and the group fenced again.
--- a/libs/failover/include/failover/GroupEndpoint.h
+++ b/libs/failover/include/failover/GroupEndpoint.h
@@ -9,7 +9,8 @@
 struct GroupEndpoint
 {
     std::string name;
-    std::string address; ///< IP:port
+    std::string address;  ///< IP:port
+    bool leaving = false; ///< Not to become primary when another can.
 };
 
 } // namespace auburnrail
--- a/libs/failover/include/failover/detail/FailoverAttempt.h
+++ b/libs/failover/include/failover/detail/FailoverAttempt.h
@@ -33,6 +33,13 @@
     [[nodiscard]] auto isOldPrimaryFenced() const -> bool;
 
     /// The most advanced endpoint; of equal ones the wanted, then the old primary, then by name.
+    /// Every endpoint but the old primary is fenced.
+    [[nodiscard]] auto areReplicasFenced() const -> bool;
+
+    /// The fenced endpoints together hold every acknowledged write of a group with synchronous
+    /// replicas.
+    [[nodiscard]] auto holdsEveryWrite() const -> bool;
+
     [[nodiscard]] auto mostAdvanced() const -> GroupEndpoint;
 
     /// Planned: the wanted endpoint has not answered or lacks entries of the most advanced one.
--- a/libs/failover/src/FailoverAttempt.cpp
+++ b/libs/failover/src/FailoverAttempt.cpp
@@ -24,15 +24,35 @@
     return this->view.primary.empty() || this->fences.contains(this->view.primary);
 }
 
+auto FailoverAttempt::areReplicasFenced() const -> bool
+{
+    return std::all_of(this->view.endpoints.begin(), this->view.endpoints.end(),
+                       [this](const GroupEndpoint &endpoint) {
+                           return endpoint.name == this->view.primary
+                                  || this->fences.contains(endpoint.name);
+                       });
+}
+
+auto FailoverAttempt::holdsEveryWrite() const -> bool
+{
+    return this->view.synchronousReplicas == 0 || this->isOldPrimaryFenced()
+           || this->areReplicasFenced();
+}
+
 auto FailoverAttempt::mostAdvanced() const -> GroupEndpoint
 {
     if (this->view.endpoints.empty())
         return GroupEndpoint();
-    const auto rankOf = [this](const GroupEndpoint &endpoint) {
+    // With synchronous replicas every acknowledged write is on one of them, so that the old
+    // primary, which is the reason for the failover, need not lead again.
+    const auto skipsOldPrimary = this->view.synchronousReplicas > 0
+                                 && this->view.endpoints.size() > 1 && this->areReplicasFenced();
+    const auto rankOf = [this, skipsOldPrimary](const GroupEndpoint &endpoint) {
         const auto found = this->fences.find(endpoint.name);
         const auto fenced = found != this->fences.end();
-        return std::tuple(fenced, fenced ? found->second.position : Position(),
-                          endpoint.name == this->record.wantedPrimary,
+        const auto skipped = skipsOldPrimary && endpoint.name == this->view.primary;
+        return std::tuple(!skipped, fenced, fenced ? found->second.position : Position(),
+                          !endpoint.leaving, endpoint.name == this->record.wantedPrimary,
                           endpoint.name == this->view.primary);
     };
     return *std::max_element(
--- a/libs/failover/src/FailoverSteps.cpp
+++ b/libs/failover/src/FailoverSteps.cpp
@@ -155,7 +155,11 @@
 {
     const auto waitedFor = now - attempt.record.phases.back().startedAt;
     const auto mustCatchUp = attempt.isWantedBehind() && waitedFor < this->limits.catchUpLimit;
-    if ((attempt.oldTermEnded || attempt.isOldPrimaryFenced()) && !mustCatchUp)
+    // A replica whose answer is still on its way may be the better choice than the old primary.
+    const auto awaitsReplicas = attempt.view.synchronousReplicas > 0 && !attempt.areReplicasFenced()
+                                && waitedFor < this->limits.replicaWait;
+    if ((attempt.oldTermEnded || attempt.isOldPrimaryFenced()) && attempt.holdsEveryWrite()
+        && !mustCatchUp && !awaitsReplicas)
         this->enter(attempt, FailoverPhase::Promoting, now, effects);
 }
 
--- a/libs/heartbeat/include/heartbeat/HeartbeatAnswer.h
+++ b/libs/heartbeat/include/heartbeat/HeartbeatAnswer.h
@@ -15,7 +15,9 @@
 struct HeartbeatAnswer
 {
     LeaseGrant lease;
-    std::string leader;                    ///< Name of the leading member, if it is known.
+    std::uint32_t entries = 0;     ///< Entries that hold a lease, among which limits are divided.
+    std::uint32_t zoneEntries = 0; ///< Those of them in the zone of the heartbeat's sender.
+    std::string leader;            ///< Name of the leading member, if it is known.
     std::optional<FleetUpdate> update;     ///< Changes after the revision that the heartbeat named.
     std::optional<FleetSnapshot> snapshot; ///< Instead of `update` when the copy is too old.
     ShareGrant shares;
--- /dev/null
+++ b/libs/net/include/net/IoPool.h
@@ -0,0 +1,50 @@
+#ifndef AUBURNRAIL_NET_IOPOOL_H
+#define AUBURNRAIL_NET_IOPOOL_H
+
+#include <core/Executor.h>
+
+#include <cstddef>
+#include <memory>
+
+namespace boost::asio {
+class io_context;
+}
+
+namespace auburnrail {
+
+/// Fixed set of threads that handle socket events, posted tasks and timers. A connection without
+/// traffic occupies no thread; a thread without work waits in the kernel. Safe from any thread.
+class IoPool
+{
+public:
+    /// Starts `threadCount` threads; at least one.
+    explicit IoPool(std::size_t threadCount);
+    IoPool(const IoPool &) = delete;
+    auto operator=(const IoPool &) -> IoPool & = delete;
+
+    /// Calls stop().
+    ~IoPool();
+
+    /// Hooks that run on this pool and read the system's monotonic clock. Valid while it lives.
+    /// Tasks must not block.
+    [[nodiscard]] auto executor() -> Executor;
+
+    /// An executor whose tasks run one after the other, in the order of posting, though on any
+    /// thread of the pool.
+    [[nodiscard]] auto serialExecutor() -> Executor;
+
+    /// Lets running handlers end, drops the others and joins the threads. Not to be called by a
+    /// handler.
+    auto stop() -> void;
+
+    [[nodiscard]] auto context() -> boost::asio::io_context &;
+
+private:
+    struct Impl;
+
+    std::unique_ptr<Impl> impl;
+};
+
+} // namespace auburnrail
+
+#endif
--- /dev/null
+++ b/libs/net/src/IoPool.cpp
@@ -0,0 +1,87 @@
+#include <net/IoPool.h>
+
+#include "detail/IoTimers.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/strand.hpp>
+
+#include <cassert>
+#include <thread>
+#include <vector>
+
+namespace auburnrail {
+
+struct IoPool::Impl
+{
+    explicit Impl(std::size_t threadCount)
+        : context(static_cast<int>(threadCount))
+        , work(boost::asio::make_work_guard(context))
+        , timers(std::make_shared<detail::IoTimers>(context))
+    {
+    }
+
+    boost::asio::io_context context;
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work;
+    std::shared_ptr<detail::IoTimers> timers;
+    std::vector<std::thread> threads;
+};
+
+IoPool::IoPool(std::size_t threadCount)
+{
+    assert(threadCount > 0 && "threadCount must be at least 1");
+    this->impl = std::make_unique<Impl>(threadCount);
+    for (auto index = std::size_t(0); index < threadCount; ++index)
+        this->impl->threads.emplace_back([this] { this->impl->context.run(); });
+}
+
+IoPool::~IoPool()
+{
+    this->stop();
+}
+
+auto IoPool::executor() -> Executor
+{
+    return Executor{
+        .now = [] { return std::chrono::steady_clock::now(); },
+        .post = [this](Task task) { boost::asio::post(this->impl->context, std::move(task)); },
+        .postAfter =
+            [timers = this->impl->timers](Duration delay, Task task) {
+                return timers->start(delay, std::move(task));
+            },
+        .cancel = [timers = this->impl->timers](TimerId id) { timers->cancel(id); },
+    };
+}
+
+auto IoPool::serialExecutor() -> Executor
+{
+    const auto strand = boost::asio::make_strand(this->impl->context);
+    auto serial = this->executor();
+    serial.post = [strand](Task task) {
+        boost::asio::post(strand, std::move(task));
+    };
+    serial.postAfter = [strand, timers = this->impl->timers](Duration delay, Task task) {
+        return timers->start(delay, [strand, task = std::move(task)]() mutable {
+            boost::asio::post(strand, std::move(task));
+        });
+    };
+    return serial;
+}
+
+auto IoPool::stop() -> void
+{
+    this->impl->work.reset();
+    this->impl->context.stop();
+    for (auto &thread : this->impl->threads) {
+        if (thread.joinable())
+            thread.join();
+    }
+}
+
+auto IoPool::context() -> boost::asio::io_context &
+{
+    return this->impl->context;
+}
+
+} // namespace auburnrail
--- a/libs/operators/src/CommandJson.cpp
+++ b/libs/operators/src/CommandJson.cpp
@@ -64,6 +64,15 @@
 {
 }
 
+auto writeBody(const AdoptPrimary & /*body*/, JsonWriter & /*writer*/) -> void
+{
+}
+
+/// A configuration document has a front end of its own.
+auto writeBody(const ReplaceConfiguration & /*body*/, JsonWriter & /*writer*/) -> void
+{
+}
+
 auto readBody(JsonReader &reader) -> CommandBody
 {
     const auto type = reader.requiredText("type");
--- a/libs/operators/src/ObjectJson.cpp
+++ b/libs/operators/src/ObjectJson.cpp
@@ -21,6 +21,8 @@
 auto writeFields(const Service &object, JsonWriter &writer) -> void
 {
     writer.text("group", object.group);
+    writer.integer("connection_limit", object.connectionLimit);
+    writer.integer("synchronous_replicas", object.synchronousReplicas);
 }
 
 auto writeFields(const Organisation &object, JsonWriter &writer) -> void
@@ -36,12 +38,45 @@
     writer.boolean("withdrawn", object.withdrawn);
 }
 
+auto toJson(const SessionPolicy &policy) -> JsonWriter
+{
+    auto writer = JsonWriter();
+    writer.text("database", policy.database);
+    writer.text("consistency", nameOf(policy.consistency));
+    writer.integer("max_staleness_ms", toMillis(policy.maxStaleness));
+    writer.integer("statement_timeout_ms", toMillis(policy.statementTimeout));
+    writer.integer("latency_objective_ms", toMillis(policy.latencyObjective));
+    writer.integer("transaction_idle_limit_ms", toMillis(policy.transactionIdleLimit));
+    writer.integer("priority", policy.priority);
+    writer.integer("max_attempts", policy.maxAttempts);
+    return writer;
+}
+
+auto readPolicy(JsonReader reader) -> SessionPolicy
+{
+    const auto millis = [&reader](const char *member) {
+        return std::chrono::milliseconds(reader.integer(member));
+    };
+    auto policy = SessionPolicy();
+    policy.database = reader.requiredText("database");
+    policy.consistency = readEnum(reader, "consistency", policy.consistency);
+    policy.maxStaleness = millis("max_staleness_ms");
+    policy.statementTimeout = millis("statement_timeout_ms");
+    policy.latencyObjective = millis("latency_objective_ms");
+    policy.transactionIdleLimit = millis("transaction_idle_limit_ms");
+    policy.priority = static_cast<std::uint32_t>(reader.integer("priority"));
+    policy.maxAttempts = static_cast<std::uint32_t>(reader.integer("max_attempts", 1));
+    return policy;
+}
+
 auto writeFields(const Route &object, JsonWriter &writer) -> void
 {
     writer.text("service", object.service);
     writer.text("selector", object.selector.toString());
     writer.boolean("open", object.open);
     writer.boolean("isolated_reads", object.isolatedReads);
+    if (object.sessions)
+        writer.object("sessions", toJson(*object.sessions));
 }
 
 auto writeFields(const Group &object, JsonWriter &writer) -> void
@@ -60,6 +95,13 @@
     writer.boolean("leaving", object.leaving);
 }
 
+auto writeFields(const ConfigurationDocument &object, JsonWriter &writer) -> void
+{
+    writer.integer("version", static_cast<std::int64_t>(object.version));
+    // The text holds callers' keys, which operators' answers must not show.
+    writer.integer("bytes", static_cast<std::int64_t>(object.text.size()));
+}
+
 auto writeFields(const Objective &object, JsonWriter &writer) -> void
 {
     writer.text("measure", nameOf(object.kind));
@@ -71,6 +113,8 @@
 auto readFields(JsonReader &reader, Service &object) -> void
 {
     object.group = reader.requiredText("group");
+    object.connectionLimit = static_cast<std::uint32_t>(reader.integer("connection_limit"));
+    object.synchronousReplicas = static_cast<std::uint32_t>(reader.integer("synchronous_replicas"));
 }
 
 auto readFields(JsonReader &reader, Organisation &object) -> void
@@ -93,6 +137,8 @@
     object.selector = readSelector(reader);
     object.open = reader.boolean("open");
     object.isolatedReads = reader.boolean("isolated_reads");
+    if (reader.has("sessions"))
+        object.sessions = readPolicy(reader.object("sessions"));
 }
 
 auto readFields(JsonReader &reader, Group &object) -> void
@@ -114,6 +160,11 @@
     object.leaving = reader.boolean("leaving");
 }
 
+auto readFields(JsonReader &reader, ConfigurationDocument &object) -> void
+{
+    object.version = static_cast<std::uint64_t>(reader.integer("version"));
+}
+
 auto readFields(JsonReader &reader, Objective &object) -> void
 {
     object.kind = readEnum(reader, "measure", object.kind);
@@ -154,6 +205,8 @@
         return Endpoint();
     case ObjectKind::Objective:
         return Objective();
+    case ObjectKind::Document:
+        return ConfigurationDocument();
     }
     return Service();
 }
--- /dev/null
+++ b/libs/proxy/include/proxy/ClientStatement.h
@@ -0,0 +1,26 @@
+#ifndef AUBURNRAIL_PROXY_CLIENTSTATEMENT_H
+#define AUBURNRAIL_PROXY_CLIENTSTATEMENT_H
+
+#include <proxy/StatementKind.h>
+
+#include <string>
+
+namespace auburnrail {
+
+/// A caller's statement, decoded.
+struct ClientStatement
+{
+    std::string id;
+    StatementKind kind = StatementKind::Malformed;
+    std::string text;    ///< As the caller sent it.
+    std::string name;    ///< Of a prepared statement or of a session value.
+    std::string value;   ///< SetValue: the value. Execute: the arguments.
+    std::string shape;   ///< Prepare: what is prepared.
+    bool writes = false; ///< Prepare: the statement writes when it is run.
+
+    auto operator==(const ClientStatement &) const -> bool = default;
+};
+
+} // namespace auburnrail
+
+#endif
--- /dev/null
+++ b/libs/proxy/include/proxy/FleetSize.h
@@ -0,0 +1,19 @@
+#ifndef AUBURNRAIL_PROXY_FLEETSIZE_H
+#define AUBURNRAIL_PROXY_FLEETSIZE_H
+
+#include <cstddef>
+
+namespace auburnrail {
+
+/// Entries that hold a lease.
+struct FleetSize
+{
+    std::size_t entries = 1;
+    std::size_t zoneEntries = 1; ///< Those in the zone of this entry.
+
+    auto operator==(const FleetSize &) const -> bool = default;
+};
+
+} // namespace auburnrail
+
+#endif
--- /dev/null
+++ b/libs/proxy/include/proxy/PlacementRequest.h
@@ -0,0 +1,28 @@
+#ifndef AUBURNRAIL_PROXY_PLACEMENTREQUEST_H
+#define AUBURNRAIL_PROXY_PLACEMENTREQUEST_H
+
+#include <state/ReadConsistency.h>
+
+#include <core/Position.h>
+#include <core/Time.h>
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace auburnrail {
+
+/// What has to be placed on a server.
+struct PlacementRequest
+{
+    std::string group;
+    bool needsPrimary = false; ///< It writes, or opens a transaction that may.
+    ReadConsistency consistency = ReadConsistency::Primary;
+    Duration maxStaleness{};
+    std::optional<Position> sessionPosition; ///< Last commit of the same session.
+    std::vector<std::string> except;         ///< Endpoints that were tried already.
+};
+
+} // namespace auburnrail
+
+#endif
--- /dev/null
+++ b/libs/proxy/include/proxy/ProxyServerHooks.h
@@ -0,0 +1,41 @@
+#ifndef AUBURNRAIL_PROXY_PROXYSERVERHOOKS_H
+#define AUBURNRAIL_PROXY_PROXYSERVERHOOKS_H
+
+#include <proxy/ClientCodec.h>
+#include <proxy/OperationAdmission.h>
+#include <proxy/ServerCodec.h>
+#include <proxy/StatementReport.h>
+
+#include <state/FleetObjects.h>
+
+#include <core/RandomSource.h>
+#include <core/Time.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace auburnrail {
+
+/// What a ProxyServer needs from its entry.
+struct ProxyServerHooks
+{
+    ClientCodec clientCodec;
+    ServerCodec serverCodec;
+
+    /// The fleet state that this entry has applied.
+    std::function<auto()->std::shared_ptr<const FleetObjects>> state;
+    std::function<auto(TimePoint now)->bool> holdsLease;
+
+    /// Takes a token of the organisation's rate, now or later.
+    std::function<
+        auto(const std::string &organisation, TimePoint deadline, OperationAdmitted done)->void>
+        admit;
+
+    std::function<auto(const StatementReport &report)->void> report;
+    RandomSource random;
+};
+
+} // namespace auburnrail
+
+#endif
--- /dev/null
+++ b/libs/proxy/include/proxy/detail/EndpointLinks.h
@@ -0,0 +1,56 @@
+#ifndef AUBURNRAIL_PROXY_DETAIL_ENDPOINTLINKS_H
+#define AUBURNRAIL_PROXY_DETAIL_ENDPOINTLINKS_H
+
+#include <request/ConnectionHandle.h>
+
+#include <core/Time.h>
+
+#include <absl/status/statusor.h>
+
+#include <cstdint>
+#include <functional>
+#include <list>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace auburnrail::detail {
+
+/// Connections and waiters of one server of a LinkPool.
+struct EndpointLinks
+{
+    using Done = std::function<auto(absl::StatusOr<ConnectionHandle>)->void>;
+
+    struct Idle
+    {
+        std::uint64_t id = 0;
+        std::string organisation;
+        TimePoint since;
+    };
+
+    struct Waiter
+    {
+        std::string organisation;
+        std::uint32_t priority = 0;
+        TimePoint deadline;
+        Done done;
+    };
+
+    std::size_t limit = 0;
+    bool removed = false;
+    std::vector<Idle> idle;                       ///< Idle for longest first.
+    std::map<std::uint64_t, std::string> inUse;   ///< Organisation by connection.
+    std::map<std::uint64_t, std::string> opening; ///< Organisation by connection.
+    std::list<Waiter> waiters;                    ///< By priority, then by arrival.
+    TimePoint fullUntil;                          ///< Until then no connection is opened.
+
+    [[nodiscard]] auto used() const -> std::size_t
+    {
+        return this->idle.size() + this->inUse.size() + this->opening.size();
+    }
+};
+
+} // namespace auburnrail::detail
+
+#endif
--- /dev/null
+++ b/libs/proxy/src/ProxyServer.cpp
@@ -0,0 +1,246 @@
+#include <proxy/ProxyServer.h>
+
+#include <proxy/ConnectionShare.h>
+
+#include <core/RankedLock.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace auburnrail {
+
+namespace {
+
+/// Feeds a session with the messages in `bytes`; returns how many bytes they took.
+auto feed(ProxySession &session, const ClientCodec &codec, std::string_view bytes) -> std::size_t
+{
+    auto consumed = std::size_t(0);
+    while (auto input = codec.decode(bytes.substr(consumed))) {
+        consumed += input->bytes;
+        if (auto *statement = std::get_if<ClientStatement>(&input->message); statement != nullptr)
+            session.take(std::move(*statement));
+        else if (const auto *opening = std::get_if<SessionOpening>(&input->message);
+                 opening != nullptr)
+            session.open(*opening);
+        else if (const auto *fault = std::get_if<MalformedInput>(&input->message); fault != nullptr)
+            session.refuseInput(fault->reason);
+        else
+            session.callerLeft();
+    }
+    return consumed;
+}
+
+} // namespace
+
+ProxyServer::ProxyServer(ProxyServerSettings serverSettings, ProxyServerHooks serverHooks,
+                         EndpointTable &endpointTable)
+    : settings(std::move(serverSettings))
+    , hooks(std::move(serverHooks))
+    , pool(settings.threads)
+    , executor(pool.executor())
+    , endpoints(endpointTable)
+    , links(pool, endpoints, positions, makeLinksHooks())
+    , placement(
+          endpoints, positions, [this](const std::string &group) { return this->groupView(group); },
+          hooks.random)
+    , listener(pool, settings.address, StreamLimits(),
+               [this](const StreamConnection::Pointer &connection) { this->accept(connection); })
+{
+}
+
+ProxyServer::~ProxyServer()
+{
+    this->stop();
+}
+
+auto ProxyServer::start() -> absl::Status
+{
+    if (auto status = this->listener.start(); !status.ok())
+        return status;
+    this->scheduleTick();
+    return absl::OkStatus();
+}
+
+auto ProxyServer::port() const -> std::uint16_t
+{
+    return this->listener.port();
+}
+
+auto ProxyServer::scheduleTick() -> void
+{
+    this->executor.postAfter(TICK_INTERVAL_MS, [this] {
+        const auto now = this->executor.now();
+        this->links.advance(now);
+        this->links.probeDue(now);
+        this->scheduleTick();
+    });
+}
+
+auto ProxyServer::groupView(const std::string &group) -> GroupView
+{
+    const auto objects = this->hooks.state();
+    const auto *known = objects->find<Group>(group);
+    if (known == nullptr)
+        return GroupView{.group = group};
+    return GroupView{.group = group,
+                     .term = known->term,
+                     .primary = known->primary,
+                     .serving = known->phase == GroupPhase::Serving && !known->primary.empty()};
+}
+
+auto ProxyServer::makeLinksHooks() -> ServerLinksHooks
+{
+    return ServerLinksHooks{
+        .codec = this->hooks.serverCodec,
+        .executor = this->executor,
+        .addressOf = [this](const std::string &endpoint) -> std::optional<std::string> {
+            const auto objects = this->hooks.state();
+            const auto *known = objects->find<Endpoint>(endpoint);
+            return known == nullptr ? std::nullopt : std::optional(known->address);
+        },
+        .groupOf = [this](const std::string &endpoint) -> std::string {
+            const auto objects = this->hooks.state();
+            const auto *known = objects->find<Endpoint>(endpoint);
+            return known == nullptr ? std::string() : known->group;
+        },
+        .groupView =
+            [this](const std::string &group) {
+                return this->groupView(group);
+            }};
+}
+
+auto ProxyServer::makeSessionHooks(const StreamConnection::Pointer &connection) -> ProxySessionHooks
+{
+    const auto weak = std::weak_ptr(connection);
+    const auto send = [weak](std::string bytes) {
+        if (const auto open = weak.lock(); open != nullptr)
+            open->send(std::move(bytes));
+    };
+    const auto &codec = this->hooks.clientCodec;
+    return ProxySessionHooks{
+        .statements =
+            StatementHooks{
+                .executor = connection->executor(),
+                .holdsLease = this->hooks.holdsLease,
+                .place = [this](const PlacementRequest &request,
+                                TimePoint now) { return this->placement.place(request, now); },
+                .lease = [this](const Placement &chosen, const StatementOrder &order,
+                                auto done) { this->links.lease(chosen, order, std::move(done)); },
+                .release = [this](const ServerLinkPointer &link,
+                                  bool reusable) { this->links.release(link, reusable); },
+                .observe =
+                    [this](const ServerLink &link, const ServerOutcome &outcome) {
+                        this->links.observe(link, outcome);
+                    }},
+        .state = this->hooks.state,
+        .admit = this->hooks.admit,
+        .rollBack = [this](const ServerLinkPointer &link) { this->links.rollBack(link); },
+        .sendOpened = [send, &codec] { send(codec.encodeOpened()); },
+        .sendAnswer = [send,
+                       &codec](const StatementAnswer &answer) { send(codec.encodeAnswer(answer)); },
+        .sendRefusal =
+            [send, &codec](const StatementFailure &failure) { send(codec.encodeRefusal(failure)); },
+        .close =
+            [weak] {
+                if (const auto open = weak.lock(); open != nullptr)
+                    open->closeAfterSending();
+            },
+        .report = this->hooks.report};
+}
+
+auto ProxyServer::accept(const StreamConnection::Pointer &connection) -> void
+{
+    const auto session = std::make_shared<ProxySession>(this->makeSessionHooks(connection),
+                                                        this->settings.clusterSecret);
+    auto number = std::uint64_t(0);
+    {
+        const RankedLock lock(this->mutex);
+        if (this->draining || this->sessions.size() >= this->settings.maxSessions) {
+            connection->close();
+            return;
+        }
+        number = ++this->lastNumber;
+        this->sessions.emplace(number, OpenSession{session, connection});
+    }
+    connection->start(StreamHooks{.received =
+                                      [this, session](std::string_view bytes) {
+                                          return feed(*session, this->hooks.clientCodec, bytes);
+                                      },
+                                  .closed =
+                                      [this, session, number] {
+                                          session->callerLeft();
+                                          this->forget(number);
+                                      }});
+}
+
+auto ProxyServer::forget(std::uint64_t number) -> void
+{
+    const RankedLock lock(this->mutex);
+    this->sessions.erase(number);
+}
+
+auto ProxyServer::stateChanged(const FleetSize &fleet) -> void
+{
+    const auto objects = this->hooks.state();
+    auto limits = std::map<std::string, std::size_t>();
+    objects->table<Service>().forEach([&](const Service &service) {
+        auto &limit = limits[service.group];
+        limit = std::max<std::size_t>(limit, service.connectionLimit);
+    });
+    objects->table<Group>().forEach([&](const Group &group) {
+        this->positions.setTerm(group.name, group.term);
+        for (const auto &name : objects->endpointsOf(group.name)) {
+            const auto *endpoint = objects->find<Endpoint>(name);
+            if (endpoint == nullptr)
+                continue;
+            const auto share = connectionShare({.connections = limits[group.name],
+                                                .entries = fleet.entries,
+                                                .zoneEntries = fleet.zoneEntries,
+                                                .isLocal = endpoint->zone == this->settings.zone,
+                                                .isPrimary = group.primary == name});
+            this->links.pool().setLimit(name, share);
+        }
+    });
+}
+
+auto ProxyServer::forEachSession(const std::function<auto(ProxySession &)->void> &action) -> void
+{
+    auto open = std::vector<OpenSession>();
+    {
+        const RankedLock lock(this->mutex);
+        for (const auto &[number, session] : this->sessions)
+            open.push_back(session);
+    }
+    for (const auto &session : open) {
+        session.connection->executor().post(
+            [action, target = session.session] { action(*target); });
+    }
+}
+
+auto ProxyServer::drain() -> void
+{
+    this->listener.stop();
+    {
+        const RankedLock lock(this->mutex);
+        this->draining = true;
+    }
+    this->forEachSession([](ProxySession &session) { session.drain(); });
+}
+
+auto ProxyServer::endSessions() -> void
+{
+    this->forEachSession([](ProxySession &session) { session.endNow(); });
+}
+
+auto ProxyServer::openSessions() -> std::size_t
+{
+    const RankedLock lock(this->mutex);
+    return this->sessions.size();
+}
+
+auto ProxyServer::stop() -> void
+{
+    this->pool.stop();
+}
+
+} // namespace auburnrail
--- /dev/null
+++ b/libs/proxy/src/StatementPlacement.cpp
@@ -0,0 +1,61 @@
+#include <proxy/StatementPlacement.h>
+
+#include <algorithm>
+#include <compare>
+
+namespace auburnrail {
+
+StatementPlacement::StatementPlacement(
+    EndpointTable &endpointTable, PrimaryPositions &primaryPositions,
+    std::function<auto(const std::string &group)->GroupView> groupView, RandomSource randomSource)
+    : endpoints(endpointTable)
+    , positions(primaryPositions)
+    , groupView(std::move(groupView))
+    , random(std::move(randomSource))
+{
+}
+
+auto StatementPlacement::place(const PlacementRequest &request, TimePoint now)
+    -> std::optional<Placement>
+{
+    const auto view = this->groupView(request.group);
+    if (request.needsPrimary || request.consistency == ReadConsistency::Primary)
+        return this->placeAtPrimary(request, view, now);
+    // `now` is later than the arrival of the read, so the position covers more than is asked for.
+    auto minimum = this->positions.required(request.group, request.maxStaleness, now);
+    // Without fresh knowledge of the primary only the primary itself is known to be fresh enough.
+    if (!minimum)
+        return this->placeAtPrimary(request, view, now);
+    if (request.consistency == ReadConsistency::ReadYourWrites && request.sessionPosition
+        && std::is_gt(*request.sessionPosition <=> *minimum))
+        minimum = request.sessionPosition;
+    const auto chosen = this->endpoints.choose(EndpointCriteria{.group = request.group,
+                                                                .role = EndpointRole::Any,
+                                                                .minimum = minimum,
+                                                                .except = request.except,
+                                                                .ignoreLimit = true},
+                                               this->random(), now);
+    if (!chosen)
+        return this->placeAtPrimary(request, view, now);
+    const auto isPrimary = view.serving && chosen->name == view.primary;
+    return Placement{.endpoint = chosen->name,
+                     .isPrimary = isPrimary,
+                     .term = view.term,
+                     .minimumPosition = isPrimary ? std::nullopt : minimum};
+}
+
+auto StatementPlacement::placeAtPrimary(const PlacementRequest &request, const GroupView &view,
+                                        TimePoint now) -> std::optional<Placement>
+{
+    if (!view.serving)
+        return std::nullopt;
+    const auto primary = this->endpoints.choose(EndpointCriteria{.group = request.group,
+                                                                 .role = EndpointRole::Primary,
+                                                                 .ignoreLimit = true},
+                                                this->random(), now);
+    if (!primary || primary->name != view.primary)
+        return std::nullopt;
+    return Placement{.endpoint = primary->name, .isPrimary = true, .term = view.term};
+}
+
+} // namespace auburnrail
--- /dev/null
+++ b/libs/proxy/tests/ConnectionShareTest.cpp
@@ -0,0 +1,43 @@
+#include <proxy/ConnectionShare.h>
+
+#include <catch2/catch.hpp>
+
+namespace auburnrail {
+
+namespace {
+
+struct ShareCase
+{
+    std::size_t connections;
+    std::size_t entries;
+    std::size_t zoneEntries;
+};
+
+} // namespace
+
+// Guards against entries that together open more connections than a server accepts: it resets
+// those beyond its limit, with the statements on them.
+TEST_CASE("the shares of all entries stay within what a server accepts")
+{
+    for (const auto &[connections, entries, zoneEntries] :
+         {ShareCase{22, 9, 3}, {22, 9, 4}, {22, 9, 2}, {50, 6, 2}, {270, 75, 13}, {22, 6, 2}}) {
+        for (const auto isPrimary : {false, true}) {
+            const auto local =
+                connectionShare({connections, entries, zoneEntries, true, isPrimary});
+            const auto remote =
+                connectionShare({connections, entries, zoneEntries, false, isPrimary});
+            INFO(connections << " connections, " << entries << " entries, " << zoneEntries
+                             << " in the zone, primary " << isPrimary);
+            CHECK(local * zoneEntries + remote * (entries - zoneEntries) <= connections);
+            CHECK(local >= remote);
+        }
+    }
+}
+
+TEST_CASE("an entry may always open one connection")
+{
+    CHECK(connectionShare({.connections = 82, .entries = 89, .zoneEntries = 15}) == 1);
+    CHECK(connectionShare({.connections = 0, .entries = 0, .zoneEntries = 0}) == 1);
+}
+
+} // namespace auburnrail
--- a/libs/routing/include/routing/EndpointChoice.h
+++ b/libs/routing/include/routing/EndpointChoice.h
@@ -27,6 +27,11 @@
 /// to the others, which measures them.
 [[nodiscard]] auto makeActiveBenchmarking() -> EndpointChoice;
 
+/// The endpoint with the least work to wait for, where one in another zone counts as if it had
+/// FARTHER_COST more: traffic between zones costs money and time, so that it is left to what a zone
+/// can't serve itself.
+[[nodiscard]] auto makeNearestFirst() -> EndpointChoice;
+
 } // namespace auburnrail
 
 #endif
--- a/libs/settings/include/settings/ControlSettings.h
+++ b/libs/settings/include/settings/ControlSettings.h
@@ -26,7 +26,14 @@
     std::vector<MemberAddress> memberOperators; ///< Operators' address of every member.
     std::string dataDirectory;
     std::string clusterSecretFile; ///< File with the secret shared by the cluster's instances.
-    Duration heartbeatInterval{};  ///< Between messages of a consensus leader to its followers.
+    bool bootstrap = false; ///< First start of the cluster: an empty data directory is formatted.
+    bool adoptsPrimaries = false;    ///< See ControlTablesSettings.
+    Duration endpointSilenceLimit{}; ///< See ControlTablesSettings.
+    std::string promotionsAddress;   ///< IP:port of the platform's promotion call; may be empty.
+    /// Members are named by their IP and use the same ports, so that one that is not in `members`
+    /// can be reached too.
+    bool membersByIp = false;
+    Duration heartbeatInterval{}; ///< Between messages of a consensus leader to its followers.
     Duration minimumElectionTimeout{};
     Duration maximumElectionTimeout{};
 };
--- a/libs/settings/include/settings/EntrySettings.h
+++ b/libs/settings/include/settings/EntrySettings.h
@@ -17,10 +17,16 @@
 /// Settings of `auburnrail-entry`.
 struct EntrySettings
 {
-    std::string instance;                      ///< Unique name of this instance.
-    std::string zone;                          ///< Availability zone this instance stands in.
-    std::string callersAddress;                ///< IP:port for callers and endpoint announcements.
-    std::string operatorsAddress;              ///< IP:port for operators, metrics and health.
+    std::string instance;            ///< Unique name of this instance.
+    std::string zone;                ///< Availability zone this instance stands in.
+    std::string callersAddress;      ///< IP:port for callers and endpoint announcements.
+    std::string operatorsAddress;    ///< IP:port for operators, metrics and health.
+    std::string sessionsAddress;     ///< IP:port for callers' sessions; may be empty.
+    std::int64_t sessionThreads = 0; ///< Threads that handle sessions.
+    std::int64_t maxSessions = 0;    ///< Sessions open at one time.
+    Duration transactionGrace{};     ///< How long open transactions may go on at shutdown.
+    /// Control members are named by their IP and use the same ports.
+    bool membersByIp = false;
     std::vector<MemberAddress> controlMembers; ///< Heartbeat address of each control member.
     std::string clusterSecretFile;  ///< File with the secret shared by the cluster's instances.
     std::int64_t workerThreads = 0; ///< Callers served at one time.
--- a/libs/settings/include/settings/MemberAddress.h
+++ b/libs/settings/include/settings/MemberAddress.h
@@ -23,6 +23,12 @@
                                         std::string_view key, Findings &findings)
     -> std::vector<MemberAddress>;
 
+/// IP of an address IP:port; empty when it is none.
+[[nodiscard]] auto ipOf(const std::string &address) -> std::string;
+
+/// `ip` with the port of `address`, which is IP:port.
+[[nodiscard]] auto withPortOf(const std::string &ip, const std::string &address) -> std::string;
+
 } // namespace auburnrail
 
 #endif
--- a/libs/settings/src/ClusterSecret.cpp
+++ b/libs/settings/src/ClusterSecret.cpp
@@ -15,6 +15,8 @@
 
 auto readClusterSecret(const std::string &path) -> absl::StatusOr<std::string>
 {
+    if (path.empty())
+        return std::string();
     auto stream = std::ifstream(path);
     auto text = std::ostringstream();
     text << stream.rdbuf();
--- a/libs/settings/src/ControlSettings.cpp
+++ b/libs/settings/src/ControlSettings.cpp
@@ -19,8 +19,34 @@
     {.section = "control",
      .key = "members",
      .kind = SettingKind::List,
-     .required = true,
      .meaning = "name@IP:port of every member's consensus address"},
+    {.section = "control",
+     .key = "seeds",
+     .kind = SettingKind::List,
+     .meaning = "instead of members: IP:port of members' operators' addresses; a member's name is "
+                "its IP, and all use the same ports"},
+    {.section = "control",
+     .key = "bootstrap",
+     .kind = SettingKind::Boolean,
+     .defaultValue = "false",
+     .meaning = "first start of the cluster: format an empty data directory"},
+    {.section = "control",
+     .key = "adopt_primaries",
+     .kind = SettingKind::Boolean,
+     .defaultValue = "false",
+     .meaning = "groups have a primary before the first start; publish it as it announces itself"},
+    {.section = "control",
+     .key = "endpoint_silence_ms",
+     .kind = SettingKind::Integer,
+     .defaultValue = "0",
+     .unit = "ms",
+     .minimum = 0,
+     .maximum = 3600000,
+     .meaning = "an endpoint that is silent for this long is removed; 0: never"},
+    {.section = "control",
+     .key = "promotions_address",
+     .kind = SettingKind::Address,
+     .meaning = "where promotions are ordered; absent: at the endpoints themselves"},
     {.section = "control",
      .key = "entries_address",
      .kind = SettingKind::Address,
@@ -34,7 +60,6 @@
     {.section = "control",
      .key = "member_operators",
      .kind = SettingKind::List,
-     .required = true,
      .meaning = "name@IP:port of every member's operators' address"},
     {.section = "control",
      .key = "data_directory",
@@ -66,8 +91,7 @@
      .meaning = "longest election timeout"},
     {.section = "security",
      .key = "cluster_secret_file",
-     .required = true,
-     .meaning = "file with the secret of the cluster"},
+     .meaning = "file with the secret of the cluster; absent: keys are hashed without one"},
 });
 
 auto contains(const std::vector<MemberAddress> &members, const std::string &name) -> bool
@@ -76,6 +100,29 @@
                        [&](const auto &member) { return member.name == name; });
 }
 
+/// Fills the members from the seeds, when the file names those instead.
+auto takeSeeds(const SettingsFile &file, ControlSettings &settings, Findings &findings) -> void
+{
+    const auto seeds = file.list("control", "seeds");
+    if (seeds.empty()) {
+        if (settings.members.empty())
+            findings.add(file.place("control", "members"), "must be set, or seeds instead");
+        if (settings.memberOperators.empty())
+            findings.add(file.place("control", "member_operators"), "must be set beside members");
+        return;
+    }
+    settings.membersByIp = true;
+    for (const auto &seed : seeds) {
+        const auto ip = ipOf(seed);
+        if (ip.empty()) {
+            findings.add(file.place("control", "seeds"), "'" + seed + "' is not IP:port");
+            continue;
+        }
+        settings.members.push_back({ip, withPortOf(ip, settings.consensusAddress)});
+        settings.memberOperators.push_back({ip, seed});
+    }
+}
+
 } // namespace
 
 auto controlSettingsTable() -> SettingsTable
@@ -96,11 +143,18 @@
         .memberOperators = parseMemberAddresses(file, "control", "member_operators", findings),
         .dataDirectory = file.text("control", "data_directory"),
         .clusterSecretFile = file.text("security", "cluster_secret_file"),
+        .bootstrap = file.boolean("control", "bootstrap"),
+        .adoptsPrimaries = file.boolean("control", "adopt_primaries"),
+        .endpointSilenceLimit = file.millis("control", "endpoint_silence_ms"),
+        .promotionsAddress = file.text("control", "promotions_address"),
         .heartbeatInterval = file.millis("consensus", "heartbeat_ms"),
         .minimumElectionTimeout = file.millis("consensus", "election_timeout_min_ms"),
         .maximumElectionTimeout = file.millis("consensus", "election_timeout_max_ms"),
     };
-    if (!settings.member.empty() && !contains(settings.members, settings.member))
+    takeSeeds(file, settings, findings);
+    // Seeds are some of the members; they need not name this one.
+    if (!settings.membersByIp && !settings.member.empty()
+        && !contains(settings.members, settings.member))
         findings.add(file.place("control", "member"), "is not in members");
     if (settings.minimumElectionTimeout < 3 * settings.heartbeatInterval) {
         // A follower must survive two lost heartbeats without calling an election.
--- a/libs/settings/src/EntrySettings.cpp
+++ b/libs/settings/src/EntrySettings.cpp
@@ -12,8 +12,35 @@
     {.section = "entry",
      .key = "callers_address",
      .kind = SettingKind::Address,
-     .required = true,
-     .meaning = "where callers connect and endpoints announce themselves"},
+     .meaning = "where callers send requests and endpoints announce themselves"},
+    {.section = "entry",
+     .key = "sessions_address",
+     .kind = SettingKind::Address,
+     .meaning = "where callers open sessions"},
+    {.section = "entry",
+     .key = "session_threads",
+     .kind = SettingKind::Integer,
+     .defaultValue = "2",
+     .unit = "threads",
+     .minimum = 1,
+     .maximum = 64,
+     .meaning = "threads that handle sessions"},
+    {.section = "entry",
+     .key = "max_sessions",
+     .kind = SettingKind::Integer,
+     .defaultValue = "3000",
+     .unit = "sessions",
+     .minimum = 1,
+     .maximum = 100000,
+     .meaning = "sessions open at one time; each takes a file descriptor"},
+    {.section = "entry",
+     .key = "transaction_grace_ms",
+     .kind = SettingKind::Integer,
+     .defaultValue = "3000",
+     .unit = "ms",
+     .minimum = 0,
+     .maximum = 600000,
+     .meaning = "how long open transactions may go on at shutdown"},
     {.section = "entry",
      .key = "operators_address",
      .kind = SettingKind::Address,
@@ -54,12 +81,22 @@
     {.section = "control",
      .key = "members",
      .kind = SettingKind::List,
-     .required = true,
      .meaning = "name@IP:port of each control member's heartbeat address"},
+    {.section = "control",
+     .key = "seeds",
+     .kind = SettingKind::List,
+     .meaning = "instead of members: IP:port of some members; a member's name is its IP"},
+    {.section = "control",
+     .key = "entries_port",
+     .kind = SettingKind::Integer,
+     .defaultValue = "0",
+     .unit = "port",
+     .minimum = 0,
+     .maximum = 65535,
+     .meaning = "port of the members' heartbeat addresses, beside seeds"},
     {.section = "security",
      .key = "cluster_secret_file",
-     .required = true,
-     .meaning = "file with the secret of the cluster"},
+     .meaning = "file with the secret of the cluster; absent: keys are hashed without one"},
 });
 
 } // namespace
@@ -69,6 +106,31 @@
     return ENTRY_SETTINGS;
 }
 
+namespace {
+
+/// Fills the members from the seeds, when the file names those instead.
+auto takeSeeds(const SettingsFile &file, EntrySettings &settings, Findings &findings) -> void
+{
+    const auto seeds = file.list("control", "seeds");
+    if (seeds.empty()) {
+        if (settings.controlMembers.empty())
+            findings.add(file.place("control", "members"), "must be set, or seeds instead");
+        return;
+    }
+    settings.membersByIp = true;
+    const auto port = file.integer("control", "entries_port");
+    if (port == 0)
+        findings.add(file.place("control", "entries_port"), "must be set beside seeds");
+    for (const auto &seed : seeds) {
+        const auto ip = ipOf(seed);
+        if (ip.empty())
+            findings.add(file.place("control", "seeds"), "'" + seed + "' is not IP:port");
+        settings.controlMembers.push_back({ip, ip + ":" + std::to_string(port)});
+    }
+}
+
+} // namespace
+
 auto parseEntrySettings(const SettingsFile &file, Findings &findings) -> EntrySettings
 {
     auto settings = EntrySettings{
@@ -76,6 +138,10 @@
         .zone = file.text("entry", "zone"),
         .callersAddress = file.text("entry", "callers_address"),
         .operatorsAddress = file.text("entry", "operators_address"),
+        .sessionsAddress = file.text("entry", "sessions_address"),
+        .sessionThreads = file.integer("entry", "session_threads"),
+        .maxSessions = file.integer("entry", "max_sessions"),
+        .transactionGrace = file.millis("entry", "transaction_grace_ms"),
         .controlMembers = parseMemberAddresses(file, "control", "members", findings),
         .clusterSecretFile = file.text("security", "cluster_secret_file"),
         .workerThreads = file.integer("entry", "worker_threads"),
@@ -83,6 +149,11 @@
         .readyGrace = file.millis("entry", "ready_grace_ms"),
         .drainLimit = file.millis("entry", "drain_limit_ms"),
     };
+    takeSeeds(file, settings, findings);
+    if (settings.callersAddress.empty() && settings.sessionsAddress.empty()) {
+        findings.add(file.place("entry", "callers_address"),
+                     "callers_address or sessions_address must be set");
+    }
     if (!settings.callersAddress.empty() && settings.callersAddress == settings.operatorsAddress) {
         findings.add(file.place("entry", "operators_address"), "must differ from callers_address");
     }
--- a/libs/settings/src/MemberAddress.cpp
+++ b/libs/settings/src/MemberAddress.cpp
@@ -25,4 +25,16 @@
     return members;
 }
 
+auto ipOf(const std::string &address) -> std::string
+{
+    const auto colon = address.rfind(':');
+    return colon == std::string::npos ? std::string() : address.substr(0, colon);
+}
+
+auto withPortOf(const std::string &ip, const std::string &address) -> std::string
+{
+    const auto colon = address.rfind(':');
+    return colon == std::string::npos ? ip : ip + address.substr(colon);
+}
+
 } // namespace auburnrail
--- /dev/null
+++ b/libs/state/include/state/AuthoriseSession.h
@@ -0,0 +1,43 @@
+#ifndef AUBURNRAIL_STATE_AUTHORISESESSION_H
+#define AUBURNRAIL_STATE_AUTHORISESESSION_H
+
+#include <state/FleetObjects.h>
+#include <state/SessionPolicy.h>
+
+#include <core/ReasonCode.h>
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+
+namespace auburnrail {
+
+/// On whose behalf and under which rules an operation of a session may run.
+struct OperationAuthorisation
+{
+    SessionPolicy policy;
+    std::string group;
+    std::string organisation; ///< Empty: the caller has no key, on an open route.
+    double weight = 1;
+};
+
+/// Id under which a key that a configuration document defines is stored. Such keys have no id of
+/// their own, so it is made from the key's hash.
+[[nodiscard]] auto documentKeyId(std::string_view keyText, const std::string &clusterSecret)
+    -> std::string;
+
+/// Id of the key, when it is in force; nothing otherwise.
+[[nodiscard]] auto findKeyId(const FleetObjects &objects, std::string_view keyText,
+                             const std::string &clusterSecret) -> std::optional<std::string>;
+
+/// Decides whether a session on `database` may run an operation now. Called for each operation,
+/// since keys and routes change while sessions are open. `keyId` is what findKeyId() gave when the
+/// session was opened. Refusals: UnknownService, KeyUnknown, KeyWithdrawn, RouteDenied.
+[[nodiscard]] auto authoriseOperation(const FleetObjects &objects, std::string_view database,
+                                      const std::optional<std::string> &keyId)
+    -> std::variant<OperationAuthorisation, ReasonCode>;
+
+} // namespace auburnrail
+
+#endif
--- a/libs/state/include/state/CommandBody.h
+++ b/libs/state/include/state/CommandBody.h
@@ -1,11 +1,13 @@
 #ifndef AUBURNRAIL_STATE_COMMANDBODY_H
 #define AUBURNRAIL_STATE_COMMANDBODY_H
 
+#include <state/AdoptPrimary.h>
 #include <state/DeleteObject.h>
 #include <state/GrantTerm.h>
 #include <state/LeaveEndpoint.h>
 #include <state/PublishPrimary.h>
 #include <state/RemoveLabel.h>
+#include <state/ReplaceConfiguration.h>
 #include <state/SetLabel.h>
 #include <state/SetObject.h>
 #include <state/WithdrawKey.h>
@@ -17,8 +19,9 @@
 namespace auburnrail {
 
 /// What a command does.
-using CommandBody = std::variant<SetObject, DeleteObject, SetLabel, RemoveLabel, WithdrawKey,
-                                 GrantTerm, PublishPrimary, LeaveEndpoint>;
+using CommandBody =
+    std::variant<SetObject, DeleteObject, SetLabel, RemoveLabel, WithdrawKey, GrantTerm,
+                 PublishPrimary, LeaveEndpoint, AdoptPrimary, ReplaceConfiguration>;
 
 /// Kind and name of the object that a command changes.
 [[nodiscard]] auto commandTarget(const CommandBody &body) -> std::pair<ObjectKind, std::string>;
--- a/libs/state/include/state/Endpoint.h
+++ b/libs/state/include/state/Endpoint.h
@@ -18,6 +18,9 @@
     std::string address; ///< IP:port
     std::uint32_t connectionLimit = 0;
     bool leaving = false; ///< Gets no new work.
+    /// Start of its process by its own time of day, in milliseconds; 0: not stated. Orders those
+    /// that used the same name or address one after the other.
+    std::uint64_t startedAt = 0;
     Labels labels;
     Revision changedAt = 0; ///< Revision of the last change of this object.
 
--- a/libs/state/include/state/FleetObject.h
+++ b/libs/state/include/state/FleetObject.h
@@ -1,6 +1,7 @@
 #ifndef AUBURNRAIL_STATE_FLEETOBJECT_H
 #define AUBURNRAIL_STATE_FLEETOBJECT_H
 
+#include <state/ConfigurationDocument.h>
 #include <state/Endpoint.h>
 #include <state/Group.h>
 #include <state/Key.h>
@@ -16,7 +17,8 @@
 namespace auburnrail {
 
 /// One object of the fleet state. The alternatives have the order of ObjectKind.
-using FleetObject = std::variant<Service, Organisation, Key, Route, Group, Endpoint, Objective>;
+using FleetObject = std::variant<Service, Organisation, Key, Route, Group, Endpoint, Objective,
+                                 ConfigurationDocument>;
 
 [[nodiscard]] inline auto kindOf(const FleetObject &object) -> ObjectKind
 {
--- a/libs/state/include/state/FleetObjects.h
+++ b/libs/state/include/state/FleetObjects.h
@@ -42,6 +42,9 @@
     /// Names of the routes of a service.
     [[nodiscard]] auto routesOf(std::string_view service) const -> const std::set<std::string> &;
 
+    /// The route of sessions on a database, or null.
+    [[nodiscard]] auto routeOfDatabase(std::string_view database) const -> const Route *;
+
     /// Names of the endpoints of a group.
     [[nodiscard]] auto endpointsOf(std::string_view group) const -> const std::set<std::string> &;
 
@@ -64,14 +67,18 @@
     auto operator==(const FleetObjects &) const -> bool = default;
 
 private:
+    auto indexRoute(const Route &route) -> void;
+    auto unindexRoute(const Route &route) -> void;
+
     using NameIndex = ObjectTable<std::set<std::string>>;
 
     std::tuple<ObjectTable<Service>, ObjectTable<Organisation>, ObjectTable<Key>,
                ObjectTable<Route>, ObjectTable<Group>, ObjectTable<Endpoint>,
-               ObjectTable<Objective>>
+               ObjectTable<Objective>, ObjectTable<ConfigurationDocument>>
         tables;
     NameIndex routesByService;
     NameIndex endpointsByGroup;
+    ObjectTable<std::string> routesByDatabase;
     Revision currentRevision = 0;
 };
 
--- a/libs/state/include/state/ObjectKind.h
+++ b/libs/state/include/state/ObjectKind.h
@@ -16,6 +16,7 @@
     Group,
     Endpoint,
     Objective,
+    Document,
 };
 
 template <>
@@ -27,6 +28,7 @@
     {ObjectKind::Group, "group"},
     {ObjectKind::Endpoint, "endpoint"},
     {ObjectKind::Objective, "objective"},
+    {ObjectKind::Document, "document"},
 });
 
 } // namespace auburnrail
--- a/libs/state/include/state/Route.h
+++ b/libs/state/include/state/Route.h
@@ -2,10 +2,12 @@
 #define AUBURNRAIL_STATE_ROUTE_H
 
 #include <state/Selector.h>
+#include <state/SessionPolicy.h>
 
 #include <core/Labels.h>
 #include <core/Revision.h>
 
+#include <optional>
 #include <string>
 
 namespace auburnrail {
@@ -18,6 +20,8 @@
     Selector selector;          ///< Over labels of organisations; unused on an open route.
     bool open = false;          ///< Permits callers without a key.
     bool isolatedReads = false; ///< Reads of a stated age go on without a lease; open routes only.
+    /// What sessions on this route get; nothing when the route takes single requests only.
+    std::optional<SessionPolicy> sessions;
     Labels labels;
     Revision changedAt = 0; ///< Revision of the last change of this object.
 
--- a/libs/state/include/state/Service.h
+++ b/libs/state/include/state/Service.h
@@ -4,6 +4,7 @@
 #include <core/Labels.h>
 #include <core/Revision.h>
 
+#include <cstdint>
 #include <string>
 
 namespace auburnrail {
@@ -13,6 +14,10 @@
 {
     std::string name;
     std::string group;
+    /// Connections that each endpoint of the group accepts from the whole fleet; 0: not stated.
+    std::uint32_t connectionLimit = 0;
+    /// Replicas that hold a write before the primary acknowledges it.
+    std::uint32_t synchronousReplicas = 0;
     Labels labels;
     Revision changedAt = 0; ///< Revision of the last change of this object.
 
--- a/libs/state/src/ApplyCommand.cpp
+++ b/libs/state/src/ApplyCommand.cpp
@@ -1,5 +1,6 @@
 #include <state/FleetState.h>
 
+#include "ConfigurationChanges.h"
 #include "Limits.h"
 #include "ObjectRules.h"
 
@@ -134,6 +135,35 @@
     return NewObject(std::move(endpoint));
 }
 
+auto evaluate(const FleetObjects &objects, const AdoptPrimary &body) -> Evaluation
+{
+    const auto *existing = objects.find<Group>(body.group);
+    if (existing == nullptr)
+        return notFound(ObjectKind::Group, body.group);
+    if (existing->term != 0 || !existing->primary.empty()) {
+        return detail::refuseCommand(CommandStatus::WrongTerm,
+                                     absl::StrCat("group ", body.group,
+                                                  " has had a primary; it is in term ",
+                                                  existing->term));
+    }
+    const auto *endpoint = objects.find<Endpoint>(body.endpoint);
+    if (endpoint == nullptr || endpoint->group != body.group)
+        return notFound(ObjectKind::Endpoint, body.endpoint);
+    auto group = *existing;
+    group.term = 1;
+    group.phase = GroupPhase::Serving;
+    group.primary = body.endpoint;
+    return NewObject(std::move(group));
+}
+
+/// Answers for the document alone; the objects that follow from it are stored by applyCommand.
+auto evaluate(const FleetObjects & /*objects*/, const ReplaceConfiguration &body) -> Evaluation
+{
+    if (const auto findings = checkConfiguration(body); !findings.empty())
+        return detail::refuseCommand(CommandStatus::Invalid, findings.toString());
+    return NewObject(body.document);
+}
+
 auto changedAtOf(const std::optional<FleetObject> &object) -> Revision
 {
     if (!object)
@@ -205,6 +235,14 @@
         [&state](const auto &body) { return evaluate(state.objects(), body); }, command.body);
     if (auto *problem = std::get_if<CommandResult>(&outcome); problem != nullptr)
         return refuse(std::move(*problem));
+    if (const auto *replacement = std::get_if<ReplaceConfiguration>(&command.body)) {
+        const auto *held = state.objects().find<ConfigurationDocument>(name);
+        if (held != nullptr && replacement->document.version <= held->version)
+            return finish(
+                CommandResult{.status = CommandStatus::Applied, .revision = held->changedAt});
+        for (auto &change : detail::configurationChanges(state.objects(), replacement->objects))
+            state.store(index, change.kind, change.name, std::move(change.object));
+    }
     auto &object = std::get<NewObject>(outcome);
     // Endpoints announce themselves, and nobody lists groups: the first endpoint makes its group.
     const auto *endpoint = object ? std::get_if<Endpoint>(&*object) : nullptr;
--- /dev/null
+++ b/libs/state/src/AuthoriseSession.cpp
@@ -0,0 +1,61 @@
+#include <state/AuthoriseSession.h>
+
+#include <state/KeySecret.h>
+
+namespace auburnrail {
+
+namespace {
+
+constexpr auto DOCUMENT_KEY_PREFIX = std::string_view("document-");
+/// Hex digits of the hash in the id: 128 bits, so that two keys never meet.
+constexpr auto DOCUMENT_KEY_DIGITS = std::size_t(32);
+
+auto idOfHash(const std::string &hash) -> std::string
+{
+    return std::string(DOCUMENT_KEY_PREFIX) + hash.substr(0, DOCUMENT_KEY_DIGITS);
+}
+
+} // namespace
+
+auto documentKeyId(std::string_view keyText, const std::string &clusterSecret) -> std::string
+{
+    return idOfHash(hashKey(keyText, clusterSecret));
+}
+
+auto findKeyId(const FleetObjects &objects, std::string_view keyText,
+               const std::string &clusterSecret) -> std::optional<std::string>
+{
+    const auto hash = hashKey(keyText, clusterSecret);
+    const auto id = keyIdOf(keyText).value_or(idOfHash(hash));
+    const auto *key = objects.find<Key>(id);
+    if (key == nullptr || key->withdrawn || !equalInConstantTime(key->hash, hash))
+        return std::nullopt;
+    return id;
+}
+
+auto authoriseOperation(const FleetObjects &objects, std::string_view database,
+                        const std::optional<std::string> &keyId)
+    -> std::variant<OperationAuthorisation, ReasonCode>
+{
+    const auto *route = objects.routeOfDatabase(database);
+    const auto *service = route == nullptr ? nullptr : objects.find<Service>(route->service);
+    if (service == nullptr)
+        return ReasonCode::UnknownService;
+    auto result = OperationAuthorisation{.policy = *route->sessions, .group = service->group};
+    const auto *key = keyId ? objects.find<Key>(*keyId) : nullptr;
+    const auto *organisation =
+        key == nullptr || key->withdrawn ? nullptr : objects.find<Organisation>(key->organisation);
+    if (organisation != nullptr) {
+        result.organisation = organisation->name;
+        result.weight = organisation->weight;
+    }
+    if (route->open)
+        return result;
+    if (organisation == nullptr)
+        return keyId ? ReasonCode::KeyWithdrawn : ReasonCode::KeyUnknown;
+    if (route->selector.empty() || !route->selector.matches(organisation->labels))
+        return ReasonCode::RouteDenied;
+    return result;
+}
+
+} // namespace auburnrail
--- a/libs/state/src/CommandBody.cpp
+++ b/libs/state/src/CommandBody.cpp
@@ -46,6 +46,16 @@
     return {ObjectKind::Endpoint, body.endpoint};
 }
 
+auto targetOf(const AdoptPrimary &body) -> Target
+{
+    return {ObjectKind::Group, body.group};
+}
+
+auto targetOf(const ReplaceConfiguration & /*body*/) -> Target
+{
+    return {ObjectKind::Document, ConfigurationDocument::NAME};
+}
+
 } // namespace
 
 auto commandTarget(const CommandBody &body) -> std::pair<ObjectKind, std::string>
--- a/libs/state/src/FleetObjects.cpp
+++ b/libs/state/src/FleetObjects.cpp
@@ -63,6 +63,12 @@
     return found == nullptr ? NO_NAMES : *found;
 }
 
+auto FleetObjects::routeOfDatabase(std::string_view database) const -> const Route *
+{
+    const auto *name = this->routesByDatabase.find(database);
+    return name == nullptr ? nullptr : this->find<Route>(*name);
+}
+
 auto FleetObjects::endpointsOf(std::string_view group) const -> const std::set<std::string> &
 {
     const auto *found = this->endpointsByGroup.find(group);
@@ -88,7 +94,7 @@
 {
     this->erase(kindOf(object), objectName(object));
     if (const auto *route = std::get_if<Route>(&object); route != nullptr)
-        addName(this->routesByService, route->service, route->name);
+        this->indexRoute(*route);
     if (const auto *endpoint = std::get_if<Endpoint>(&object); endpoint != nullptr)
         addName(this->endpointsByGroup, endpoint->group, endpoint->name);
     std::visit(
@@ -105,7 +111,7 @@
     const auto ownName = std::string(name);
     if (kind == ObjectKind::Route) {
         if (const auto *route = this->find<Route>(name); route != nullptr)
-            removeName(this->routesByService, std::string(route->service), ownName);
+            this->unindexRoute(*route);
     }
     if (kind == ObjectKind::Endpoint) {
         if (const auto *endpoint = this->find<Endpoint>(name); endpoint != nullptr)
@@ -114,6 +120,25 @@
     withTable(this->tables, kind, [&](auto &table) -> void { table.erase(ownName); });
 }
 
+auto FleetObjects::indexRoute(const Route &route) -> void
+{
+    addName(this->routesByService, route.service, route.name);
+    if (route.sessions)
+        this->routesByDatabase.put(route.sessions->database, route.name);
+}
+
+auto FleetObjects::unindexRoute(const Route &route) -> void
+{
+    if (route.sessions) {
+        const auto *owner = this->routesByDatabase.find(route.sessions->database);
+        if (owner != nullptr && *owner == route.name)
+            this->routesByDatabase.erase(route.sessions->database);
+    }
+    const auto service = route.service;
+    const auto name = route.name;
+    removeName(this->routesByService, service, name);
+}
+
 auto FleetObjects::raiseRevision(Revision newRevision) -> void
 {
     this->currentRevision = std::max(this->currentRevision, newRevision);
--- a/libs/state/src/ObjectRules.cpp
+++ b/libs/state/src/ObjectRules.cpp
@@ -109,6 +109,12 @@
     return std::nullopt;
 }
 
+/// Documents come only by ReplaceConfiguration, which checks them as a whole.
+auto check(const FleetObjects & /*objects*/, const ConfigurationDocument & /*document*/) -> Problem
+{
+    return invalid("a configuration document is replaced as a whole, not set");
+}
+
 auto isGroupInUse(const FleetObjects &objects, const std::string &group) -> bool
 {
     auto inUse = !objects.endpointsOf(group).empty();
@@ -137,6 +143,8 @@
 auto usersOf(const FleetObjects &objects, const FleetObject &object) -> std::string
 {
     const auto &name = objectName(object);
+    if (std::holds_alternative<ConfigurationDocument>(object))
+        return "objects follow from it";
     if (std::holds_alternative<Service>(object) && !objects.routesOf(name).empty())
         return "routes refer to it";
     if (std::holds_alternative<Organisation>(object) && isOrganisationInUse(objects, name))
--- a/libs/wire/include/wire/ConsensusTransport.h
+++ b/libs/wire/include/wire/ConsensusTransport.h
@@ -36,6 +36,8 @@
     [[nodiscard]] auto addMember(const MemberName &name, const std::string &address)
         -> absl::Status;
 
+    [[nodiscard]] auto knows(const MemberName &name) -> bool;
+
     /// Queues the message for `message.to.name`; drops it when that member is not known.
     auto send(Message message) -> void;
 
--- a/libs/wire/src/CommandConversion.cpp
+++ b/libs/wire/src/CommandConversion.cpp
@@ -1,5 +1,7 @@
 #include "CommandConversion.h"
 
+#include "CompactReader.h"
+#include "CompactWriter.h"
 #include "DecodeFault.h"
 #include "EnumConversion.h"
 #include "FleetConversion.h"
@@ -73,12 +75,45 @@
     result.__set_leaveEndpoint(to);
 }
 
+auto convert(const AdoptPrimary &from, wire::CommandBody &result) -> void
+{
+    auto to = wire::AdoptPrimary();
+    to.groupName = from.group;
+    to.endpoint = from.endpoint;
+    result.__set_adoptPrimary(to);
+}
+
+auto convert(const ReplaceConfiguration &from, wire::CommandBody &result) -> void
+{
+    auto to = wire::ReplaceConfiguration();
+    to.document = toWire(from.document);
+    to.objectCount = static_cast<std::int32_t>(from.objects.size());
+    auto writer = CompactWriter();
+    for (const auto &object : from.objects)
+        writer.write(toWire(object));
+    to.fleetObjects = writer.bytes();
+    result.__set_replaceConfiguration(to);
+}
+
+auto convert(wire::ReplaceConfiguration &&from) -> ReplaceConfiguration
+{
+    if (from.objectCount < 0)
+        throw DecodeFault("a count is negative");
+    auto to = ReplaceConfiguration{.document = fromWire(std::move(from.document)), .objects = {}};
+    auto reader = CompactReader(from.fleetObjects);
+    for (auto index = std::int32_t(0); index < from.objectCount; ++index)
+        to.objects.push_back(fromWire(reader.read<wire::FleetObject>()));
+    reader.requireEnd();
+    return to;
+}
+
 auto convert(wire::CommandBody &&from) -> CommandBody
 {
     const auto &isSet = from.__isset;
     const auto count = int(isSet.setObject) + int(isSet.deleteObject) + int(isSet.setLabel)
                        + int(isSet.removeLabel) + int(isSet.withdrawKey) + int(isSet.grantTerm)
-                       + int(isSet.publishPrimary) + int(isSet.leaveEndpoint);
+                       + int(isSet.publishPrimary) + int(isSet.leaveEndpoint)
+                       + int(isSet.adoptPrimary) + int(isSet.replaceConfiguration);
     if (count != 1)
         throw DecodeFault("a command is not of exactly one kind");
     if (isSet.setObject)
@@ -106,6 +141,12 @@
                               static_cast<std::uint64_t>(from.publishPrimary.term),
                               std::move(from.publishPrimary.endpoint)};
     }
+    if (isSet.adoptPrimary) {
+        return AdoptPrimary{std::move(from.adoptPrimary.groupName),
+                            std::move(from.adoptPrimary.endpoint)};
+    }
+    if (isSet.replaceConfiguration)
+        return convert(std::move(from.replaceConfiguration));
     return LeaveEndpoint{std::move(from.leaveEndpoint.endpoint)};
 }
 
--- a/libs/wire/src/ConsensusTransport.cpp
+++ b/libs/wire/src/ConsensusTransport.cpp
@@ -120,6 +120,12 @@
     return absl::OkStatus();
 }
 
+auto ConsensusTransport::knows(const MemberName &name) -> bool
+{
+    const RankedLock lock(this->impl->mutex);
+    return this->impl->senders.contains(name);
+}
+
 auto ConsensusTransport::send(Message message) -> void
 {
     auto sender = std::shared_ptr<detail::MemberSender>();
--- a/libs/wire/src/FleetConversion.cpp
+++ b/libs/wire/src/FleetConversion.cpp
@@ -41,6 +41,8 @@
     auto to = wire::Service();
     to.name = from.name;
     to.group = from.group;
+    to.connectionLimit = static_cast<std::int32_t>(from.connectionLimit);
+    to.synchronousReplicas = static_cast<std::int32_t>(from.synchronousReplicas);
     copyLabels(from, to);
     result.__set_serviceObject(to);
 }
@@ -67,6 +69,34 @@
     result.__set_key(to);
 }
 
+auto policyToWire(const SessionPolicy &from) -> wire::SessionPolicy
+{
+    auto to = wire::SessionPolicy();
+    to.database = from.database;
+    to.consistency = toWireEnum(from.consistency);
+    to.maxStalenessNanoseconds = from.maxStaleness.count();
+    to.statementTimeoutNanoseconds = from.statementTimeout.count();
+    to.latencyObjectiveNanoseconds = from.latencyObjective.count();
+    to.transactionIdleLimitNanoseconds = from.transactionIdleLimit.count();
+    to.priority = static_cast<std::int32_t>(from.priority);
+    to.maxAttempts = static_cast<std::int32_t>(from.maxAttempts);
+    return to;
+}
+
+auto policyFromWire(wire::SessionPolicy &&from) -> SessionPolicy
+{
+    return SessionPolicy{
+        .database = std::move(from.database),
+        .consistency = fromWireEnum<ReadConsistency>(from.consistency),
+        .maxStaleness = Duration(from.maxStalenessNanoseconds),
+        .statementTimeout = Duration(from.statementTimeoutNanoseconds),
+        .latencyObjective = Duration(from.latencyObjectiveNanoseconds),
+        .transactionIdleLimit = Duration(from.transactionIdleLimitNanoseconds),
+        .priority = static_cast<std::uint32_t>(from.priority),
+        .maxAttempts = static_cast<std::uint32_t>(from.maxAttempts),
+    };
+}
+
 auto convert(const Route &from, wire::FleetObject &result) -> void
 {
     auto to = wire::Route();
@@ -75,6 +105,8 @@
     to.selector = from.selector.toString();
     to.open = from.open;
     to.isolatedReads = from.isolatedReads;
+    if (from.sessions)
+        to.__set_sessions(policyToWire(*from.sessions));
     copyLabels(from, to);
     result.__set_route(to);
 }
@@ -99,6 +131,7 @@
     to.address = from.address;
     to.connectionLimit = static_cast<std::int32_t>(from.connectionLimit);
     to.leaving = from.leaving;
+    to.startedAt = signedOf(from.startedAt);
     copyLabels(from, to);
     result.__set_endpoint(to);
 }
@@ -115,9 +148,17 @@
     result.__set_objective(to);
 }
 
+auto convert(const ConfigurationDocument &from, wire::FleetObject &result) -> void
+{
+    result.__set_document(detail::toWire(from));
+}
+
 auto convert(wire::Service &&from) -> FleetObject
 {
-    auto to = Service{.name = std::move(from.name), .group = std::move(from.group)};
+    auto to = Service{.name = std::move(from.name),
+                      .group = std::move(from.group),
+                      .connectionLimit = static_cast<std::uint32_t>(from.connectionLimit),
+                      .synchronousReplicas = static_cast<std::uint32_t>(from.synchronousReplicas)};
     copyLabels(std::move(from), to);
     return to;
 }
@@ -149,6 +190,8 @@
                     .selector = parseSelector(from.selector),
                     .open = from.open,
                     .isolatedReads = from.isolatedReads};
+    if (from.__isset.sessions)
+        to.sessions = policyFromWire(std::move(from.sessions));
     copyLabels(std::move(from), to);
     return to;
 }
@@ -170,7 +213,8 @@
                        .zone = std::move(from.zone),
                        .address = std::move(from.address),
                        .connectionLimit = static_cast<std::uint32_t>(from.connectionLimit),
-                       .leaving = from.leaving};
+                       .leaving = from.leaving,
+                       .startedAt = unsignedOf(from.startedAt)};
     copyLabels(std::move(from), to);
     return to;
 }
@@ -188,6 +232,25 @@
 
 } // namespace
 
+auto toWire(const ConfigurationDocument &document) -> wire::ConfigurationDocument
+{
+    auto to = wire::ConfigurationDocument();
+    to.name = document.name;
+    to.version = signedOf(document.version);
+    to.text = document.text;
+    copyLabels(document, to);
+    return to;
+}
+
+auto fromWire(wire::ConfigurationDocument &&document) -> ConfigurationDocument
+{
+    auto to = ConfigurationDocument{.name = std::move(document.name),
+                                    .version = unsignedOf(document.version),
+                                    .text = std::move(document.text)};
+    copyLabels(std::move(document), to);
+    return to;
+}
+
 auto toWire(const FleetObject &object) -> wire::FleetObject
 {
     auto result = wire::FleetObject();
@@ -200,7 +263,7 @@
     const auto &isSet = object.__isset;
     const auto count = int(isSet.serviceObject) + int(isSet.organisation) + int(isSet.key)
                        + int(isSet.route) + int(isSet.databaseGroup) + int(isSet.endpoint)
-                       + int(isSet.objective);
+                       + int(isSet.objective) + int(isSet.document);
     if (count != 1)
         throw DecodeFault("an object is not of exactly one kind");
     if (isSet.serviceObject)
@@ -215,6 +278,8 @@
         return convert(std::move(object.databaseGroup));
     if (isSet.endpoint)
         return convert(std::move(object.endpoint));
+    if (isSet.document)
+        return fromWire(std::move(object.document));
     return convert(std::move(object.objective));
 }
 
--- a/libs/wire/src/FleetConversion.h
+++ b/libs/wire/src/FleetConversion.h
@@ -13,6 +13,9 @@
 [[nodiscard]] auto toWire(const FleetObject &object) -> wire::FleetObject;
 [[nodiscard]] auto fromWire(wire::FleetObject &&object) -> FleetObject;
 
+[[nodiscard]] auto toWire(const ConfigurationDocument &document) -> wire::ConfigurationDocument;
+[[nodiscard]] auto fromWire(wire::ConfigurationDocument &&document) -> ConfigurationDocument;
+
 [[nodiscard]] auto toWire(const FleetChange &change) -> wire::FleetChange;
 [[nodiscard]] auto fromWire(wire::FleetChange &&change) -> FleetChange;
 
--- a/libs/wire/src/HeartbeatCodec.cpp
+++ b/libs/wire/src/HeartbeatCodec.cpp
@@ -178,6 +178,8 @@
     message.leader = answer.leader;
     message.leaseMillis = toMillis(answer.lease.duration);
     message.minimumRevision = static_cast<std::int64_t>(answer.lease.minimumRevision);
+    message.entries = static_cast<std::int32_t>(answer.entries);
+    message.zoneEntries = static_cast<std::int32_t>(answer.zoneEntries);
     if (answer.update)
         message.__set_update(encodeChanges(*answer.update));
     if (answer.snapshot)
@@ -199,6 +201,8 @@
     answer.lease.status = status;
     answer.lease.duration = std::chrono::milliseconds(message.leaseMillis);
     answer.lease.minimumRevision = static_cast<Revision>(message.minimumRevision);
+    answer.entries = static_cast<std::uint32_t>(std::max(message.entries, 0));
+    answer.zoneEntries = static_cast<std::uint32_t>(std::max(message.zoneEntries, 0));
     answer.leader = message.leader;
     answer.shares.sequence = static_cast<std::uint64_t>(message.shareSequence);
     answer.shares.shares = fromShareMessages(message.shares);
--- a/libs/wire/src/gen/Control_types.cpp
+++ b/libs/wire/src/gen/Control_types.cpp
@@ -1630,6 +1630,14 @@
 void HeartbeatAnswerMessage::__set_minimumRevision(const int64_t val) {
   this->minimumRevision = val;
 }
+
+void HeartbeatAnswerMessage::__set_entries(const int32_t val) {
+  this->entries = val;
+}
+
+void HeartbeatAnswerMessage::__set_zoneEntries(const int32_t val) {
+  this->zoneEntries = val;
+}
 std::ostream& operator<<(std::ostream& out, const HeartbeatAnswerMessage& obj)
 {
   obj.printTo(out);
@@ -1734,6 +1742,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->entries);
+          this->__isset.entries = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->zoneEntries);
+          this->__isset.zoneEntries = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1793,6 +1817,14 @@
   xfer += oprot->writeI64(this->minimumRevision);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_I32, 9);
+  xfer += oprot->writeI32(this->entries);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("zoneEntries", ::apache::thrift::protocol::T_I32, 10);
+  xfer += oprot->writeI32(this->zoneEntries);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1808,6 +1840,8 @@
   swap(a.shareSequence, b.shareSequence);
   swap(a.shares, b.shares);
   swap(a.minimumRevision, b.minimumRevision);
+  swap(a.entries, b.entries);
+  swap(a.zoneEntries, b.zoneEntries);
   swap(a.__isset, b.__isset);
 }
 
@@ -1820,6 +1854,8 @@
   shareSequence = other78.shareSequence;
   shares = other78.shares;
   minimumRevision = other78.minimumRevision;
+  entries = other78.entries;
+  zoneEntries = other78.zoneEntries;
   __isset = other78.__isset;
 }
 HeartbeatAnswerMessage::HeartbeatAnswerMessage(HeartbeatAnswerMessage&& other79) noexcept {
@@ -1831,6 +1867,8 @@
   shareSequence = other79.shareSequence;
   shares = std::move(other79.shares);
   minimumRevision = other79.minimumRevision;
+  entries = other79.entries;
+  zoneEntries = other79.zoneEntries;
   __isset = other79.__isset;
 }
 HeartbeatAnswerMessage& HeartbeatAnswerMessage::operator=(const HeartbeatAnswerMessage& other80) {
@@ -1842,6 +1880,8 @@
   shareSequence = other80.shareSequence;
   shares = other80.shares;
   minimumRevision = other80.minimumRevision;
+  entries = other80.entries;
+  zoneEntries = other80.zoneEntries;
   __isset = other80.__isset;
   return *this;
 }
@@ -1854,6 +1894,8 @@
   shareSequence = other81.shareSequence;
   shares = std::move(other81.shares);
   minimumRevision = other81.minimumRevision;
+  entries = other81.entries;
+  zoneEntries = other81.zoneEntries;
   __isset = other81.__isset;
   return *this;
 }
@@ -1868,6 +1910,8 @@
   out << ", " << "shareSequence=" << to_string(shareSequence);
   out << ", " << "shares=" << to_string(shares);
   out << ", " << "minimumRevision=" << to_string(minimumRevision);
+  out << ", " << "entries=" << to_string(entries);
+  out << ", " << "zoneEntries=" << to_string(zoneEntries);
   out << ")";
 }
 
--- a/libs/wire/src/gen/Control_types.h
+++ b/libs/wire/src/gen/Control_types.h
@@ -579,7 +579,7 @@
 std::ostream& operator<<(std::ostream& out, const HeartbeatMessage& obj);
 
 typedef struct _HeartbeatAnswerMessage__isset {
-  _HeartbeatAnswerMessage__isset() : status(false), leader(false), leaseMillis(false), update(false), snapshot(false), shareSequence(false), shares(false), minimumRevision(false) {}
+  _HeartbeatAnswerMessage__isset() : status(false), leader(false), leaseMillis(false), update(false), snapshot(false), shareSequence(false), shares(false), minimumRevision(false), entries(false), zoneEntries(false) {}
   bool status :1;
   bool leader :1;
   bool leaseMillis :1;
@@ -588,6 +588,8 @@
   bool shareSequence :1;
   bool shares :1;
   bool minimumRevision :1;
+  bool entries :1;
+  bool zoneEntries :1;
 } _HeartbeatAnswerMessage__isset;
 
 class HeartbeatAnswerMessage : public virtual ::apache::thrift::TBase {
@@ -604,7 +606,9 @@
                            update(),
                            snapshot(),
                            shareSequence(0),
-                           minimumRevision(0) {
+                           minimumRevision(0),
+                           entries(0),
+                           zoneEntries(0) {
   }
 
   virtual ~HeartbeatAnswerMessage() noexcept;
@@ -616,6 +620,8 @@
   int64_t shareSequence;
   std::vector<ShareMessage>  shares;
   int64_t minimumRevision;
+  int32_t entries;
+  int32_t zoneEntries;
 
   _HeartbeatAnswerMessage__isset __isset;
 
@@ -635,6 +641,10 @@
 
   void __set_minimumRevision(const int64_t val);
 
+  void __set_entries(const int32_t val);
+
+  void __set_zoneEntries(const int32_t val);
+
   bool operator == (const HeartbeatAnswerMessage & rhs) const
   {
     if (!(status == rhs.status))
@@ -657,6 +667,10 @@
       return false;
     if (!(minimumRevision == rhs.minimumRevision))
       return false;
+    if (!(entries == rhs.entries))
+      return false;
+    if (!(zoneEntries == rhs.zoneEntries))
+      return false;
     return true;
   }
   bool operator != (const HeartbeatAnswerMessage &rhs) const {
