--- a/libs/wire/src/gen/Fleet_types.cpp
+++ b/libs/wire/src/gen/Fleet_types.cpp
@@ -33,6 +33,14 @@
 void Service::__set_changedAt(const int64_t val) {
   this->changedAt = val;
 }
+
+void Service::__set_connectionLimit(const int32_t val) {
+  this->connectionLimit = val;
+}
+
+void Service::__set_synchronousReplicas(const int32_t val) {
+  this->synchronousReplicas = val;
+}
 std::ostream& operator<<(std::ostream& out, const Service& obj)
 {
   obj.printTo(out);
@@ -108,6 +116,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->connectionLimit);
+          this->__isset.connectionLimit = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->synchronousReplicas);
+          this->__isset.synchronousReplicas = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -150,6 +174,14 @@
   xfer += oprot->writeI64(this->changedAt);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("connectionLimit", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->connectionLimit);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("synchronousReplicas", ::apache::thrift::protocol::T_I32, 6);
+  xfer += oprot->writeI32(this->synchronousReplicas);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -161,6 +193,8 @@
   swap(a.group, b.group);
   swap(a.labels, b.labels);
   swap(a.changedAt, b.changedAt);
+  swap(a.connectionLimit, b.connectionLimit);
+  swap(a.synchronousReplicas, b.synchronousReplicas);
   swap(a.__isset, b.__isset);
 }
 
@@ -169,6 +203,8 @@
   group = other8.group;
   labels = other8.labels;
   changedAt = other8.changedAt;
+  connectionLimit = other8.connectionLimit;
+  synchronousReplicas = other8.synchronousReplicas;
   __isset = other8.__isset;
 }
 Service::Service(Service&& other9) noexcept {
@@ -176,6 +212,8 @@
   group = std::move(other9.group);
   labels = std::move(other9.labels);
   changedAt = other9.changedAt;
+  connectionLimit = other9.connectionLimit;
+  synchronousReplicas = other9.synchronousReplicas;
   __isset = other9.__isset;
 }
 Service& Service::operator=(const Service& other10) {
@@ -183,6 +221,8 @@
   group = other10.group;
   labels = other10.labels;
   changedAt = other10.changedAt;
+  connectionLimit = other10.connectionLimit;
+  synchronousReplicas = other10.synchronousReplicas;
   __isset = other10.__isset;
   return *this;
 }
@@ -191,6 +231,8 @@
   group = std::move(other11.group);
   labels = std::move(other11.labels);
   changedAt = other11.changedAt;
+  connectionLimit = other11.connectionLimit;
+  synchronousReplicas = other11.synchronousReplicas;
   __isset = other11.__isset;
   return *this;
 }
@@ -201,6 +243,8 @@
   out << ", " << "group=" << to_string(group);
   out << ", " << "labels=" << to_string(labels);
   out << ", " << "changedAt=" << to_string(changedAt);
+  out << ", " << "connectionLimit=" << to_string(connectionLimit);
+  out << ", " << "synchronousReplicas=" << to_string(synchronousReplicas);
   out << ")";
 }
 
@@ -675,6 +719,261 @@
 }
 
 
+SessionPolicy::~SessionPolicy() noexcept {
+}
+
+
+void SessionPolicy::__set_database(const std::string& val) {
+  this->database = val;
+}
+
+void SessionPolicy::__set_consistency(const int32_t val) {
+  this->consistency = val;
+}
+
+void SessionPolicy::__set_maxStalenessNanoseconds(const int64_t val) {
+  this->maxStalenessNanoseconds = val;
+}
+
+void SessionPolicy::__set_statementTimeoutNanoseconds(const int64_t val) {
+  this->statementTimeoutNanoseconds = val;
+}
+
+void SessionPolicy::__set_latencyObjectiveNanoseconds(const int64_t val) {
+  this->latencyObjectiveNanoseconds = val;
+}
+
+void SessionPolicy::__set_transactionIdleLimitNanoseconds(const int64_t val) {
+  this->transactionIdleLimitNanoseconds = val;
+}
+
+void SessionPolicy::__set_priority(const int32_t val) {
+  this->priority = val;
+}
+
+void SessionPolicy::__set_maxAttempts(const int32_t val) {
+  this->maxAttempts = val;
+}
+std::ostream& operator<<(std::ostream& out, const SessionPolicy& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t SessionPolicy::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->database);
+          this->__isset.database = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->consistency);
+          this->__isset.consistency = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->maxStalenessNanoseconds);
+          this->__isset.maxStalenessNanoseconds = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->statementTimeoutNanoseconds);
+          this->__isset.statementTimeoutNanoseconds = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->latencyObjectiveNanoseconds);
+          this->__isset.latencyObjectiveNanoseconds = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->transactionIdleLimitNanoseconds);
+          this->__isset.transactionIdleLimitNanoseconds = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->priority);
+          this->__isset.priority = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->maxAttempts);
+          this->__isset.maxAttempts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t SessionPolicy::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("SessionPolicy");
+
+  xfer += oprot->writeFieldBegin("database", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->database);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("consistency", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->consistency);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("maxStalenessNanoseconds", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->maxStalenessNanoseconds);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("statementTimeoutNanoseconds", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->statementTimeoutNanoseconds);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("latencyObjectiveNanoseconds", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->latencyObjectiveNanoseconds);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("transactionIdleLimitNanoseconds", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->transactionIdleLimitNanoseconds);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("priority", ::apache::thrift::protocol::T_I32, 7);
+  xfer += oprot->writeI32(this->priority);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("maxAttempts", ::apache::thrift::protocol::T_I32, 8);
+  xfer += oprot->writeI32(this->maxAttempts);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(SessionPolicy &a, SessionPolicy &b) {
+  using ::std::swap;
+  swap(a.database, b.database);
+  swap(a.consistency, b.consistency);
+  swap(a.maxStalenessNanoseconds, b.maxStalenessNanoseconds);
+  swap(a.statementTimeoutNanoseconds, b.statementTimeoutNanoseconds);
+  swap(a.latencyObjectiveNanoseconds, b.latencyObjectiveNanoseconds);
+  swap(a.transactionIdleLimitNanoseconds, b.transactionIdleLimitNanoseconds);
+  swap(a.priority, b.priority);
+  swap(a.maxAttempts, b.maxAttempts);
+  swap(a.__isset, b.__isset);
+}
+
+SessionPolicy::SessionPolicy(const SessionPolicy& other36) {
+  database = other36.database;
+  consistency = other36.consistency;
+  maxStalenessNanoseconds = other36.maxStalenessNanoseconds;
+  statementTimeoutNanoseconds = other36.statementTimeoutNanoseconds;
+  latencyObjectiveNanoseconds = other36.latencyObjectiveNanoseconds;
+  transactionIdleLimitNanoseconds = other36.transactionIdleLimitNanoseconds;
+  priority = other36.priority;
+  maxAttempts = other36.maxAttempts;
+  __isset = other36.__isset;
+}
+SessionPolicy::SessionPolicy(SessionPolicy&& other37) noexcept {
+  database = std::move(other37.database);
+  consistency = other37.consistency;
+  maxStalenessNanoseconds = other37.maxStalenessNanoseconds;
+  statementTimeoutNanoseconds = other37.statementTimeoutNanoseconds;
+  latencyObjectiveNanoseconds = other37.latencyObjectiveNanoseconds;
+  transactionIdleLimitNanoseconds = other37.transactionIdleLimitNanoseconds;
+  priority = other37.priority;
+  maxAttempts = other37.maxAttempts;
+  __isset = other37.__isset;
+}
+SessionPolicy& SessionPolicy::operator=(const SessionPolicy& other38) {
+  database = other38.database;
+  consistency = other38.consistency;
+  maxStalenessNanoseconds = other38.maxStalenessNanoseconds;
+  statementTimeoutNanoseconds = other38.statementTimeoutNanoseconds;
+  latencyObjectiveNanoseconds = other38.latencyObjectiveNanoseconds;
+  transactionIdleLimitNanoseconds = other38.transactionIdleLimitNanoseconds;
+  priority = other38.priority;
+  maxAttempts = other38.maxAttempts;
+  __isset = other38.__isset;
+  return *this;
+}
+SessionPolicy& SessionPolicy::operator=(SessionPolicy&& other39) noexcept {
+  database = std::move(other39.database);
+  consistency = other39.consistency;
+  maxStalenessNanoseconds = other39.maxStalenessNanoseconds;
+  statementTimeoutNanoseconds = other39.statementTimeoutNanoseconds;
+  latencyObjectiveNanoseconds = other39.latencyObjectiveNanoseconds;
+  transactionIdleLimitNanoseconds = other39.transactionIdleLimitNanoseconds;
+  priority = other39.priority;
+  maxAttempts = other39.maxAttempts;
+  __isset = other39.__isset;
+  return *this;
+}
+void SessionPolicy::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "SessionPolicy(";
+  out << "database=" << to_string(database);
+  out << ", " << "consistency=" << to_string(consistency);
+  out << ", " << "maxStalenessNanoseconds=" << to_string(maxStalenessNanoseconds);
+  out << ", " << "statementTimeoutNanoseconds=" << to_string(statementTimeoutNanoseconds);
+  out << ", " << "latencyObjectiveNanoseconds=" << to_string(latencyObjectiveNanoseconds);
+  out << ", " << "transactionIdleLimitNanoseconds=" << to_string(transactionIdleLimitNanoseconds);
+  out << ", " << "priority=" << to_string(priority);
+  out << ", " << "maxAttempts=" << to_string(maxAttempts);
+  out << ")";
+}
+
+
 Route::~Route() noexcept {
 }
 
@@ -706,6 +1005,11 @@
 void Route::__set_changedAt(const int64_t val) {
   this->changedAt = val;
 }
+
+void Route::__set_sessions(const SessionPolicy& val) {
+  this->sessions = val;
+__isset.sessions = true;
+}
 std::ostream& operator<<(std::ostream& out, const Route& obj)
 {
   obj.printTo(out);
@@ -778,17 +1082,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->labels.clear();
-            uint32_t _size36;
-            ::apache::thrift::protocol::TType _ktype37;
-            ::apache::thrift::protocol::TType _vtype38;
-            xfer += iprot->readMapBegin(_ktype37, _vtype38, _size36);
-            uint32_t _i40;
-            for (_i40 = 0; _i40 < _size36; ++_i40)
+            uint32_t _size40;
+            ::apache::thrift::protocol::TType _ktype41;
+            ::apache::thrift::protocol::TType _vtype42;
+            xfer += iprot->readMapBegin(_ktype41, _vtype42, _size40);
+            uint32_t _i44;
+            for (_i44 = 0; _i44 < _size40; ++_i44)
             {
-              std::string _key41;
-              xfer += iprot->readString(_key41);
-              std::string& _val42 = this->labels[_key41];
-              xfer += iprot->readString(_val42);
+              std::string _key45;
+              xfer += iprot->readString(_key45);
+              std::string& _val46 = this->labels[_key45];
+              xfer += iprot->readString(_val46);
             }
             xfer += iprot->readMapEnd();
           }
@@ -805,6 +1109,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->sessions.read(iprot);
+          this->__isset.sessions = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -845,11 +1157,11 @@
   xfer += oprot->writeFieldBegin("labels", ::apache::thrift::protocol::T_MAP, 6);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->labels.size()));
-    std::map<std::string, std::string> ::const_iterator _iter43;
-    for (_iter43 = this->labels.begin(); _iter43 != this->labels.end(); ++_iter43)
+    std::map<std::string, std::string> ::const_iterator _iter47;
+    for (_iter47 = this->labels.begin(); _iter47 != this->labels.end(); ++_iter47)
     {
-      xfer += oprot->writeString(_iter43->first);
-      xfer += oprot->writeString(_iter43->second);
+      xfer += oprot->writeString(_iter47->first);
+      xfer += oprot->writeString(_iter47->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -859,6 +1171,11 @@
   xfer += oprot->writeI64(this->changedAt);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.sessions) {
+    xfer += oprot->writeFieldBegin("sessions", ::apache::thrift::protocol::T_STRUCT, 8);
+    xfer += this->sessions.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -873,49 +1190,54 @@
   swap(a.isolatedReads, b.isolatedReads);
   swap(a.labels, b.labels);
   swap(a.changedAt, b.changedAt);
+  swap(a.sessions, b.sessions);
   swap(a.__isset, b.__isset);
 }
 
-Route::Route(const Route& other44) {
-  name = other44.name;
-  serviceName = other44.serviceName;
-  selector = other44.selector;
-  open = other44.open;
-  isolatedReads = other44.isolatedReads;
-  labels = other44.labels;
-  changedAt = other44.changedAt;
-  __isset = other44.__isset;
-}
-Route::Route(Route&& other45) noexcept {
-  name = std::move(other45.name);
-  serviceName = std::move(other45.serviceName);
-  selector = std::move(other45.selector);
-  open = other45.open;
-  isolatedReads = other45.isolatedReads;
-  labels = std::move(other45.labels);
-  changedAt = other45.changedAt;
-  __isset = other45.__isset;
-}
-Route& Route::operator=(const Route& other46) {
-  name = other46.name;
-  serviceName = other46.serviceName;
-  selector = other46.selector;
-  open = other46.open;
-  isolatedReads = other46.isolatedReads;
-  labels = other46.labels;
-  changedAt = other46.changedAt;
-  __isset = other46.__isset;
+Route::Route(const Route& other48) {
+  name = other48.name;
+  serviceName = other48.serviceName;
+  selector = other48.selector;
+  open = other48.open;
+  isolatedReads = other48.isolatedReads;
+  labels = other48.labels;
+  changedAt = other48.changedAt;
+  sessions = other48.sessions;
+  __isset = other48.__isset;
+}
+Route::Route(Route&& other49) noexcept {
+  name = std::move(other49.name);
+  serviceName = std::move(other49.serviceName);
+  selector = std::move(other49.selector);
+  open = other49.open;
+  isolatedReads = other49.isolatedReads;
+  labels = std::move(other49.labels);
+  changedAt = other49.changedAt;
+  sessions = std::move(other49.sessions);
+  __isset = other49.__isset;
+}
+Route& Route::operator=(const Route& other50) {
+  name = other50.name;
+  serviceName = other50.serviceName;
+  selector = other50.selector;
+  open = other50.open;
+  isolatedReads = other50.isolatedReads;
+  labels = other50.labels;
+  changedAt = other50.changedAt;
+  sessions = other50.sessions;
+  __isset = other50.__isset;
   return *this;
 }
-Route& Route::operator=(Route&& other47) noexcept {
-  name = std::move(other47.name);
-  serviceName = std::move(other47.serviceName);
-  selector = std::move(other47.selector);
-  open = other47.open;
-  isolatedReads = other47.isolatedReads;
-  labels = std::move(other47.labels);
-  changedAt = other47.changedAt;
-  __isset = other47.__isset;
+Route& Route::operator=(Route&& other51) noexcept {
+  name = std::move(other51.name);
+  serviceName = std::move(other51.serviceName);
+  selector = std::move(other51.selector);
+  open = other51.open;
+  isolatedReads = other51.isolatedReads;
+  labels = std::move(other51.labels);
+  changedAt = other51.changedAt;
+  sessions = std::move(other51.sessions);
+  __isset = other51.__isset;
   return *this;
 }
 void Route::printTo(std::ostream& out) const {
@@ -928,6 +1250,7 @@
   out << ", " << "isolatedReads=" << to_string(isolatedReads);
   out << ", " << "labels=" << to_string(labels);
   out << ", " << "changedAt=" << to_string(changedAt);
+  out << ", " << "sessions="; (__isset.sessions ? (out << to_string(sessions)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1023,17 +1346,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->labels.clear();
-            uint32_t _size48;
-            ::apache::thrift::protocol::TType _ktype49;
-            ::apache::thrift::protocol::TType _vtype50;
-            xfer += iprot->readMapBegin(_ktype49, _vtype50, _size48);
-            uint32_t _i52;
-            for (_i52 = 0; _i52 < _size48; ++_i52)
+            uint32_t _size52;
+            ::apache::thrift::protocol::TType _ktype53;
+            ::apache::thrift::protocol::TType _vtype54;
+            xfer += iprot->readMapBegin(_ktype53, _vtype54, _size52);
+            uint32_t _i56;
+            for (_i56 = 0; _i56 < _size52; ++_i56)
             {
-              std::string _key53;
-              xfer += iprot->readString(_key53);
-              std::string& _val54 = this->labels[_key53];
-              xfer += iprot->readString(_val54);
+              std::string _key57;
+              xfer += iprot->readString(_key57);
+              std::string& _val58 = this->labels[_key57];
+              xfer += iprot->readString(_val58);
             }
             xfer += iprot->readMapEnd();
           }
@@ -1086,11 +1409,11 @@
   xfer += oprot->writeFieldBegin("labels", ::apache::thrift::protocol::T_MAP, 5);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->labels.size()));
-    std::map<std::string, std::string> ::const_iterator _iter55;
-    for (_iter55 = this->labels.begin(); _iter55 != this->labels.end(); ++_iter55)
+    std::map<std::string, std::string> ::const_iterator _iter59;
+    for (_iter59 = this->labels.begin(); _iter59 != this->labels.end(); ++_iter59)
     {
-      xfer += oprot->writeString(_iter55->first);
-      xfer += oprot->writeString(_iter55->second);
+      xfer += oprot->writeString(_iter59->first);
+      xfer += oprot->writeString(_iter59->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -1116,42 +1439,42 @@
   swap(a.__isset, b.__isset);
 }
 
-Group::Group(const Group& other56) {
-  name = other56.name;
-  term = other56.term;
-  phase = other56.phase;
-  primary = other56.primary;
-  labels = other56.labels;
-  changedAt = other56.changedAt;
-  __isset = other56.__isset;
-}
-Group::Group(Group&& other57) noexcept {
-  name = std::move(other57.name);
-  term = other57.term;
-  phase = other57.phase;
-  primary = std::move(other57.primary);
-  labels = std::move(other57.labels);
-  changedAt = other57.changedAt;
-  __isset = other57.__isset;
-}
-Group& Group::operator=(const Group& other58) {
-  name = other58.name;
-  term = other58.term;
-  phase = other58.phase;
-  primary = other58.primary;
-  labels = other58.labels;
-  changedAt = other58.changedAt;
-  __isset = other58.__isset;
+Group::Group(const Group& other60) {
+  name = other60.name;
+  term = other60.term;
+  phase = other60.phase;
+  primary = other60.primary;
+  labels = other60.labels;
+  changedAt = other60.changedAt;
+  __isset = other60.__isset;
+}
+Group::Group(Group&& other61) noexcept {
+  name = std::move(other61.name);
+  term = other61.term;
+  phase = other61.phase;
+  primary = std::move(other61.primary);
+  labels = std::move(other61.labels);
+  changedAt = other61.changedAt;
+  __isset = other61.__isset;
+}
+Group& Group::operator=(const Group& other62) {
+  name = other62.name;
+  term = other62.term;
+  phase = other62.phase;
+  primary = other62.primary;
+  labels = other62.labels;
+  changedAt = other62.changedAt;
+  __isset = other62.__isset;
   return *this;
 }
-Group& Group::operator=(Group&& other59) noexcept {
-  name = std::move(other59.name);
-  term = other59.term;
-  phase = other59.phase;
-  primary = std::move(other59.primary);
-  labels = std::move(other59.labels);
-  changedAt = other59.changedAt;
-  __isset = other59.__isset;
+Group& Group::operator=(Group&& other63) noexcept {
+  name = std::move(other63.name);
+  term = other63.term;
+  phase = other63.phase;
+  primary = std::move(other63.primary);
+  labels = std::move(other63.labels);
+  changedAt = other63.changedAt;
+  __isset = other63.__isset;
   return *this;
 }
 void Group::printTo(std::ostream& out) const {
@@ -1202,6 +1525,10 @@
 void Endpoint::__set_changedAt(const int64_t val) {
   this->changedAt = val;
 }
+
+void Endpoint::__set_startedAt(const int64_t val) {
+  this->startedAt = val;
+}
 std::ostream& operator<<(std::ostream& out, const Endpoint& obj)
 {
   obj.printTo(out);
@@ -1282,17 +1609,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->labels.clear();
-            uint32_t _size60;
-            ::apache::thrift::protocol::TType _ktype61;
-            ::apache::thrift::protocol::TType _vtype62;
-            xfer += iprot->readMapBegin(_ktype61, _vtype62, _size60);
-            uint32_t _i64;
-            for (_i64 = 0; _i64 < _size60; ++_i64)
+            uint32_t _size64;
+            ::apache::thrift::protocol::TType _ktype65;
+            ::apache::thrift::protocol::TType _vtype66;
+            xfer += iprot->readMapBegin(_ktype65, _vtype66, _size64);
+            uint32_t _i68;
+            for (_i68 = 0; _i68 < _size64; ++_i68)
             {
-              std::string _key65;
-              xfer += iprot->readString(_key65);
-              std::string& _val66 = this->labels[_key65];
-              xfer += iprot->readString(_val66);
+              std::string _key69;
+              xfer += iprot->readString(_key69);
+              std::string& _val70 = this->labels[_key69];
+              xfer += iprot->readString(_val70);
             }
             xfer += iprot->readMapEnd();
           }
@@ -1309,6 +1636,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->startedAt);
+          this->__isset.startedAt = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1353,11 +1688,11 @@
   xfer += oprot->writeFieldBegin("labels", ::apache::thrift::protocol::T_MAP, 7);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->labels.size()));
-    std::map<std::string, std::string> ::const_iterator _iter67;
-    for (_iter67 = this->labels.begin(); _iter67 != this->labels.end(); ++_iter67)
+    std::map<std::string, std::string> ::const_iterator _iter71;
+    for (_iter71 = this->labels.begin(); _iter71 != this->labels.end(); ++_iter71)
     {
-      xfer += oprot->writeString(_iter67->first);
-      xfer += oprot->writeString(_iter67->second);
+      xfer += oprot->writeString(_iter71->first);
+      xfer += oprot->writeString(_iter71->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -1367,6 +1702,10 @@
   xfer += oprot->writeI64(this->changedAt);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("startedAt", ::apache::thrift::protocol::T_I64, 9);
+  xfer += oprot->writeI64(this->startedAt);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1382,53 +1721,58 @@
   swap(a.leaving, b.leaving);
   swap(a.labels, b.labels);
   swap(a.changedAt, b.changedAt);
+  swap(a.startedAt, b.startedAt);
   swap(a.__isset, b.__isset);
 }
 
-Endpoint::Endpoint(const Endpoint& other68) {
-  name = other68.name;
-  group = other68.group;
-  zone = other68.zone;
-  address = other68.address;
-  connectionLimit = other68.connectionLimit;
-  leaving = other68.leaving;
-  labels = other68.labels;
-  changedAt = other68.changedAt;
-  __isset = other68.__isset;
-}
-Endpoint::Endpoint(Endpoint&& other69) noexcept {
-  name = std::move(other69.name);
-  group = std::move(other69.group);
-  zone = std::move(other69.zone);
-  address = std::move(other69.address);
-  connectionLimit = other69.connectionLimit;
-  leaving = other69.leaving;
-  labels = std::move(other69.labels);
-  changedAt = other69.changedAt;
-  __isset = other69.__isset;
-}
-Endpoint& Endpoint::operator=(const Endpoint& other70) {
-  name = other70.name;
-  group = other70.group;
-  zone = other70.zone;
-  address = other70.address;
-  connectionLimit = other70.connectionLimit;
-  leaving = other70.leaving;
-  labels = other70.labels;
-  changedAt = other70.changedAt;
-  __isset = other70.__isset;
+Endpoint::Endpoint(const Endpoint& other72) {
+  name = other72.name;
+  group = other72.group;
+  zone = other72.zone;
+  address = other72.address;
+  connectionLimit = other72.connectionLimit;
+  leaving = other72.leaving;
+  labels = other72.labels;
+  changedAt = other72.changedAt;
+  startedAt = other72.startedAt;
+  __isset = other72.__isset;
+}
+Endpoint::Endpoint(Endpoint&& other73) noexcept {
+  name = std::move(other73.name);
+  group = std::move(other73.group);
+  zone = std::move(other73.zone);
+  address = std::move(other73.address);
+  connectionLimit = other73.connectionLimit;
+  leaving = other73.leaving;
+  labels = std::move(other73.labels);
+  changedAt = other73.changedAt;
+  startedAt = other73.startedAt;
+  __isset = other73.__isset;
+}
+Endpoint& Endpoint::operator=(const Endpoint& other74) {
+  name = other74.name;
+  group = other74.group;
+  zone = other74.zone;
+  address = other74.address;
+  connectionLimit = other74.connectionLimit;
+  leaving = other74.leaving;
+  labels = other74.labels;
+  changedAt = other74.changedAt;
+  startedAt = other74.startedAt;
+  __isset = other74.__isset;
   return *this;
 }
-Endpoint& Endpoint::operator=(Endpoint&& other71) noexcept {
-  name = std::move(other71.name);
-  group = std::move(other71.group);
-  zone = std::move(other71.zone);
-  address = std::move(other71.address);
-  connectionLimit = other71.connectionLimit;
-  leaving = other71.leaving;
-  labels = std::move(other71.labels);
-  changedAt = other71.changedAt;
-  __isset = other71.__isset;
+Endpoint& Endpoint::operator=(Endpoint&& other75) noexcept {
+  name = std::move(other75.name);
+  group = std::move(other75.group);
+  zone = std::move(other75.zone);
+  address = std::move(other75.address);
+  connectionLimit = other75.connectionLimit;
+  leaving = other75.leaving;
+  labels = std::move(other75.labels);
+  changedAt = other75.changedAt;
+  startedAt = other75.startedAt;
+  __isset = other75.__isset;
   return *this;
 }
 void Endpoint::printTo(std::ostream& out) const {
@@ -1442,6 +1786,7 @@
   out << ", " << "leaving=" << to_string(leaving);
   out << ", " << "labels=" << to_string(labels);
   out << ", " << "changedAt=" << to_string(changedAt);
+  out << ", " << "startedAt=" << to_string(startedAt);
   out << ")";
 }
 
@@ -1549,17 +1894,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->labels.clear();
-            uint32_t _size72;
-            ::apache::thrift::protocol::TType _ktype73;
-            ::apache::thrift::protocol::TType _vtype74;
-            xfer += iprot->readMapBegin(_ktype73, _vtype74, _size72);
-            uint32_t _i76;
-            for (_i76 = 0; _i76 < _size72; ++_i76)
+            uint32_t _size76;
+            ::apache::thrift::protocol::TType _ktype77;
+            ::apache::thrift::protocol::TType _vtype78;
+            xfer += iprot->readMapBegin(_ktype77, _vtype78, _size76);
+            uint32_t _i80;
+            for (_i80 = 0; _i80 < _size76; ++_i80)
             {
-              std::string _key77;
-              xfer += iprot->readString(_key77);
-              std::string& _val78 = this->labels[_key77];
-              xfer += iprot->readString(_val78);
+              std::string _key81;
+              xfer += iprot->readString(_key81);
+              std::string& _val82 = this->labels[_key81];
+              xfer += iprot->readString(_val82);
             }
             xfer += iprot->readMapEnd();
           }
@@ -1616,11 +1961,11 @@
   xfer += oprot->writeFieldBegin("labels", ::apache::thrift::protocol::T_MAP, 6);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->labels.size()));
-    std::map<std::string, std::string> ::const_iterator _iter79;
-    for (_iter79 = this->labels.begin(); _iter79 != this->labels.end(); ++_iter79)
+    std::map<std::string, std::string> ::const_iterator _iter83;
+    for (_iter83 = this->labels.begin(); _iter83 != this->labels.end(); ++_iter83)
     {
-      xfer += oprot->writeString(_iter79->first);
-      xfer += oprot->writeString(_iter79->second);
+      xfer += oprot->writeString(_iter83->first);
+      xfer += oprot->writeString(_iter83->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -1647,46 +1992,46 @@
   swap(a.__isset, b.__isset);
 }
 
-Objective::Objective(const Objective& other80) {
-  name = other80.name;
-  kind = other80.kind;
-  selector = other80.selector;
-  target = other80.target;
-  windowNanoseconds = other80.windowNanoseconds;
-  labels = other80.labels;
-  changedAt = other80.changedAt;
-  __isset = other80.__isset;
-}
-Objective::Objective(Objective&& other81) noexcept {
-  name = std::move(other81.name);
-  kind = other81.kind;
-  selector = std::move(other81.selector);
-  target = other81.target;
-  windowNanoseconds = other81.windowNanoseconds;
-  labels = std::move(other81.labels);
-  changedAt = other81.changedAt;
-  __isset = other81.__isset;
-}
-Objective& Objective::operator=(const Objective& other82) {
-  name = other82.name;
-  kind = other82.kind;
-  selector = other82.selector;
-  target = other82.target;
-  windowNanoseconds = other82.windowNanoseconds;
-  labels = other82.labels;
-  changedAt = other82.changedAt;
-  __isset = other82.__isset;
+Objective::Objective(const Objective& other84) {
+  name = other84.name;
+  kind = other84.kind;
+  selector = other84.selector;
+  target = other84.target;
+  windowNanoseconds = other84.windowNanoseconds;
+  labels = other84.labels;
+  changedAt = other84.changedAt;
+  __isset = other84.__isset;
+}
+Objective::Objective(Objective&& other85) noexcept {
+  name = std::move(other85.name);
+  kind = other85.kind;
+  selector = std::move(other85.selector);
+  target = other85.target;
+  windowNanoseconds = other85.windowNanoseconds;
+  labels = std::move(other85.labels);
+  changedAt = other85.changedAt;
+  __isset = other85.__isset;
+}
+Objective& Objective::operator=(const Objective& other86) {
+  name = other86.name;
+  kind = other86.kind;
+  selector = other86.selector;
+  target = other86.target;
+  windowNanoseconds = other86.windowNanoseconds;
+  labels = other86.labels;
+  changedAt = other86.changedAt;
+  __isset = other86.__isset;
   return *this;
 }
-Objective& Objective::operator=(Objective&& other83) noexcept {
-  name = std::move(other83.name);
-  kind = other83.kind;
-  selector = std::move(other83.selector);
-  target = other83.target;
-  windowNanoseconds = other83.windowNanoseconds;
-  labels = std::move(other83.labels);
-  changedAt = other83.changedAt;
-  __isset = other83.__isset;
+Objective& Objective::operator=(Objective&& other87) noexcept {
+  name = std::move(other87.name);
+  kind = other87.kind;
+  selector = std::move(other87.selector);
+  target = other87.target;
+  windowNanoseconds = other87.windowNanoseconds;
+  labels = std::move(other87.labels);
+  changedAt = other87.changedAt;
+  __isset = other87.__isset;
   return *this;
 }
 void Objective::printTo(std::ostream& out) const {
@@ -1703,52 +2048,37 @@
 }
 
 
-FleetObject::~FleetObject() noexcept {
-}
-
-
-void FleetObject::__set_serviceObject(const Service& val) {
-  this->serviceObject = val;
-__isset.serviceObject = true;
+ConfigurationDocument::~ConfigurationDocument() noexcept {
 }
 
-void FleetObject::__set_organisation(const Organisation& val) {
-  this->organisation = val;
-__isset.organisation = true;
-}
 
-void FleetObject::__set_key(const Key& val) {
-  this->key = val;
-__isset.key = true;
+void ConfigurationDocument::__set_name(const std::string& val) {
+  this->name = val;
 }
 
-void FleetObject::__set_route(const Route& val) {
-  this->route = val;
-__isset.route = true;
+void ConfigurationDocument::__set_version(const int64_t val) {
+  this->version = val;
 }
 
-void FleetObject::__set_databaseGroup(const Group& val) {
-  this->databaseGroup = val;
-__isset.databaseGroup = true;
+void ConfigurationDocument::__set_text(const std::string& val) {
+  this->text = val;
 }
 
-void FleetObject::__set_endpoint(const Endpoint& val) {
-  this->endpoint = val;
-__isset.endpoint = true;
+void ConfigurationDocument::__set_labels(const std::map<std::string, std::string> & val) {
+  this->labels = val;
 }
 
-void FleetObject::__set_objective(const Objective& val) {
-  this->objective = val;
-__isset.objective = true;
+void ConfigurationDocument::__set_changedAt(const int64_t val) {
+  this->changedAt = val;
 }
-std::ostream& operator<<(std::ostream& out, const FleetObject& obj)
+std::ostream& operator<<(std::ostream& out, const ConfigurationDocument& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t FleetObject::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t ConfigurationDocument::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -1770,46 +2100,279 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->serviceObject.read(iprot);
-          this->__isset.serviceObject = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->name);
+          this->__isset.name = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->organisation.read(iprot);
-          this->__isset.organisation = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->key.read(iprot);
-          this->__isset.key = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->text);
+          this->__isset.text = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->route.read(iprot);
-          this->__isset.route = true;
+        if (ftype == ::apache::thrift::protocol::T_MAP) {
+          {
+            this->labels.clear();
+            uint32_t _size88;
+            ::apache::thrift::protocol::TType _ktype89;
+            ::apache::thrift::protocol::TType _vtype90;
+            xfer += iprot->readMapBegin(_ktype89, _vtype90, _size88);
+            uint32_t _i92;
+            for (_i92 = 0; _i92 < _size88; ++_i92)
+            {
+              std::string _key93;
+              xfer += iprot->readString(_key93);
+              std::string& _val94 = this->labels[_key93];
+              xfer += iprot->readString(_val94);
+            }
+            xfer += iprot->readMapEnd();
+          }
+          this->__isset.labels = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 5:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->databaseGroup.read(iprot);
-          this->__isset.databaseGroup = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->changedAt);
+          this->__isset.changedAt = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 6:
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ConfigurationDocument::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ConfigurationDocument");
+
+  xfer += oprot->writeFieldBegin("name", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->name);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("text", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeBinary(this->text);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("labels", ::apache::thrift::protocol::T_MAP, 4);
+  {
+    xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->labels.size()));
+    std::map<std::string, std::string> ::const_iterator _iter95;
+    for (_iter95 = this->labels.begin(); _iter95 != this->labels.end(); ++_iter95)
+    {
+      xfer += oprot->writeString(_iter95->first);
+      xfer += oprot->writeString(_iter95->second);
+    }
+    xfer += oprot->writeMapEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("changedAt", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->changedAt);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ConfigurationDocument &a, ConfigurationDocument &b) {
+  using ::std::swap;
+  swap(a.name, b.name);
+  swap(a.version, b.version);
+  swap(a.text, b.text);
+  swap(a.labels, b.labels);
+  swap(a.changedAt, b.changedAt);
+  swap(a.__isset, b.__isset);
+}
+
+ConfigurationDocument::ConfigurationDocument(const ConfigurationDocument& other96) {
+  name = other96.name;
+  version = other96.version;
+  text = other96.text;
+  labels = other96.labels;
+  changedAt = other96.changedAt;
+  __isset = other96.__isset;
+}
+ConfigurationDocument::ConfigurationDocument(ConfigurationDocument&& other97) noexcept {
+  name = std::move(other97.name);
+  version = other97.version;
+  text = std::move(other97.text);
+  labels = std::move(other97.labels);
+  changedAt = other97.changedAt;
+  __isset = other97.__isset;
+}
+ConfigurationDocument& ConfigurationDocument::operator=(const ConfigurationDocument& other98) {
+  name = other98.name;
+  version = other98.version;
+  text = other98.text;
+  labels = other98.labels;
+  changedAt = other98.changedAt;
+  __isset = other98.__isset;
+  return *this;
+}
+ConfigurationDocument& ConfigurationDocument::operator=(ConfigurationDocument&& other99) noexcept {
+  name = std::move(other99.name);
+  version = other99.version;
+  text = std::move(other99.text);
+  labels = std::move(other99.labels);
+  changedAt = other99.changedAt;
+  __isset = other99.__isset;
+  return *this;
+}
+void ConfigurationDocument::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ConfigurationDocument(";
+  out << "name=" << to_string(name);
+  out << ", " << "version=" << to_string(version);
+  out << ", " << "text=" << to_string(text);
+  out << ", " << "labels=" << to_string(labels);
+  out << ", " << "changedAt=" << to_string(changedAt);
+  out << ")";
+}
+
+
+FleetObject::~FleetObject() noexcept {
+}
+
+
+void FleetObject::__set_serviceObject(const Service& val) {
+  this->serviceObject = val;
+__isset.serviceObject = true;
+}
+
+void FleetObject::__set_organisation(const Organisation& val) {
+  this->organisation = val;
+__isset.organisation = true;
+}
+
+void FleetObject::__set_key(const Key& val) {
+  this->key = val;
+__isset.key = true;
+}
+
+void FleetObject::__set_route(const Route& val) {
+  this->route = val;
+__isset.route = true;
+}
+
+void FleetObject::__set_databaseGroup(const Group& val) {
+  this->databaseGroup = val;
+__isset.databaseGroup = true;
+}
+
+void FleetObject::__set_endpoint(const Endpoint& val) {
+  this->endpoint = val;
+__isset.endpoint = true;
+}
+
+void FleetObject::__set_objective(const Objective& val) {
+  this->objective = val;
+__isset.objective = true;
+}
+
+void FleetObject::__set_document(const ConfigurationDocument& val) {
+  this->document = val;
+__isset.document = true;
+}
+std::ostream& operator<<(std::ostream& out, const FleetObject& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t FleetObject::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->serviceObject.read(iprot);
+          this->__isset.serviceObject = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->organisation.read(iprot);
+          this->__isset.organisation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->key.read(iprot);
+          this->__isset.key = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->route.read(iprot);
+          this->__isset.route = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->databaseGroup.read(iprot);
+          this->__isset.databaseGroup = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
         if (ftype == ::apache::thrift::protocol::T_STRUCT) {
           xfer += this->endpoint.read(iprot);
           this->__isset.endpoint = true;
@@ -1825,6 +2388,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->document.read(iprot);
+          this->__isset.document = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1877,6 +2448,11 @@
     xfer += this->objective.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.document) {
+    xfer += oprot->writeFieldBegin("document", ::apache::thrift::protocol::T_STRUCT, 8);
+    xfer += this->document.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1891,49 +2467,54 @@
   swap(a.databaseGroup, b.databaseGroup);
   swap(a.endpoint, b.endpoint);
   swap(a.objective, b.objective);
+  swap(a.document, b.document);
   swap(a.__isset, b.__isset);
 }
 
-FleetObject::FleetObject(const FleetObject& other84) {
-  serviceObject = other84.serviceObject;
-  organisation = other84.organisation;
-  key = other84.key;
-  route = other84.route;
-  databaseGroup = other84.databaseGroup;
-  endpoint = other84.endpoint;
-  objective = other84.objective;
-  __isset = other84.__isset;
+FleetObject::FleetObject(const FleetObject& other100) {
+  serviceObject = other100.serviceObject;
+  organisation = other100.organisation;
+  key = other100.key;
+  route = other100.route;
+  databaseGroup = other100.databaseGroup;
+  endpoint = other100.endpoint;
+  objective = other100.objective;
+  document = other100.document;
+  __isset = other100.__isset;
 }
-FleetObject::FleetObject(FleetObject&& other85) noexcept {
-  serviceObject = std::move(other85.serviceObject);
-  organisation = std::move(other85.organisation);
-  key = std::move(other85.key);
-  route = std::move(other85.route);
-  databaseGroup = std::move(other85.databaseGroup);
-  endpoint = std::move(other85.endpoint);
-  objective = std::move(other85.objective);
-  __isset = other85.__isset;
+FleetObject::FleetObject(FleetObject&& other101) noexcept {
+  serviceObject = std::move(other101.serviceObject);
+  organisation = std::move(other101.organisation);
+  key = std::move(other101.key);
+  route = std::move(other101.route);
+  databaseGroup = std::move(other101.databaseGroup);
+  endpoint = std::move(other101.endpoint);
+  objective = std::move(other101.objective);
+  document = std::move(other101.document);
+  __isset = other101.__isset;
 }
-FleetObject& FleetObject::operator=(const FleetObject& other86) {
-  serviceObject = other86.serviceObject;
-  organisation = other86.organisation;
-  key = other86.key;
-  route = other86.route;
-  databaseGroup = other86.databaseGroup;
-  endpoint = other86.endpoint;
-  objective = other86.objective;
-  __isset = other86.__isset;
+FleetObject& FleetObject::operator=(const FleetObject& other102) {
+  serviceObject = other102.serviceObject;
+  organisation = other102.organisation;
+  key = other102.key;
+  route = other102.route;
+  databaseGroup = other102.databaseGroup;
+  endpoint = other102.endpoint;
+  objective = other102.objective;
+  document = other102.document;
+  __isset = other102.__isset;
   return *this;
 }
-FleetObject& FleetObject::operator=(FleetObject&& other87) noexcept {
-  serviceObject = std::move(other87.serviceObject);
-  organisation = std::move(other87.organisation);
-  key = std::move(other87.key);
-  route = std::move(other87.route);
-  databaseGroup = std::move(other87.databaseGroup);
-  endpoint = std::move(other87.endpoint);
-  objective = std::move(other87.objective);
-  __isset = other87.__isset;
+FleetObject& FleetObject::operator=(FleetObject&& other103) noexcept {
+  serviceObject = std::move(other103.serviceObject);
+  organisation = std::move(other103.organisation);
+  key = std::move(other103.key);
+  route = std::move(other103.route);
+  databaseGroup = std::move(other103.databaseGroup);
+  endpoint = std::move(other103.endpoint);
+  objective = std::move(other103.objective);
+  document = std::move(other103.document);
+  __isset = other103.__isset;
   return *this;
 }
 void FleetObject::printTo(std::ostream& out) const {
@@ -1946,6 +2527,7 @@
   out << ", " << "databaseGroup="; (__isset.databaseGroup ? (out << to_string(databaseGroup)) : (out << "<null>"));
   out << ", " << "endpoint="; (__isset.endpoint ? (out << to_string(endpoint)) : (out << "<null>"));
   out << ", " << "objective="; (__isset.objective ? (out << to_string(objective)) : (out << "<null>"));
+  out << ", " << "document="; (__isset.document ? (out << to_string(document)) : (out << "<null>"));
   out << ")";
 }
 
@@ -2078,34 +2660,34 @@
   swap(a.__isset, b.__isset);
 }
 
-FleetChange::FleetChange(const FleetChange& other88) {
-  revision = other88.revision;
-  kind = other88.kind;
-  name = other88.name;
-  fleetObject = other88.fleetObject;
-  __isset = other88.__isset;
-}
-FleetChange::FleetChange(FleetChange&& other89) noexcept {
-  revision = other89.revision;
-  kind = other89.kind;
-  name = std::move(other89.name);
-  fleetObject = std::move(other89.fleetObject);
-  __isset = other89.__isset;
-}
-FleetChange& FleetChange::operator=(const FleetChange& other90) {
-  revision = other90.revision;
-  kind = other90.kind;
-  name = other90.name;
-  fleetObject = other90.fleetObject;
-  __isset = other90.__isset;
+FleetChange::FleetChange(const FleetChange& other104) {
+  revision = other104.revision;
+  kind = other104.kind;
+  name = other104.name;
+  fleetObject = other104.fleetObject;
+  __isset = other104.__isset;
+}
+FleetChange::FleetChange(FleetChange&& other105) noexcept {
+  revision = other105.revision;
+  kind = other105.kind;
+  name = std::move(other105.name);
+  fleetObject = std::move(other105.fleetObject);
+  __isset = other105.__isset;
+}
+FleetChange& FleetChange::operator=(const FleetChange& other106) {
+  revision = other106.revision;
+  kind = other106.kind;
+  name = other106.name;
+  fleetObject = other106.fleetObject;
+  __isset = other106.__isset;
   return *this;
 }
-FleetChange& FleetChange::operator=(FleetChange&& other91) noexcept {
-  revision = other91.revision;
-  kind = other91.kind;
-  name = std::move(other91.name);
-  fleetObject = std::move(other91.fleetObject);
-  __isset = other91.__isset;
+FleetChange& FleetChange::operator=(FleetChange&& other107) noexcept {
+  revision = other107.revision;
+  kind = other107.kind;
+  name = std::move(other107.name);
+  fleetObject = std::move(other107.fleetObject);
+  __isset = other107.__isset;
   return *this;
 }
 void FleetChange::printTo(std::ostream& out) const {
@@ -2228,30 +2810,30 @@
   swap(a.__isset, b.__isset);
 }
 
-FleetUpdateHeader::FleetUpdateHeader(const FleetUpdateHeader& other92) noexcept {
-  baseRevision = other92.baseRevision;
-  revision = other92.revision;
-  changes = other92.changes;
-  __isset = other92.__isset;
+FleetUpdateHeader::FleetUpdateHeader(const FleetUpdateHeader& other108) noexcept {
+  baseRevision = other108.baseRevision;
+  revision = other108.revision;
+  changes = other108.changes;
+  __isset = other108.__isset;
 }
-FleetUpdateHeader::FleetUpdateHeader(FleetUpdateHeader&& other93) noexcept {
-  baseRevision = other93.baseRevision;
-  revision = other93.revision;
-  changes = other93.changes;
-  __isset = other93.__isset;
+FleetUpdateHeader::FleetUpdateHeader(FleetUpdateHeader&& other109) noexcept {
+  baseRevision = other109.baseRevision;
+  revision = other109.revision;
+  changes = other109.changes;
+  __isset = other109.__isset;
 }
-FleetUpdateHeader& FleetUpdateHeader::operator=(const FleetUpdateHeader& other94) noexcept {
-  baseRevision = other94.baseRevision;
-  revision = other94.revision;
-  changes = other94.changes;
-  __isset = other94.__isset;
+FleetUpdateHeader& FleetUpdateHeader::operator=(const FleetUpdateHeader& other110) noexcept {
+  baseRevision = other110.baseRevision;
+  revision = other110.revision;
+  changes = other110.changes;
+  __isset = other110.__isset;
   return *this;
 }
-FleetUpdateHeader& FleetUpdateHeader::operator=(FleetUpdateHeader&& other95) noexcept {
-  baseRevision = other95.baseRevision;
-  revision = other95.revision;
-  changes = other95.changes;
-  __isset = other95.__isset;
+FleetUpdateHeader& FleetUpdateHeader::operator=(FleetUpdateHeader&& other111) noexcept {
+  baseRevision = other111.baseRevision;
+  revision = other111.revision;
+  changes = other111.changes;
+  __isset = other111.__isset;
   return *this;
 }
 void FleetUpdateHeader::printTo(std::ostream& out) const {
@@ -2356,26 +2938,26 @@
   swap(a.__isset, b.__isset);
 }
 
-DeleteObject::DeleteObject(const DeleteObject& other96) {
-  kind = other96.kind;
-  name = other96.name;
-  __isset = other96.__isset;
+DeleteObject::DeleteObject(const DeleteObject& other112) {
+  kind = other112.kind;
+  name = other112.name;
+  __isset = other112.__isset;
 }
-DeleteObject::DeleteObject(DeleteObject&& other97) noexcept {
-  kind = other97.kind;
-  name = std::move(other97.name);
-  __isset = other97.__isset;
+DeleteObject::DeleteObject(DeleteObject&& other113) noexcept {
+  kind = other113.kind;
+  name = std::move(other113.name);
+  __isset = other113.__isset;
 }
-DeleteObject& DeleteObject::operator=(const DeleteObject& other98) {
-  kind = other98.kind;
-  name = other98.name;
-  __isset = other98.__isset;
+DeleteObject& DeleteObject::operator=(const DeleteObject& other114) {
+  kind = other114.kind;
+  name = other114.name;
+  __isset = other114.__isset;
   return *this;
 }
-DeleteObject& DeleteObject::operator=(DeleteObject&& other99) noexcept {
-  kind = other99.kind;
-  name = std::move(other99.name);
-  __isset = other99.__isset;
+DeleteObject& DeleteObject::operator=(DeleteObject&& other115) noexcept {
+  kind = other115.kind;
+  name = std::move(other115.name);
+  __isset = other115.__isset;
   return *this;
 }
 void DeleteObject::printTo(std::ostream& out) const {
@@ -2513,34 +3095,34 @@
   swap(a.__isset, b.__isset);
 }
 
-SetLabel::SetLabel(const SetLabel& other100) {
-  kind = other100.kind;
-  name = other100.name;
-  key = other100.key;
-  value = other100.value;
-  __isset = other100.__isset;
+SetLabel::SetLabel(const SetLabel& other116) {
+  kind = other116.kind;
+  name = other116.name;
+  key = other116.key;
+  value = other116.value;
+  __isset = other116.__isset;
 }
-SetLabel::SetLabel(SetLabel&& other101) noexcept {
-  kind = other101.kind;
-  name = std::move(other101.name);
-  key = std::move(other101.key);
-  value = std::move(other101.value);
-  __isset = other101.__isset;
+SetLabel::SetLabel(SetLabel&& other117) noexcept {
+  kind = other117.kind;
+  name = std::move(other117.name);
+  key = std::move(other117.key);
+  value = std::move(other117.value);
+  __isset = other117.__isset;
 }
-SetLabel& SetLabel::operator=(const SetLabel& other102) {
-  kind = other102.kind;
-  name = other102.name;
-  key = other102.key;
-  value = other102.value;
-  __isset = other102.__isset;
+SetLabel& SetLabel::operator=(const SetLabel& other118) {
+  kind = other118.kind;
+  name = other118.name;
+  key = other118.key;
+  value = other118.value;
+  __isset = other118.__isset;
   return *this;
 }
-SetLabel& SetLabel::operator=(SetLabel&& other103) noexcept {
-  kind = other103.kind;
-  name = std::move(other103.name);
-  key = std::move(other103.key);
-  value = std::move(other103.value);
-  __isset = other103.__isset;
+SetLabel& SetLabel::operator=(SetLabel&& other119) noexcept {
+  kind = other119.kind;
+  name = std::move(other119.name);
+  key = std::move(other119.key);
+  value = std::move(other119.value);
+  __isset = other119.__isset;
   return *this;
 }
 void SetLabel::printTo(std::ostream& out) const {
@@ -2663,30 +3245,30 @@
   swap(a.__isset, b.__isset);
 }
 
-RemoveLabel::RemoveLabel(const RemoveLabel& other104) {
-  kind = other104.kind;
-  name = other104.name;
-  key = other104.key;
-  __isset = other104.__isset;
+RemoveLabel::RemoveLabel(const RemoveLabel& other120) {
+  kind = other120.kind;
+  name = other120.name;
+  key = other120.key;
+  __isset = other120.__isset;
 }
-RemoveLabel::RemoveLabel(RemoveLabel&& other105) noexcept {
-  kind = other105.kind;
-  name = std::move(other105.name);
-  key = std::move(other105.key);
-  __isset = other105.__isset;
+RemoveLabel::RemoveLabel(RemoveLabel&& other121) noexcept {
+  kind = other121.kind;
+  name = std::move(other121.name);
+  key = std::move(other121.key);
+  __isset = other121.__isset;
 }
-RemoveLabel& RemoveLabel::operator=(const RemoveLabel& other106) {
-  kind = other106.kind;
-  name = other106.name;
-  key = other106.key;
-  __isset = other106.__isset;
+RemoveLabel& RemoveLabel::operator=(const RemoveLabel& other122) {
+  kind = other122.kind;
+  name = other122.name;
+  key = other122.key;
+  __isset = other122.__isset;
   return *this;
 }
-RemoveLabel& RemoveLabel::operator=(RemoveLabel&& other107) noexcept {
-  kind = other107.kind;
-  name = std::move(other107.name);
-  key = std::move(other107.key);
-  __isset = other107.__isset;
+RemoveLabel& RemoveLabel::operator=(RemoveLabel&& other123) noexcept {
+  kind = other123.kind;
+  name = std::move(other123.name);
+  key = std::move(other123.key);
+  __isset = other123.__isset;
   return *this;
 }
 void RemoveLabel::printTo(std::ostream& out) const {
@@ -2703,17 +3285,249 @@
 }
 
 
-void WithdrawKey::__set_key(const std::string& val) {
-  this->key = val;
+void WithdrawKey::__set_key(const std::string& val) {
+  this->key = val;
+}
+std::ostream& operator<<(std::ostream& out, const WithdrawKey& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t WithdrawKey::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->key);
+          this->__isset.key = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t WithdrawKey::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("WithdrawKey");
+
+  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->key);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(WithdrawKey &a, WithdrawKey &b) {
+  using ::std::swap;
+  swap(a.key, b.key);
+  swap(a.__isset, b.__isset);
+}
+
+WithdrawKey::WithdrawKey(const WithdrawKey& other124) {
+  key = other124.key;
+  __isset = other124.__isset;
+}
+WithdrawKey::WithdrawKey(WithdrawKey&& other125) noexcept {
+  key = std::move(other125.key);
+  __isset = other125.__isset;
+}
+WithdrawKey& WithdrawKey::operator=(const WithdrawKey& other126) {
+  key = other126.key;
+  __isset = other126.__isset;
+  return *this;
+}
+WithdrawKey& WithdrawKey::operator=(WithdrawKey&& other127) noexcept {
+  key = std::move(other127.key);
+  __isset = other127.__isset;
+  return *this;
+}
+void WithdrawKey::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "WithdrawKey(";
+  out << "key=" << to_string(key);
+  out << ")";
+}
+
+
+GrantTerm::~GrantTerm() noexcept {
+}
+
+
+void GrantTerm::__set_groupName(const std::string& val) {
+  this->groupName = val;
+}
+
+void GrantTerm::__set_term(const int64_t val) {
+  this->term = val;
+}
+std::ostream& operator<<(std::ostream& out, const GrantTerm& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t GrantTerm::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->groupName);
+          this->__isset.groupName = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->term);
+          this->__isset.term = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t GrantTerm::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("GrantTerm");
+
+  xfer += oprot->writeFieldBegin("groupName", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->groupName);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->term);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(GrantTerm &a, GrantTerm &b) {
+  using ::std::swap;
+  swap(a.groupName, b.groupName);
+  swap(a.term, b.term);
+  swap(a.__isset, b.__isset);
+}
+
+GrantTerm::GrantTerm(const GrantTerm& other128) {
+  groupName = other128.groupName;
+  term = other128.term;
+  __isset = other128.__isset;
+}
+GrantTerm::GrantTerm(GrantTerm&& other129) noexcept {
+  groupName = std::move(other129.groupName);
+  term = other129.term;
+  __isset = other129.__isset;
+}
+GrantTerm& GrantTerm::operator=(const GrantTerm& other130) {
+  groupName = other130.groupName;
+  term = other130.term;
+  __isset = other130.__isset;
+  return *this;
+}
+GrantTerm& GrantTerm::operator=(GrantTerm&& other131) noexcept {
+  groupName = std::move(other131.groupName);
+  term = other131.term;
+  __isset = other131.__isset;
+  return *this;
+}
+void GrantTerm::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "GrantTerm(";
+  out << "groupName=" << to_string(groupName);
+  out << ", " << "term=" << to_string(term);
+  out << ")";
+}
+
+
+PublishPrimary::~PublishPrimary() noexcept {
+}
+
+
+void PublishPrimary::__set_groupName(const std::string& val) {
+  this->groupName = val;
+}
+
+void PublishPrimary::__set_term(const int64_t val) {
+  this->term = val;
+}
+
+void PublishPrimary::__set_endpoint(const std::string& val) {
+  this->endpoint = val;
 }
-std::ostream& operator<<(std::ostream& out, const WithdrawKey& obj)
+std::ostream& operator<<(std::ostream& out, const PublishPrimary& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t WithdrawKey::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t PublishPrimary::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -2736,8 +3550,24 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->key);
-          this->__isset.key = true;
+          xfer += iprot->readString(this->groupName);
+          this->__isset.groupName = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->term);
+          this->__isset.term = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->endpoint);
+          this->__isset.endpoint = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -2754,13 +3584,21 @@
   return xfer;
 }
 
-uint32_t WithdrawKey::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t PublishPrimary::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("WithdrawKey");
+  xfer += oprot->writeStructBegin("PublishPrimary");
 
-  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->key);
+  xfer += oprot->writeFieldBegin("groupName", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->groupName);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->term);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("endpoint", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->endpoint);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -2768,57 +3606,65 @@
   return xfer;
 }
 
-void swap(WithdrawKey &a, WithdrawKey &b) {
+void swap(PublishPrimary &a, PublishPrimary &b) {
   using ::std::swap;
-  swap(a.key, b.key);
+  swap(a.groupName, b.groupName);
+  swap(a.term, b.term);
+  swap(a.endpoint, b.endpoint);
   swap(a.__isset, b.__isset);
 }
 
-WithdrawKey::WithdrawKey(const WithdrawKey& other108) {
-  key = other108.key;
-  __isset = other108.__isset;
+PublishPrimary::PublishPrimary(const PublishPrimary& other132) {
+  groupName = other132.groupName;
+  term = other132.term;
+  endpoint = other132.endpoint;
+  __isset = other132.__isset;
 }
-WithdrawKey::WithdrawKey(WithdrawKey&& other109) noexcept {
-  key = std::move(other109.key);
-  __isset = other109.__isset;
+PublishPrimary::PublishPrimary(PublishPrimary&& other133) noexcept {
+  groupName = std::move(other133.groupName);
+  term = other133.term;
+  endpoint = std::move(other133.endpoint);
+  __isset = other133.__isset;
 }
-WithdrawKey& WithdrawKey::operator=(const WithdrawKey& other110) {
-  key = other110.key;
-  __isset = other110.__isset;
+PublishPrimary& PublishPrimary::operator=(const PublishPrimary& other134) {
+  groupName = other134.groupName;
+  term = other134.term;
+  endpoint = other134.endpoint;
+  __isset = other134.__isset;
   return *this;
 }
-WithdrawKey& WithdrawKey::operator=(WithdrawKey&& other111) noexcept {
-  key = std::move(other111.key);
-  __isset = other111.__isset;
+PublishPrimary& PublishPrimary::operator=(PublishPrimary&& other135) noexcept {
+  groupName = std::move(other135.groupName);
+  term = other135.term;
+  endpoint = std::move(other135.endpoint);
+  __isset = other135.__isset;
   return *this;
 }
-void WithdrawKey::printTo(std::ostream& out) const {
+void PublishPrimary::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "WithdrawKey(";
-  out << "key=" << to_string(key);
+  out << "PublishPrimary(";
+  out << "groupName=" << to_string(groupName);
+  out << ", " << "term=" << to_string(term);
+  out << ", " << "endpoint=" << to_string(endpoint);
   out << ")";
 }
 
 
-GrantTerm::~GrantTerm() noexcept {
+LeaveEndpoint::~LeaveEndpoint() noexcept {
 }
 
 
-void GrantTerm::__set_groupName(const std::string& val) {
-  this->groupName = val;
-}
-
-void GrantTerm::__set_term(const int64_t val) {
-  this->term = val;
+void LeaveEndpoint::__set_endpoint(const std::string& val) {
+  this->endpoint = val;
 }
-std::ostream& operator<<(std::ostream& out, const GrantTerm& obj)
+std::ostream& operator<<(std::ostream& out, const LeaveEndpoint& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t GrantTerm::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t LeaveEndpoint::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -2841,16 +3687,8 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->groupName);
-          this->__isset.groupName = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 2:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->term);
-          this->__isset.term = true;
+          xfer += iprot->readString(this->endpoint);
+          this->__isset.endpoint = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -2867,17 +3705,13 @@
   return xfer;
 }
 
-uint32_t GrantTerm::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t LeaveEndpoint::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("GrantTerm");
-
-  xfer += oprot->writeFieldBegin("groupName", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->groupName);
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("LeaveEndpoint");
 
-  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->term);
+  xfer += oprot->writeFieldBegin("endpoint", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->endpoint);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -2885,67 +3719,57 @@
   return xfer;
 }
 
-void swap(GrantTerm &a, GrantTerm &b) {
+void swap(LeaveEndpoint &a, LeaveEndpoint &b) {
   using ::std::swap;
-  swap(a.groupName, b.groupName);
-  swap(a.term, b.term);
+  swap(a.endpoint, b.endpoint);
   swap(a.__isset, b.__isset);
 }
 
-GrantTerm::GrantTerm(const GrantTerm& other112) {
-  groupName = other112.groupName;
-  term = other112.term;
-  __isset = other112.__isset;
+LeaveEndpoint::LeaveEndpoint(const LeaveEndpoint& other136) {
+  endpoint = other136.endpoint;
+  __isset = other136.__isset;
 }
-GrantTerm::GrantTerm(GrantTerm&& other113) noexcept {
-  groupName = std::move(other113.groupName);
-  term = other113.term;
-  __isset = other113.__isset;
+LeaveEndpoint::LeaveEndpoint(LeaveEndpoint&& other137) noexcept {
+  endpoint = std::move(other137.endpoint);
+  __isset = other137.__isset;
 }
-GrantTerm& GrantTerm::operator=(const GrantTerm& other114) {
-  groupName = other114.groupName;
-  term = other114.term;
-  __isset = other114.__isset;
+LeaveEndpoint& LeaveEndpoint::operator=(const LeaveEndpoint& other138) {
+  endpoint = other138.endpoint;
+  __isset = other138.__isset;
   return *this;
 }
-GrantTerm& GrantTerm::operator=(GrantTerm&& other115) noexcept {
-  groupName = std::move(other115.groupName);
-  term = other115.term;
-  __isset = other115.__isset;
+LeaveEndpoint& LeaveEndpoint::operator=(LeaveEndpoint&& other139) noexcept {
+  endpoint = std::move(other139.endpoint);
+  __isset = other139.__isset;
   return *this;
 }
-void GrantTerm::printTo(std::ostream& out) const {
+void LeaveEndpoint::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "GrantTerm(";
-  out << "groupName=" << to_string(groupName);
-  out << ", " << "term=" << to_string(term);
+  out << "LeaveEndpoint(";
+  out << "endpoint=" << to_string(endpoint);
   out << ")";
 }
 
 
-PublishPrimary::~PublishPrimary() noexcept {
+AdoptPrimary::~AdoptPrimary() noexcept {
 }
 
 
-void PublishPrimary::__set_groupName(const std::string& val) {
+void AdoptPrimary::__set_groupName(const std::string& val) {
   this->groupName = val;
 }
 
-void PublishPrimary::__set_term(const int64_t val) {
-  this->term = val;
-}
-
-void PublishPrimary::__set_endpoint(const std::string& val) {
+void AdoptPrimary::__set_endpoint(const std::string& val) {
   this->endpoint = val;
 }
-std::ostream& operator<<(std::ostream& out, const PublishPrimary& obj)
+std::ostream& operator<<(std::ostream& out, const AdoptPrimary& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t PublishPrimary::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t AdoptPrimary::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -2975,14 +3799,6 @@
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->term);
-          this->__isset.term = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 3:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
           xfer += iprot->readString(this->endpoint);
           this->__isset.endpoint = true;
@@ -3002,20 +3818,16 @@
   return xfer;
 }
 
-uint32_t PublishPrimary::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t AdoptPrimary::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("PublishPrimary");
+  xfer += oprot->writeStructBegin("AdoptPrimary");
 
   xfer += oprot->writeFieldBegin("groupName", ::apache::thrift::protocol::T_STRING, 1);
   xfer += oprot->writeString(this->groupName);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->term);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("endpoint", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeFieldBegin("endpoint", ::apache::thrift::protocol::T_STRING, 2);
   xfer += oprot->writeString(this->endpoint);
   xfer += oprot->writeFieldEnd();
 
@@ -3024,65 +3836,67 @@
   return xfer;
 }
 
-void swap(PublishPrimary &a, PublishPrimary &b) {
+void swap(AdoptPrimary &a, AdoptPrimary &b) {
   using ::std::swap;
   swap(a.groupName, b.groupName);
-  swap(a.term, b.term);
   swap(a.endpoint, b.endpoint);
   swap(a.__isset, b.__isset);
 }
 
-PublishPrimary::PublishPrimary(const PublishPrimary& other116) {
-  groupName = other116.groupName;
-  term = other116.term;
-  endpoint = other116.endpoint;
-  __isset = other116.__isset;
+AdoptPrimary::AdoptPrimary(const AdoptPrimary& other140) {
+  groupName = other140.groupName;
+  endpoint = other140.endpoint;
+  __isset = other140.__isset;
 }
-PublishPrimary::PublishPrimary(PublishPrimary&& other117) noexcept {
-  groupName = std::move(other117.groupName);
-  term = other117.term;
-  endpoint = std::move(other117.endpoint);
-  __isset = other117.__isset;
+AdoptPrimary::AdoptPrimary(AdoptPrimary&& other141) noexcept {
+  groupName = std::move(other141.groupName);
+  endpoint = std::move(other141.endpoint);
+  __isset = other141.__isset;
 }
-PublishPrimary& PublishPrimary::operator=(const PublishPrimary& other118) {
-  groupName = other118.groupName;
-  term = other118.term;
-  endpoint = other118.endpoint;
-  __isset = other118.__isset;
+AdoptPrimary& AdoptPrimary::operator=(const AdoptPrimary& other142) {
+  groupName = other142.groupName;
+  endpoint = other142.endpoint;
+  __isset = other142.__isset;
   return *this;
 }
-PublishPrimary& PublishPrimary::operator=(PublishPrimary&& other119) noexcept {
-  groupName = std::move(other119.groupName);
-  term = other119.term;
-  endpoint = std::move(other119.endpoint);
-  __isset = other119.__isset;
+AdoptPrimary& AdoptPrimary::operator=(AdoptPrimary&& other143) noexcept {
+  groupName = std::move(other143.groupName);
+  endpoint = std::move(other143.endpoint);
+  __isset = other143.__isset;
   return *this;
 }
-void PublishPrimary::printTo(std::ostream& out) const {
+void AdoptPrimary::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "PublishPrimary(";
+  out << "AdoptPrimary(";
   out << "groupName=" << to_string(groupName);
-  out << ", " << "term=" << to_string(term);
   out << ", " << "endpoint=" << to_string(endpoint);
   out << ")";
 }
 
 
-LeaveEndpoint::~LeaveEndpoint() noexcept {
+ReplaceConfiguration::~ReplaceConfiguration() noexcept {
 }
 
 
-void LeaveEndpoint::__set_endpoint(const std::string& val) {
-  this->endpoint = val;
+void ReplaceConfiguration::__set_document(const ConfigurationDocument& val) {
+  this->document = val;
 }
-std::ostream& operator<<(std::ostream& out, const LeaveEndpoint& obj)
+
+void ReplaceConfiguration::__set_objectCount(const int32_t val) {
+  this->objectCount = val;
+}
+
+void ReplaceConfiguration::__set_fleetObjects(const std::string& val) {
+  this->fleetObjects = val;
+}
+std::ostream& operator<<(std::ostream& out, const ReplaceConfiguration& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t LeaveEndpoint::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t ReplaceConfiguration::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -3104,9 +3918,25 @@
     switch (fid)
     {
       case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->document.read(iprot);
+          this->__isset.document = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->objectCount);
+          this->__isset.objectCount = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->endpoint);
-          this->__isset.endpoint = true;
+          xfer += iprot->readBinary(this->fleetObjects);
+          this->__isset.fleetObjects = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -3123,13 +3953,21 @@
   return xfer;
 }
 
-uint32_t LeaveEndpoint::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t ReplaceConfiguration::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("LeaveEndpoint");
+  xfer += oprot->writeStructBegin("ReplaceConfiguration");
 
-  xfer += oprot->writeFieldBegin("endpoint", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->endpoint);
+  xfer += oprot->writeFieldBegin("document", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->document.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("objectCount", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->objectCount);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("fleetObjects", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeBinary(this->fleetObjects);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -3137,34 +3975,46 @@
   return xfer;
 }
 
-void swap(LeaveEndpoint &a, LeaveEndpoint &b) {
+void swap(ReplaceConfiguration &a, ReplaceConfiguration &b) {
   using ::std::swap;
-  swap(a.endpoint, b.endpoint);
+  swap(a.document, b.document);
+  swap(a.objectCount, b.objectCount);
+  swap(a.fleetObjects, b.fleetObjects);
   swap(a.__isset, b.__isset);
 }
 
-LeaveEndpoint::LeaveEndpoint(const LeaveEndpoint& other120) {
-  endpoint = other120.endpoint;
-  __isset = other120.__isset;
+ReplaceConfiguration::ReplaceConfiguration(const ReplaceConfiguration& other144) {
+  document = other144.document;
+  objectCount = other144.objectCount;
+  fleetObjects = other144.fleetObjects;
+  __isset = other144.__isset;
 }
-LeaveEndpoint::LeaveEndpoint(LeaveEndpoint&& other121) noexcept {
-  endpoint = std::move(other121.endpoint);
-  __isset = other121.__isset;
+ReplaceConfiguration::ReplaceConfiguration(ReplaceConfiguration&& other145) noexcept {
+  document = std::move(other145.document);
+  objectCount = other145.objectCount;
+  fleetObjects = std::move(other145.fleetObjects);
+  __isset = other145.__isset;
 }
-LeaveEndpoint& LeaveEndpoint::operator=(const LeaveEndpoint& other122) {
-  endpoint = other122.endpoint;
-  __isset = other122.__isset;
+ReplaceConfiguration& ReplaceConfiguration::operator=(const ReplaceConfiguration& other146) {
+  document = other146.document;
+  objectCount = other146.objectCount;
+  fleetObjects = other146.fleetObjects;
+  __isset = other146.__isset;
   return *this;
 }
-LeaveEndpoint& LeaveEndpoint::operator=(LeaveEndpoint&& other123) noexcept {
-  endpoint = std::move(other123.endpoint);
-  __isset = other123.__isset;
+ReplaceConfiguration& ReplaceConfiguration::operator=(ReplaceConfiguration&& other147) noexcept {
+  document = std::move(other147.document);
+  objectCount = other147.objectCount;
+  fleetObjects = std::move(other147.fleetObjects);
+  __isset = other147.__isset;
   return *this;
 }
-void LeaveEndpoint::printTo(std::ostream& out) const {
+void ReplaceConfiguration::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "LeaveEndpoint(";
-  out << "endpoint=" << to_string(endpoint);
+  out << "ReplaceConfiguration(";
+  out << "document=" << to_string(document);
+  out << ", " << "objectCount=" << to_string(objectCount);
+  out << ", " << "fleetObjects=" << to_string(fleetObjects);
   out << ")";
 }
 
@@ -3212,6 +4062,16 @@
   this->leaveEndpoint = val;
 __isset.leaveEndpoint = true;
 }
+
+void CommandBody::__set_adoptPrimary(const AdoptPrimary& val) {
+  this->adoptPrimary = val;
+__isset.adoptPrimary = true;
+}
+
+void CommandBody::__set_replaceConfiguration(const ReplaceConfiguration& val) {
+  this->replaceConfiguration = val;
+__isset.replaceConfiguration = true;
+}
 std::ostream& operator<<(std::ostream& out, const CommandBody& obj)
 {
   obj.printTo(out);
@@ -3304,6 +4164,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->adoptPrimary.read(iprot);
+          this->__isset.adoptPrimary = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->replaceConfiguration.read(iprot);
+          this->__isset.replaceConfiguration = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3361,6 +4237,16 @@
     xfer += this->leaveEndpoint.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.adoptPrimary) {
+    xfer += oprot->writeFieldBegin("adoptPrimary", ::apache::thrift::protocol::T_STRUCT, 9);
+    xfer += this->adoptPrimary.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.replaceConfiguration) {
+    xfer += oprot->writeFieldBegin("replaceConfiguration", ::apache::thrift::protocol::T_STRUCT, 10);
+    xfer += this->replaceConfiguration.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3376,53 +4262,63 @@
   swap(a.grantTerm, b.grantTerm);
   swap(a.publishPrimary, b.publishPrimary);
   swap(a.leaveEndpoint, b.leaveEndpoint);
+  swap(a.adoptPrimary, b.adoptPrimary);
+  swap(a.replaceConfiguration, b.replaceConfiguration);
   swap(a.__isset, b.__isset);
 }
 
-CommandBody::CommandBody(const CommandBody& other124) {
-  setObject = other124.setObject;
-  deleteObject = other124.deleteObject;
-  setLabel = other124.setLabel;
-  removeLabel = other124.removeLabel;
-  withdrawKey = other124.withdrawKey;
-  grantTerm = other124.grantTerm;
-  publishPrimary = other124.publishPrimary;
-  leaveEndpoint = other124.leaveEndpoint;
-  __isset = other124.__isset;
-}
-CommandBody::CommandBody(CommandBody&& other125) noexcept {
-  setObject = std::move(other125.setObject);
-  deleteObject = std::move(other125.deleteObject);
-  setLabel = std::move(other125.setLabel);
-  removeLabel = std::move(other125.removeLabel);
-  withdrawKey = std::move(other125.withdrawKey);
-  grantTerm = std::move(other125.grantTerm);
-  publishPrimary = std::move(other125.publishPrimary);
-  leaveEndpoint = std::move(other125.leaveEndpoint);
-  __isset = other125.__isset;
-}
-CommandBody& CommandBody::operator=(const CommandBody& other126) {
-  setObject = other126.setObject;
-  deleteObject = other126.deleteObject;
-  setLabel = other126.setLabel;
-  removeLabel = other126.removeLabel;
-  withdrawKey = other126.withdrawKey;
-  grantTerm = other126.grantTerm;
-  publishPrimary = other126.publishPrimary;
-  leaveEndpoint = other126.leaveEndpoint;
-  __isset = other126.__isset;
+CommandBody::CommandBody(const CommandBody& other148) {
+  setObject = other148.setObject;
+  deleteObject = other148.deleteObject;
+  setLabel = other148.setLabel;
+  removeLabel = other148.removeLabel;
+  withdrawKey = other148.withdrawKey;
+  grantTerm = other148.grantTerm;
+  publishPrimary = other148.publishPrimary;
+  leaveEndpoint = other148.leaveEndpoint;
+  adoptPrimary = other148.adoptPrimary;
+  replaceConfiguration = other148.replaceConfiguration;
+  __isset = other148.__isset;
+}
+CommandBody::CommandBody(CommandBody&& other149) noexcept {
+  setObject = std::move(other149.setObject);
+  deleteObject = std::move(other149.deleteObject);
+  setLabel = std::move(other149.setLabel);
+  removeLabel = std::move(other149.removeLabel);
+  withdrawKey = std::move(other149.withdrawKey);
+  grantTerm = std::move(other149.grantTerm);
+  publishPrimary = std::move(other149.publishPrimary);
+  leaveEndpoint = std::move(other149.leaveEndpoint);
+  adoptPrimary = std::move(other149.adoptPrimary);
+  replaceConfiguration = std::move(other149.replaceConfiguration);
+  __isset = other149.__isset;
+}
+CommandBody& CommandBody::operator=(const CommandBody& other150) {
+  setObject = other150.setObject;
+  deleteObject = other150.deleteObject;
+  setLabel = other150.setLabel;
+  removeLabel = other150.removeLabel;
+  withdrawKey = other150.withdrawKey;
+  grantTerm = other150.grantTerm;
+  publishPrimary = other150.publishPrimary;
+  leaveEndpoint = other150.leaveEndpoint;
+  adoptPrimary = other150.adoptPrimary;
+  replaceConfiguration = other150.replaceConfiguration;
+  __isset = other150.__isset;
   return *this;
 }
-CommandBody& CommandBody::operator=(CommandBody&& other127) noexcept {
-  setObject = std::move(other127.setObject);
-  deleteObject = std::move(other127.deleteObject);
-  setLabel = std::move(other127.setLabel);
-  removeLabel = std::move(other127.removeLabel);
-  withdrawKey = std::move(other127.withdrawKey);
-  grantTerm = std::move(other127.grantTerm);
-  publishPrimary = std::move(other127.publishPrimary);
-  leaveEndpoint = std::move(other127.leaveEndpoint);
-  __isset = other127.__isset;
+CommandBody& CommandBody::operator=(CommandBody&& other151) noexcept {
+  setObject = std::move(other151.setObject);
+  deleteObject = std::move(other151.deleteObject);
+  setLabel = std::move(other151.setLabel);
+  removeLabel = std::move(other151.removeLabel);
+  withdrawKey = std::move(other151.withdrawKey);
+  grantTerm = std::move(other151.grantTerm);
+  publishPrimary = std::move(other151.publishPrimary);
+  leaveEndpoint = std::move(other151.leaveEndpoint);
+  adoptPrimary = std::move(other151.adoptPrimary);
+  replaceConfiguration = std::move(other151.replaceConfiguration);
+  __isset = other151.__isset;
   return *this;
 }
 void CommandBody::printTo(std::ostream& out) const {
@@ -3436,6 +4332,8 @@
   out << ", " << "grantTerm="; (__isset.grantTerm ? (out << to_string(grantTerm)) : (out << "<null>"));
   out << ", " << "publishPrimary="; (__isset.publishPrimary ? (out << to_string(publishPrimary)) : (out << "<null>"));
   out << ", " << "leaveEndpoint="; (__isset.leaveEndpoint ? (out << to_string(leaveEndpoint)) : (out << "<null>"));
+  out << ", " << "adoptPrimary="; (__isset.adoptPrimary ? (out << to_string(adoptPrimary)) : (out << "<null>"));
+  out << ", " << "replaceConfiguration="; (__isset.replaceConfiguration ? (out << to_string(replaceConfiguration)) : (out << "<null>"));
   out << ")";
 }
 
@@ -3585,38 +4483,38 @@
   swap(a.__isset, b.__isset);
 }
 
-Command::Command(const Command& other128) {
-  commandId = other128.commandId;
-  baseRevision = other128.baseRevision;
-  expectedRevision = other128.expectedRevision;
-  operatorName = other128.operatorName;
-  body = other128.body;
-  __isset = other128.__isset;
-}
-Command::Command(Command&& other129) noexcept {
-  commandId = std::move(other129.commandId);
-  baseRevision = other129.baseRevision;
-  expectedRevision = other129.expectedRevision;
-  operatorName = std::move(other129.operatorName);
-  body = std::move(other129.body);
-  __isset = other129.__isset;
-}
-Command& Command::operator=(const Command& other130) {
-  commandId = other130.commandId;
-  baseRevision = other130.baseRevision;
-  expectedRevision = other130.expectedRevision;
-  operatorName = other130.operatorName;
-  body = other130.body;
-  __isset = other130.__isset;
+Command::Command(const Command& other152) {
+  commandId = other152.commandId;
+  baseRevision = other152.baseRevision;
+  expectedRevision = other152.expectedRevision;
+  operatorName = other152.operatorName;
+  body = other152.body;
+  __isset = other152.__isset;
+}
+Command::Command(Command&& other153) noexcept {
+  commandId = std::move(other153.commandId);
+  baseRevision = other153.baseRevision;
+  expectedRevision = other153.expectedRevision;
+  operatorName = std::move(other153.operatorName);
+  body = std::move(other153.body);
+  __isset = other153.__isset;
+}
+Command& Command::operator=(const Command& other154) {
+  commandId = other154.commandId;
+  baseRevision = other154.baseRevision;
+  expectedRevision = other154.expectedRevision;
+  operatorName = other154.operatorName;
+  body = other154.body;
+  __isset = other154.__isset;
   return *this;
 }
-Command& Command::operator=(Command&& other131) noexcept {
-  commandId = std::move(other131.commandId);
-  baseRevision = other131.baseRevision;
-  expectedRevision = other131.expectedRevision;
-  operatorName = std::move(other131.operatorName);
-  body = std::move(other131.body);
-  __isset = other131.__isset;
+Command& Command::operator=(Command&& other155) noexcept {
+  commandId = std::move(other155.commandId);
+  baseRevision = other155.baseRevision;
+  expectedRevision = other155.expectedRevision;
+  operatorName = std::move(other155.operatorName);
+  body = std::move(other155.body);
+  __isset = other155.__isset;
   return *this;
 }
 void Command::printTo(std::ostream& out) const {
@@ -3759,34 +4657,34 @@
   swap(a.__isset, b.__isset);
 }
 
-CommandResult::CommandResult(const CommandResult& other132) {
-  status = other132.status;
-  message = other132.message;
-  revision = other132.revision;
-  winningCommandId = other132.winningCommandId;
-  __isset = other132.__isset;
-}
-CommandResult::CommandResult(CommandResult&& other133) noexcept {
-  status = other133.status;
-  message = std::move(other133.message);
-  revision = other133.revision;
-  winningCommandId = std::move(other133.winningCommandId);
-  __isset = other133.__isset;
-}
-CommandResult& CommandResult::operator=(const CommandResult& other134) {
-  status = other134.status;
-  message = other134.message;
-  revision = other134.revision;
-  winningCommandId = other134.winningCommandId;
-  __isset = other134.__isset;
+CommandResult::CommandResult(const CommandResult& other156) {
+  status = other156.status;
+  message = other156.message;
+  revision = other156.revision;
+  winningCommandId = other156.winningCommandId;
+  __isset = other156.__isset;
+}
+CommandResult::CommandResult(CommandResult&& other157) noexcept {
+  status = other157.status;
+  message = std::move(other157.message);
+  revision = other157.revision;
+  winningCommandId = std::move(other157.winningCommandId);
+  __isset = other157.__isset;
+}
+CommandResult& CommandResult::operator=(const CommandResult& other158) {
+  status = other158.status;
+  message = other158.message;
+  revision = other158.revision;
+  winningCommandId = other158.winningCommandId;
+  __isset = other158.__isset;
   return *this;
 }
-CommandResult& CommandResult::operator=(CommandResult&& other135) noexcept {
-  status = other135.status;
-  message = std::move(other135.message);
-  revision = other135.revision;
-  winningCommandId = std::move(other135.winningCommandId);
-  __isset = other135.__isset;
+CommandResult& CommandResult::operator=(CommandResult&& other159) noexcept {
+  status = other159.status;
+  message = std::move(other159.message);
+  revision = other159.revision;
+  winningCommandId = std::move(other159.winningCommandId);
+  __isset = other159.__isset;
   return *this;
 }
 void CommandResult::printTo(std::ostream& out) const {
@@ -3943,38 +4841,38 @@
   swap(a.__isset, b.__isset);
 }
 
-RememberedCommand::RememberedCommand(const RememberedCommand& other136) {
-  commandId = other136.commandId;
-  revision = other136.revision;
-  kind = other136.kind;
-  name = other136.name;
-  result = other136.result;
-  __isset = other136.__isset;
-}
-RememberedCommand::RememberedCommand(RememberedCommand&& other137) noexcept {
-  commandId = std::move(other137.commandId);
-  revision = other137.revision;
-  kind = other137.kind;
-  name = std::move(other137.name);
-  result = std::move(other137.result);
-  __isset = other137.__isset;
-}
-RememberedCommand& RememberedCommand::operator=(const RememberedCommand& other138) {
-  commandId = other138.commandId;
-  revision = other138.revision;
-  kind = other138.kind;
-  name = other138.name;
-  result = other138.result;
-  __isset = other138.__isset;
+RememberedCommand::RememberedCommand(const RememberedCommand& other160) {
+  commandId = other160.commandId;
+  revision = other160.revision;
+  kind = other160.kind;
+  name = other160.name;
+  result = other160.result;
+  __isset = other160.__isset;
+}
+RememberedCommand::RememberedCommand(RememberedCommand&& other161) noexcept {
+  commandId = std::move(other161.commandId);
+  revision = other161.revision;
+  kind = other161.kind;
+  name = std::move(other161.name);
+  result = std::move(other161.result);
+  __isset = other161.__isset;
+}
+RememberedCommand& RememberedCommand::operator=(const RememberedCommand& other162) {
+  commandId = other162.commandId;
+  revision = other162.revision;
+  kind = other162.kind;
+  name = other162.name;
+  result = other162.result;
+  __isset = other162.__isset;
   return *this;
 }
-RememberedCommand& RememberedCommand::operator=(RememberedCommand&& other139) noexcept {
-  commandId = std::move(other139.commandId);
-  revision = other139.revision;
-  kind = other139.kind;
-  name = std::move(other139.name);
-  result = std::move(other139.result);
-  __isset = other139.__isset;
+RememberedCommand& RememberedCommand::operator=(RememberedCommand&& other163) noexcept {
+  commandId = std::move(other163.commandId);
+  revision = other163.revision;
+  kind = other163.kind;
+  name = std::move(other163.name);
+  result = std::move(other163.result);
+  __isset = other163.__isset;
   return *this;
 }
 void RememberedCommand::printTo(std::ostream& out) const {
@@ -4115,34 +5013,34 @@
   swap(a.__isset, b.__isset);
 }
 
-FleetSnapshotHeader::FleetSnapshotHeader(const FleetSnapshotHeader& other140) noexcept {
-  revision = other140.revision;
-  forgottenRevision = other140.forgottenRevision;
-  fleetObjects = other140.fleetObjects;
-  commands = other140.commands;
-  __isset = other140.__isset;
-}
-FleetSnapshotHeader::FleetSnapshotHeader(FleetSnapshotHeader&& other141) noexcept {
-  revision = other141.revision;
-  forgottenRevision = other141.forgottenRevision;
-  fleetObjects = other141.fleetObjects;
-  commands = other141.commands;
-  __isset = other141.__isset;
-}
-FleetSnapshotHeader& FleetSnapshotHeader::operator=(const FleetSnapshotHeader& other142) noexcept {
-  revision = other142.revision;
-  forgottenRevision = other142.forgottenRevision;
-  fleetObjects = other142.fleetObjects;
-  commands = other142.commands;
-  __isset = other142.__isset;
+FleetSnapshotHeader::FleetSnapshotHeader(const FleetSnapshotHeader& other164) noexcept {
+  revision = other164.revision;
+  forgottenRevision = other164.forgottenRevision;
+  fleetObjects = other164.fleetObjects;
+  commands = other164.commands;
+  __isset = other164.__isset;
+}
+FleetSnapshotHeader::FleetSnapshotHeader(FleetSnapshotHeader&& other165) noexcept {
+  revision = other165.revision;
+  forgottenRevision = other165.forgottenRevision;
+  fleetObjects = other165.fleetObjects;
+  commands = other165.commands;
+  __isset = other165.__isset;
+}
+FleetSnapshotHeader& FleetSnapshotHeader::operator=(const FleetSnapshotHeader& other166) noexcept {
+  revision = other166.revision;
+  forgottenRevision = other166.forgottenRevision;
+  fleetObjects = other166.fleetObjects;
+  commands = other166.commands;
+  __isset = other166.__isset;
   return *this;
 }
-FleetSnapshotHeader& FleetSnapshotHeader::operator=(FleetSnapshotHeader&& other143) noexcept {
-  revision = other143.revision;
-  forgottenRevision = other143.forgottenRevision;
-  fleetObjects = other143.fleetObjects;
-  commands = other143.commands;
-  __isset = other143.__isset;
+FleetSnapshotHeader& FleetSnapshotHeader::operator=(FleetSnapshotHeader&& other167) noexcept {
+  revision = other167.revision;
+  forgottenRevision = other167.forgottenRevision;
+  fleetObjects = other167.fleetObjects;
+  commands = other167.commands;
+  __isset = other167.__isset;
   return *this;
 }
 void FleetSnapshotHeader::printTo(std::ostream& out) const {
--- a/libs/wire/src/gen/Fleet_types.h
+++ b/libs/wire/src/gen/Fleet_types.h
@@ -27,6 +27,8 @@
 
 class Key;
 
+class SessionPolicy;
+
 class Route;
 
 class Group;
@@ -35,6 +37,8 @@
 
 class Objective;
 
+class ConfigurationDocument;
+
 class FleetObject;
 
 class FleetChange;
@@ -55,6 +59,10 @@
 
 class LeaveEndpoint;
 
+class AdoptPrimary;
+
+class ReplaceConfiguration;
+
 class CommandBody;
 
 class Command;
@@ -66,11 +74,13 @@
 class FleetSnapshotHeader;
 
 typedef struct _Service__isset {
-  _Service__isset() : name(false), group(false), labels(false), changedAt(false) {}
+  _Service__isset() : name(false), group(false), labels(false), changedAt(false), connectionLimit(false), synchronousReplicas(false) {}
   bool name :1;
   bool group :1;
   bool labels :1;
   bool changedAt :1;
+  bool connectionLimit :1;
+  bool synchronousReplicas :1;
 } _Service__isset;
 
 class Service : public virtual ::apache::thrift::TBase {
@@ -83,7 +93,9 @@
   Service() noexcept
           : name(),
             group(),
-            changedAt(0) {
+            changedAt(0),
+            connectionLimit(0),
+            synchronousReplicas(0) {
   }
 
   virtual ~Service() noexcept;
@@ -91,6 +103,8 @@
   std::string group;
   std::map<std::string, std::string>  labels;
   int64_t changedAt;
+  int32_t connectionLimit;
+  int32_t synchronousReplicas;
 
   _Service__isset __isset;
 
@@ -102,6 +116,10 @@
 
   void __set_changedAt(const int64_t val);
 
+  void __set_connectionLimit(const int32_t val);
+
+  void __set_synchronousReplicas(const int32_t val);
+
   bool operator == (const Service & rhs) const
   {
     if (!(name == rhs.name))
@@ -112,6 +130,10 @@
       return false;
     if (!(changedAt == rhs.changedAt))
       return false;
+    if (!(connectionLimit == rhs.connectionLimit))
+      return false;
+    if (!(synchronousReplicas == rhs.synchronousReplicas))
+      return false;
     return true;
   }
   bool operator != (const Service &rhs) const {
@@ -288,8 +310,102 @@
 
 std::ostream& operator<<(std::ostream& out, const Key& obj);
 
+typedef struct _SessionPolicy__isset {
+  _SessionPolicy__isset() : database(false), consistency(false), maxStalenessNanoseconds(false), statementTimeoutNanoseconds(false), latencyObjectiveNanoseconds(false), transactionIdleLimitNanoseconds(false), priority(false), maxAttempts(false) {}
+  bool database :1;
+  bool consistency :1;
+  bool maxStalenessNanoseconds :1;
+  bool statementTimeoutNanoseconds :1;
+  bool latencyObjectiveNanoseconds :1;
+  bool transactionIdleLimitNanoseconds :1;
+  bool priority :1;
+  bool maxAttempts :1;
+} _SessionPolicy__isset;
+
+class SessionPolicy : public virtual ::apache::thrift::TBase {
+ public:
+
+  SessionPolicy(const SessionPolicy&);
+  SessionPolicy(SessionPolicy&&) noexcept;
+  SessionPolicy& operator=(const SessionPolicy&);
+  SessionPolicy& operator=(SessionPolicy&&) noexcept;
+  SessionPolicy() noexcept
+                : database(),
+                  consistency(0),
+                  maxStalenessNanoseconds(0),
+                  statementTimeoutNanoseconds(0),
+                  latencyObjectiveNanoseconds(0),
+                  transactionIdleLimitNanoseconds(0),
+                  priority(0),
+                  maxAttempts(0) {
+  }
+
+  virtual ~SessionPolicy() noexcept;
+  std::string database;
+  int32_t consistency;
+  int64_t maxStalenessNanoseconds;
+  int64_t statementTimeoutNanoseconds;
+  int64_t latencyObjectiveNanoseconds;
+  int64_t transactionIdleLimitNanoseconds;
+  int32_t priority;
+  int32_t maxAttempts;
+
+  _SessionPolicy__isset __isset;
+
+  void __set_database(const std::string& val);
+
+  void __set_consistency(const int32_t val);
+
+  void __set_maxStalenessNanoseconds(const int64_t val);
+
+  void __set_statementTimeoutNanoseconds(const int64_t val);
+
+  void __set_latencyObjectiveNanoseconds(const int64_t val);
+
+  void __set_transactionIdleLimitNanoseconds(const int64_t val);
+
+  void __set_priority(const int32_t val);
+
+  void __set_maxAttempts(const int32_t val);
+
+  bool operator == (const SessionPolicy & rhs) const
+  {
+    if (!(database == rhs.database))
+      return false;
+    if (!(consistency == rhs.consistency))
+      return false;
+    if (!(maxStalenessNanoseconds == rhs.maxStalenessNanoseconds))
+      return false;
+    if (!(statementTimeoutNanoseconds == rhs.statementTimeoutNanoseconds))
+      return false;
+    if (!(latencyObjectiveNanoseconds == rhs.latencyObjectiveNanoseconds))
+      return false;
+    if (!(transactionIdleLimitNanoseconds == rhs.transactionIdleLimitNanoseconds))
+      return false;
+    if (!(priority == rhs.priority))
+      return false;
+    if (!(maxAttempts == rhs.maxAttempts))
+      return false;
+    return true;
+  }
+  bool operator != (const SessionPolicy &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const SessionPolicy & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(SessionPolicy &a, SessionPolicy &b);
+
+std::ostream& operator<<(std::ostream& out, const SessionPolicy& obj);
+
 typedef struct _Route__isset {
-  _Route__isset() : name(false), serviceName(false), selector(false), open(false), isolatedReads(false), labels(false), changedAt(false) {}
+  _Route__isset() : name(false), serviceName(false), selector(false), open(false), isolatedReads(false), labels(false), changedAt(false), sessions(false) {}
   bool name :1;
   bool serviceName :1;
   bool selector :1;
@@ -297,6 +413,7 @@
   bool isolatedReads :1;
   bool labels :1;
   bool changedAt :1;
+  bool sessions :1;
 } _Route__isset;
 
 class Route : public virtual ::apache::thrift::TBase {
@@ -323,6 +440,7 @@
   bool isolatedReads;
   std::map<std::string, std::string>  labels;
   int64_t changedAt;
+  SessionPolicy sessions;
 
   _Route__isset __isset;
 
@@ -340,6 +458,8 @@
 
   void __set_changedAt(const int64_t val);
 
+  void __set_sessions(const SessionPolicy& val);
+
   bool operator == (const Route & rhs) const
   {
     if (!(name == rhs.name))
@@ -356,6 +476,10 @@
       return false;
     if (!(changedAt == rhs.changedAt))
       return false;
+    if (__isset.sessions != rhs.__isset.sessions)
+      return false;
+    else if (__isset.sessions && !(sessions == rhs.sessions))
+      return false;
     return true;
   }
   bool operator != (const Route &rhs) const {
@@ -454,7 +578,7 @@
 std::ostream& operator<<(std::ostream& out, const Group& obj);
 
 typedef struct _Endpoint__isset {
-  _Endpoint__isset() : name(false), group(false), zone(false), address(false), connectionLimit(false), leaving(false), labels(false), changedAt(false) {}
+  _Endpoint__isset() : name(false), group(false), zone(false), address(false), connectionLimit(false), leaving(false), labels(false), changedAt(false), startedAt(false) {}
   bool name :1;
   bool group :1;
   bool zone :1;
@@ -463,6 +587,7 @@
   bool leaving :1;
   bool labels :1;
   bool changedAt :1;
+  bool startedAt :1;
 } _Endpoint__isset;
 
 class Endpoint : public virtual ::apache::thrift::TBase {
@@ -479,7 +604,8 @@
              address(),
              connectionLimit(0),
              leaving(0),
-             changedAt(0) {
+             changedAt(0),
+             startedAt(0) {
   }
 
   virtual ~Endpoint() noexcept;
@@ -491,6 +617,7 @@
   bool leaving;
   std::map<std::string, std::string>  labels;
   int64_t changedAt;
+  int64_t startedAt;
 
   _Endpoint__isset __isset;
 
@@ -510,6 +637,8 @@
 
   void __set_changedAt(const int64_t val);
 
+  void __set_startedAt(const int64_t val);
+
   bool operator == (const Endpoint & rhs) const
   {
     if (!(name == rhs.name))
@@ -528,6 +657,8 @@
       return false;
     if (!(changedAt == rhs.changedAt))
       return false;
+    if (!(startedAt == rhs.startedAt))
+      return false;
     return true;
   }
   bool operator != (const Endpoint &rhs) const {
@@ -632,8 +763,80 @@
 
 std::ostream& operator<<(std::ostream& out, const Objective& obj);
 
+typedef struct _ConfigurationDocument__isset {
+  _ConfigurationDocument__isset() : name(false), version(false), text(false), labels(false), changedAt(false) {}
+  bool name :1;
+  bool version :1;
+  bool text :1;
+  bool labels :1;
+  bool changedAt :1;
+} _ConfigurationDocument__isset;
+
+class ConfigurationDocument : public virtual ::apache::thrift::TBase {
+ public:
+
+  ConfigurationDocument(const ConfigurationDocument&);
+  ConfigurationDocument(ConfigurationDocument&&) noexcept;
+  ConfigurationDocument& operator=(const ConfigurationDocument&);
+  ConfigurationDocument& operator=(ConfigurationDocument&&) noexcept;
+  ConfigurationDocument() noexcept
+                        : name(),
+                          version(0),
+                          text(),
+                          changedAt(0) {
+  }
+
+  virtual ~ConfigurationDocument() noexcept;
+  std::string name;
+  int64_t version;
+  std::string text;
+  std::map<std::string, std::string>  labels;
+  int64_t changedAt;
+
+  _ConfigurationDocument__isset __isset;
+
+  void __set_name(const std::string& val);
+
+  void __set_version(const int64_t val);
+
+  void __set_text(const std::string& val);
+
+  void __set_labels(const std::map<std::string, std::string> & val);
+
+  void __set_changedAt(const int64_t val);
+
+  bool operator == (const ConfigurationDocument & rhs) const
+  {
+    if (!(name == rhs.name))
+      return false;
+    if (!(version == rhs.version))
+      return false;
+    if (!(text == rhs.text))
+      return false;
+    if (!(labels == rhs.labels))
+      return false;
+    if (!(changedAt == rhs.changedAt))
+      return false;
+    return true;
+  }
+  bool operator != (const ConfigurationDocument &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ConfigurationDocument & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ConfigurationDocument &a, ConfigurationDocument &b);
+
+std::ostream& operator<<(std::ostream& out, const ConfigurationDocument& obj);
+
 typedef struct _FleetObject__isset {
-  _FleetObject__isset() : serviceObject(false), organisation(false), key(false), route(false), databaseGroup(false), endpoint(false), objective(false) {}
+  _FleetObject__isset() : serviceObject(false), organisation(false), key(false), route(false), databaseGroup(false), endpoint(false), objective(false), document(false) {}
   bool serviceObject :1;
   bool organisation :1;
   bool key :1;
@@ -641,6 +844,7 @@
   bool databaseGroup :1;
   bool endpoint :1;
   bool objective :1;
+  bool document :1;
 } _FleetObject__isset;
 
 class FleetObject : public virtual ::apache::thrift::TBase {
@@ -661,6 +865,7 @@
   Group databaseGroup;
   Endpoint endpoint;
   Objective objective;
+  ConfigurationDocument document;
 
   _FleetObject__isset __isset;
 
@@ -678,6 +883,8 @@
 
   void __set_objective(const Objective& val);
 
+  void __set_document(const ConfigurationDocument& val);
+
   bool operator == (const FleetObject & rhs) const
   {
     if (__isset.serviceObject != rhs.__isset.serviceObject)
@@ -708,6 +915,10 @@
       return false;
     else if (__isset.objective && !(objective == rhs.objective))
       return false;
+    if (__isset.document != rhs.__isset.document)
+      return false;
+    else if (__isset.document && !(document == rhs.document))
+      return false;
     return true;
   }
   bool operator != (const FleetObject &rhs) const {
@@ -1230,8 +1441,118 @@
 
 std::ostream& operator<<(std::ostream& out, const LeaveEndpoint& obj);
 
+typedef struct _AdoptPrimary__isset {
+  _AdoptPrimary__isset() : groupName(false), endpoint(false) {}
+  bool groupName :1;
+  bool endpoint :1;
+} _AdoptPrimary__isset;
+
+class AdoptPrimary : public virtual ::apache::thrift::TBase {
+ public:
+
+  AdoptPrimary(const AdoptPrimary&);
+  AdoptPrimary(AdoptPrimary&&) noexcept;
+  AdoptPrimary& operator=(const AdoptPrimary&);
+  AdoptPrimary& operator=(AdoptPrimary&&) noexcept;
+  AdoptPrimary() noexcept
+               : groupName(),
+                 endpoint() {
+  }
+
+  virtual ~AdoptPrimary() noexcept;
+  std::string groupName;
+  std::string endpoint;
+
+  _AdoptPrimary__isset __isset;
+
+  void __set_groupName(const std::string& val);
+
+  void __set_endpoint(const std::string& val);
+
+  bool operator == (const AdoptPrimary & rhs) const
+  {
+    if (!(groupName == rhs.groupName))
+      return false;
+    if (!(endpoint == rhs.endpoint))
+      return false;
+    return true;
+  }
+  bool operator != (const AdoptPrimary &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const AdoptPrimary & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(AdoptPrimary &a, AdoptPrimary &b);
+
+std::ostream& operator<<(std::ostream& out, const AdoptPrimary& obj);
+
+typedef struct _ReplaceConfiguration__isset {
+  _ReplaceConfiguration__isset() : document(false), objectCount(false), fleetObjects(false) {}
+  bool document :1;
+  bool objectCount :1;
+  bool fleetObjects :1;
+} _ReplaceConfiguration__isset;
+
+class ReplaceConfiguration : public virtual ::apache::thrift::TBase {
+ public:
+
+  ReplaceConfiguration(const ReplaceConfiguration&);
+  ReplaceConfiguration(ReplaceConfiguration&&) noexcept;
+  ReplaceConfiguration& operator=(const ReplaceConfiguration&);
+  ReplaceConfiguration& operator=(ReplaceConfiguration&&) noexcept;
+  ReplaceConfiguration() noexcept
+                       : objectCount(0),
+                         fleetObjects() {
+  }
+
+  virtual ~ReplaceConfiguration() noexcept;
+  ConfigurationDocument document;
+  int32_t objectCount;
+  std::string fleetObjects;
+
+  _ReplaceConfiguration__isset __isset;
+
+  void __set_document(const ConfigurationDocument& val);
+
+  void __set_objectCount(const int32_t val);
+
+  void __set_fleetObjects(const std::string& val);
+
+  bool operator == (const ReplaceConfiguration & rhs) const
+  {
+    if (!(document == rhs.document))
+      return false;
+    if (!(objectCount == rhs.objectCount))
+      return false;
+    if (!(fleetObjects == rhs.fleetObjects))
+      return false;
+    return true;
+  }
+  bool operator != (const ReplaceConfiguration &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ReplaceConfiguration & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ReplaceConfiguration &a, ReplaceConfiguration &b);
+
+std::ostream& operator<<(std::ostream& out, const ReplaceConfiguration& obj);
+
 typedef struct _CommandBody__isset {
-  _CommandBody__isset() : setObject(false), deleteObject(false), setLabel(false), removeLabel(false), withdrawKey(false), grantTerm(false), publishPrimary(false), leaveEndpoint(false) {}
+  _CommandBody__isset() : setObject(false), deleteObject(false), setLabel(false), removeLabel(false), withdrawKey(false), grantTerm(false), publishPrimary(false), leaveEndpoint(false), adoptPrimary(false), replaceConfiguration(false) {}
   bool setObject :1;
   bool deleteObject :1;
   bool setLabel :1;
@@ -1240,6 +1561,8 @@
   bool grantTerm :1;
   bool publishPrimary :1;
   bool leaveEndpoint :1;
+  bool adoptPrimary :1;
+  bool replaceConfiguration :1;
 } _CommandBody__isset;
 
 class CommandBody : public virtual ::apache::thrift::TBase {
@@ -1261,6 +1584,8 @@
   GrantTerm grantTerm;
   PublishPrimary publishPrimary;
   LeaveEndpoint leaveEndpoint;
+  AdoptPrimary adoptPrimary;
+  ReplaceConfiguration replaceConfiguration;
 
   _CommandBody__isset __isset;
 
@@ -1280,6 +1605,10 @@
 
   void __set_leaveEndpoint(const LeaveEndpoint& val);
 
+  void __set_adoptPrimary(const AdoptPrimary& val);
+
+  void __set_replaceConfiguration(const ReplaceConfiguration& val);
+
   bool operator == (const CommandBody & rhs) const
   {
     if (__isset.setObject != rhs.__isset.setObject)
@@ -1314,6 +1643,14 @@
       return false;
     else if (__isset.leaveEndpoint && !(leaveEndpoint == rhs.leaveEndpoint))
       return false;
+    if (__isset.adoptPrimary != rhs.__isset.adoptPrimary)
+      return false;
+    else if (__isset.adoptPrimary && !(adoptPrimary == rhs.adoptPrimary))
+      return false;
+    if (__isset.replaceConfiguration != rhs.__isset.replaceConfiguration)
+      return false;
+    else if (__isset.replaceConfiguration && !(replaceConfiguration == rhs.replaceConfiguration))
+      return false;
     return true;
   }
   bool operator != (const CommandBody &rhs) const {
