Probe far replicas once in 2 s; name the organisation in refusals

Ruled out: averaging the arrivals of small organisations over at least 10 of them, so that their shares move less.

Change: a replica in another zone is probed once in 2 s where the nearest server goes first; refusals for rate name the organisation in the log.

--- a/libs/entry/include/entry/EntryTables.h
+++ b/libs/entry/include/entry/EntryTables.h
@@ -36,9 +36,13 @@
 class EntryTables
 {
 public:
+    /// With the nearest endpoint first, replicas in other zones get little work, and their state is
+    /// needed only when those nearby fail; still often enough to count as heard.
+    static constexpr auto FAR_PROBE_INTERVAL_MS = std::chrono::milliseconds(2000);
+
     /// `executor` must stop running tasks before this object goes.
     EntryTables(const EntryIdentity &entryIdentity, Executor entryExecutor,
-                RandomSource entryRandom, EndpointChoice endpointChoice = {});
+                RandomSource entryRandom, bool nearestFirst = false);
     EntryTables(const EntryTables &) = delete;
     auto operator=(const EntryTables &) -> EntryTables & = delete;
 
--- a/libs/entry/src/EntryNode.cpp
+++ b/libs/entry/src/EntryNode.cpp
@@ -72,8 +72,7 @@
     : settings(std::move(entrySettings))
     , workers(WORKER_COUNT)
     , tables(makeIdentity(settings, clusterSecret, makeSecureRandom()), workers.executor(),
-             makeSecureRandom(),
-             settings.sessionsAddress.empty() ? EndpointChoice() : makeNearestFirst())
+             makeSecureRandom(), !settings.sessionsAddress.empty())
     , statements(tables.metrics, tables.executor.now())
     , sessions(makeSessions(sessionCodecs))
     , probes(settings.callersAddress.empty() ? nullptr : std::make_unique<ProbeLoop>(tables))
--- a/libs/entry/src/EntryTables.cpp
+++ b/libs/entry/src/EntryTables.cpp
@@ -45,7 +45,7 @@
 } // namespace
 
 EntryTables::EntryTables(const EntryIdentity &entryIdentity, Executor entryExecutor,
-                         RandomSource entryRandom, EndpointChoice endpointChoice)
+                         RandomSource entryRandom, bool nearestFirst)
     : identity(entryIdentity)
     , executor(std::move(entryExecutor))
     , random(std::move(entryRandom))
@@ -67,7 +67,8 @@
               [this](const std::string &organisation, std::size_t waiting, TimePoint now) {
                   this->shares.setBacklog(organisation, waiting, now);
               }})
-    , endpoints(identity.zone, std::move(endpointChoice))
+    , endpoints(identity.zone, nearestFirst ? makeNearestFirst() : EndpointChoice(),
+                nearestFirst ? FAR_PROBE_INTERVAL_MS : EndpointTable::PROBE_INTERVAL_MS)
     , connections(EndpointSocketsHooks{
           .resolve = [this](const std::string &endpoint) -> std::optional<std::string> {
               const auto view = this->endpoints.find(endpoint, this->executor.now());
--- a/libs/proxy/include/proxy/ProxySession.h
+++ b/libs/proxy/include/proxy/ProxySession.h
@@ -99,6 +99,7 @@
     std::optional<SessionTransaction> transaction;
     std::deque<ClientStatement> waiting;
     std::string runningId;
+    std::string runningOrganisation;
     StatementKind runningKind = StatementKind::Malformed;
     TimePoint runningSince;
     TimerId idleTimer = 0;
--- a/libs/proxy/include/proxy/ServerRequest.h
+++ b/libs/proxy/include/proxy/ServerRequest.h
@@ -14,7 +14,7 @@
 struct ServerRequest
 {
     ServerOperation operation = ServerOperation::Status;
-    std::string id;      ///< The caller's, for Forward and Execute; otherwise the proxy's own.
+    std::string id;      ///< The caller's; empty for what the proxy asks on its own.
     std::string text;    ///< Forward: the statement.
     std::string name;    ///< SetValue: name of the value. Prepare, Execute: name on the connection.
     std::string value;   ///< SetValue: the value. Execute: the arguments. Prepare: the shape.
--- a/libs/proxy/include/proxy/SessionTransaction.h
+++ b/libs/proxy/include/proxy/SessionTransaction.h
@@ -11,6 +11,7 @@
 /// A caller's open transaction.
 struct SessionTransaction
 {
+    std::string openingId; ///< Of the caller's statement that began it.
     TransactionAccess access = TransactionAccess::ReadWrite;
     OperationAuthorisation authorisation; ///< Route and organisation it began with.
     ServerLinkPointer link;               ///< Null until its first statement.
--- a/libs/proxy/include/proxy/StatementOrder.h
+++ b/libs/proxy/include/proxy/StatementOrder.h
@@ -23,6 +23,7 @@
     std::optional<PreparedStatement> prepared; ///< What an Execute statement runs.
     /// Set when the statement opens a transaction on the server first.
     std::optional<TransactionAccess> opens;
+    std::string openingId;         ///< Id of the caller's statement that began the transaction.
     bool transactionWrote = false; ///< An earlier statement of the open transaction was a write.
     SessionValues values;
     SessionPolicy policy;
--- a/libs/proxy/src/ProxySession.cpp
+++ b/libs/proxy/src/ProxySession.cpp
@@ -173,6 +173,7 @@
         return;
     }
     const auto &authorisation = std::get<OperationAuthorisation>(found);
+    this->runningOrganisation = authorisation.organisation;
     if (authorisation.organisation.empty()) {
         admitted(authorisation);
         return;
@@ -202,8 +203,10 @@
     const auto access = statement.kind == StatementKind::BeginReadOnly
                             ? TransactionAccess::ReadOnly
                             : TransactionAccess::ReadWrite;
-    this->beginOperation(statement, [this, access](const OperationAuthorisation &authorisation) {
-        this->transaction = SessionTransaction{.access = access, .authorisation = authorisation};
+    this->beginOperation(statement, [this, access, id = statement.id](
+                                        const OperationAuthorisation &authorisation) {
+        this->transaction =
+            SessionTransaction{.openingId = id, .access = access, .authorisation = authorisation};
         this->state = SessionState::InTransaction;
         this->answer(StatementAnswer());
     });
@@ -291,6 +294,7 @@
     order.transactionWrote = open.wrote;
     if (open.link == nullptr)
         order.opens = open.access;
+    order.openingId = open.openingId;
     open.wrote = open.wrote || order.writes();
     const auto run = std::make_shared<StatementRun>(
         this->hooks.statements, order,
@@ -365,6 +369,7 @@
         StatementReport{.id = this->runningId,
                         .kind = this->runningKind,
                         .database = this->database,
+                        .organisation = this->runningOrganisation,
                         .failure = failure,
                         .duration = this->hooks.statements.executor.now() - this->runningSince});
     this->answer(StatementAnswer{.failure = std::move(failure)});
--- a/libs/proxy/src/StatementRun.cpp
+++ b/libs/proxy/src/StatementRun.cpp
@@ -135,6 +135,7 @@
     const auto readOnly = this->order.opens == TransactionAccess::ReadOnly;
     const auto request = ServerRequest{.operation = readOnly ? ServerOperation::BeginReadOnly
                                                              : ServerOperation::Begin,
+                                       .id = this->order.openingId,
                                        .minimumPosition = this->placement.minimumPosition};
     this->exchange(request, [](StatementRun &run, StatementAnswer answer) {
         if (answer.failure) {
--- a/libs/routing/include/routing/EndpointTable.h
+++ b/libs/routing/include/routing/EndpointTable.h
@@ -60,7 +60,9 @@
     static constexpr auto SUSPECT_AFTER_FAILURES = 2;
 
     /// `zone` is the entry's own; without `choice` the default, makeLeastLoadedOfTwo(), is used.
-    explicit EndpointTable(std::string zone, EndpointChoice choice = {});
+    /// Replicas in other zones are probed once in `farProbeInterval`.
+    explicit EndpointTable(std::string zone, EndpointChoice choice = {},
+                           Duration farProbeInterval = PROBE_INTERVAL_MS);
 
     /// Replaces the known endpoints by `endpoints`; what was measured of those that stay is kept.
     auto updateFromState(const std::vector<EndpointDescription> &endpoints) -> void;
@@ -98,6 +100,7 @@
 private:
     std::string zone;
     EndpointChoice choice;
+    Duration farProbeInterval;
     RankedMutex mutex{LockRank::EndpointTable};
     std::map<std::string, detail::EndpointEntry, std::less<>> entries ABSL_GUARDED_BY(mutex);
 };
--- a/libs/routing/src/EndpointTable.cpp
+++ b/libs/routing/src/EndpointTable.cpp
@@ -86,9 +86,10 @@
 
 } // namespace
 
-EndpointTable::EndpointTable(std::string zone, EndpointChoice choice)
+EndpointTable::EndpointTable(std::string zone, EndpointChoice choice, Duration farProbeInterval)
     : zone(std::move(zone))
     , choice(choice ? std::move(choice) : makeLeastLoadedOfTwo())
+    , farProbeInterval(farProbeInterval)
 {
 }
 
@@ -222,8 +223,10 @@
     const RankedLock lock(this->mutex);
     auto due = std::vector<EndpointView>();
     for (auto &[name, entry] : this->entries) {
-        const auto recent = [now](const std::optional<TimePoint> &time) {
-            return time && now - *time < PROBE_INTERVAL_MS;
+        const auto isFar = !entry.description.primary && entry.description.zone != this->zone;
+        const auto interval = isFar ? this->farProbeInterval : Duration(PROBE_INTERVAL_MS);
+        const auto recent = [now, interval](const std::optional<TimePoint> &time) {
+            return time && now - *time < interval;
         };
         if (recent(entry.lastSeen) || recent(entry.lastProbe))
             continue;
