Let a control member at a new address take the place of one that is gone

Members knew each other by the settings' names only, so the new one's messages were dropped and two voters of three remained. 23 s later the disk of one of them was lost; one voter can't replace it.

Ruled out: the entries (their leases ended as they should) and the storage (the log of the last voter held everything; the 404s came from entries whose state stood still).

Change: with members named by their IP, any member may join as learner. While there are fewer voters than twice the tolerated losses and one, a learner that has caught up becomes a voter; else it displaces a voter that was silent for 1.5 s. A join request that reaches a follower is passed to the leader, and a displaced voter that returns is taken up as a spare member.

--- a/libs/consensus/include/consensus/ConsensusNode.h
+++ b/libs/consensus/include/consensus/ConsensusNode.h
@@ -113,6 +113,8 @@
     // Effects (ConsensusNode.cpp).
     auto appendEntry(LogEntry entry) -> LogIndex;
     auto sendTo(const MemberId &member, Term messageTerm, MessageBody body) -> void;
+    /// Sends a message of another member on, in that member's name.
+    auto forward(Message message, const MemberId &receiver) -> void;
     auto persistPending() -> bool;
     auto handOverCommitted() -> void;
     auto finish(TimePoint now) -> void;
--- a/libs/consensus/include/consensus/ConsensusSettings.h
+++ b/libs/consensus/include/consensus/ConsensusSettings.h
@@ -28,6 +28,13 @@
         std::size_t(256) * 1024; ///< Also the size of a snapshot chunk.
     std::size_t maxPayloadBytes = std::size_t(1024) * 1024;
     LogIndex learnerLag = 64; ///< A learner this close to the commit index may become a voter.
+    /// Members that are not in `members` may join: those that replace others at new addresses, and
+    /// spare ones.
+    bool admitsNewMembers = false;
+    std::size_t voters = 0; ///< With admitsNewMembers: greatest number of voters.
+    /// With admitsNewMembers: a voter that is silent for this long gives its place to a spare
+    /// member. Longer than elections, shorter than the time until the next disk may be lost.
+    Duration displaceAfter = std::chrono::milliseconds(1500);
     LogIndex snapshotInterval = SNAPSHOT_INTERVAL;
     LogIndex entriesKept = ENTRIES_KEPT_BEFORE_SNAPSHOT;
 };
--- a/libs/consensus/src/ConsensusNode.cpp
+++ b/libs/consensus/src/ConsensusNode.cpp
@@ -50,9 +50,10 @@
 
 auto ConsensusNode::receive(const Message &message, TimePoint now) -> void
 {
-    const auto known =
-        std::find(this->settings.members.begin(), this->settings.members.end(), message.from.name)
-        != this->settings.members.end();
+    const auto known = this->settings.admitsNewMembers
+                       || std::find(this->settings.members.begin(), this->settings.members.end(),
+                                    message.from.name)
+                              != this->settings.members.end();
     if (this->currentRole == NodeRole::Failed || !known
         || message.from.name == this->settings.self.name
         || message.to.name != this->settings.self.name)
@@ -177,6 +178,12 @@
     this->outbox.push_back({this->settings.self, member, messageTerm, std::move(body)});
 }
 
+auto ConsensusNode::forward(Message message, const MemberId &receiver) -> void
+{
+    message.to = receiver;
+    this->outbox.push_back(std::move(message));
+}
+
 auto ConsensusNode::persistPending() -> bool
 {
     if (this->pending.empty())
--- a/libs/consensus/src/ConsensusNodeElection.cpp
+++ b/libs/consensus/src/ConsensusNodeElection.cpp
@@ -113,6 +113,13 @@
 auto ConsensusNode::handle(const Message &message, const VoteRequest &request, TimePoint now)
     -> void
 {
+    // A voter that gave up its place while it was away does not know that, nor that there is a
+    // leader, which does not replicate to it.
+    if (this->currentRole == NodeRole::Leader && this->settings.admitsNewMembers
+        && !this->log.configuration().contains(message.from)) {
+        this->handle(message, JoinRequest(), now);
+        return;
+    }
     const auto refuse = [&] {
         this->sendTo(message.from, this->election.term, VoteResponse{request.preVote, false});
     };
--- a/libs/consensus/src/ConsensusNodeLeader.cpp
+++ b/libs/consensus/src/ConsensusNodeLeader.cpp
@@ -145,8 +145,13 @@
 
 auto ConsensusNode::handle(const Message &message, const JoinRequest &, TimePoint now) -> void
 {
-    if (this->currentRole != NodeRole::Leader)
+    if (this->currentRole != NodeRole::Leader) {
+        // A new member knows some members only, and the leader may be none of them.
+        if (this->settings.admitsNewMembers && this->knownLeader
+            && *this->knownLeader != message.from && message.to != *this->knownLeader)
+            this->forward(message, *this->knownLeader);
         return;
+    }
     auto *progress = this->progressTable.find(message.from);
     if (progress == nullptr)
         progress = &this->progressTable.addLearner(message.from, this->log.lastIndex() + 1, now);
--- a/libs/consensus/src/MemberReplacement.cpp
+++ b/libs/consensus/src/MemberReplacement.cpp
@@ -2,6 +2,23 @@
 
 namespace auburnrail::detail {
 
+namespace {
+
+/// The voter that gives its place to a spare member, or null.
+auto voterToDisplace(const Configuration &present, const ProgressTable &table,
+                     const ConsensusSettings &settings, TimePoint now) -> const MemberId *
+{
+    for (const auto &voter : present.voters) {
+        const auto row = table.rows().find(voter);
+        if (row != table.rows().end() && row->second.since + settings.displaceAfter <= now
+            && !row->second.answersWithin(settings.displaceAfter, now))
+            return &voter;
+    }
+    return nullptr;
+}
+
+} // namespace
+
 auto nextConfiguration(const Configuration &present, const ProgressTable &table,
                        LogIndex commitIndex, const ConsensusSettings &settings, TimePoint now)
     -> std::optional<Configuration>
@@ -20,6 +37,12 @@
             if (!silent)
                 continue;
             proposed.voters.erase(*replaced);
+        } else if (settings.admitsNewMembers && present.voters.size() >= settings.voters) {
+            // The learner takes the free place with the next change.
+            const auto *displaced = voterToDisplace(present, table, settings, now);
+            if (displaced == nullptr)
+                continue;
+            proposed.voters.erase(*displaced);
         } else {
             proposed.voters.insert(learner);
         }
--- a/libs/consensus/tests/SimulatedCluster.cpp
+++ b/libs/consensus/tests/SimulatedCluster.cpp
@@ -202,6 +202,13 @@
     this->start(target);
 }
 
+auto SimulatedCluster::addMember(const MemberName &name) -> void
+{
+    auto &target = this->members[name];
+    target.id = MemberId{name, this->random() | 1U};
+    this->start(target);
+}
+
 auto SimulatedCluster::cut(const MemberName &from, const MemberName &to) -> void
 {
     this->cutLinks.emplace(from, to);
--- a/libs/consensus/tests/SimulatedCluster.h
+++ b/libs/consensus/tests/SimulatedCluster.h
@@ -45,6 +45,8 @@
     /// Crashes the member and starts it on an empty disk with a new incarnation.
     auto loseDisk(const MemberName &name) -> void;
 
+    /// Starts a member that is in nobody's settings, on an empty disk.
+    auto addMember(const MemberName &name) -> void;
     auto cut(const MemberName &from, const MemberName &to) -> void;
     auto isolate(const MemberName &name) -> void;
     auto heal() -> void;
--- a/libs/control/src/ControlNode.cpp
+++ b/libs/control/src/ControlNode.cpp
@@ -22,6 +22,8 @@
     result.self.name = settings.member;
     for (const auto &member : settings.members)
         result.members.push_back(member.name);
+    result.admitsNewMembers = settings.membersByIp;
+    result.voters = 2 * static_cast<std::size_t>(settings.toleratedLosses) + 1;
     result.heartbeatInterval = settings.heartbeatInterval;
     result.minElectionTimeout = settings.minimumElectionTimeout;
     result.maxElectionTimeout = settings.maximumElectionTimeout;
--- a/libs/settings/include/settings/ControlSettings.h
+++ b/libs/settings/include/settings/ControlSettings.h
@@ -33,7 +33,8 @@
     /// Members are named by their IP and use the same ports, so that one that is not in `members`
     /// can be reached too.
     bool membersByIp = false;
-    Duration heartbeatInterval{}; ///< Between messages of a consensus leader to its followers.
+    std::int64_t toleratedLosses = 0; ///< Members that may be lost at one time, with membersByIp.
+    Duration heartbeatInterval{};     ///< Between messages of a consensus leader to its followers.
     Duration minimumElectionTimeout{};
     Duration maximumElectionTimeout{};
 };
