Test sessions, placement, connections, announcements, configurations and the platform's codecs

Cause: the first whole path landed with the tests of the modules it changed only.

Ruled out: nothing; these tests found no fault in the code as it stands.

Change: 10 tests of StatementRun and 10 of ProxySession on scripted servers and a virtual clock (what may have run is never sent again; promises are true), LinkPool under more organisations than connections, PrimaryPositions and placement, ReplaceConfiguration and AdoptPrimary, the order of announcements, and contract tests of platform/ with fault cases in tables and random bytes at each decoder.

--- /dev/null
+++ b/libs/control/tests/EndpointRegistrarTest.cpp
@@ -0,0 +1,143 @@
+#include <control/EndpointRegistrar.h>
+
+#include <catch2/catch.hpp>
+
+namespace auburnrail {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr auto START = TimePoint(100s);
+
+auto announcement(const std::string &name, std::uint64_t startedAt, std::uint64_t sequence)
+    -> Announcement
+{
+    return Announcement{.endpoint = name,
+                        .group = "g",
+                        .zone = "z",
+                        .address = "127.0.0.1:1",
+                        .startedAt = startedAt,
+                        .sequence = sequence};
+}
+
+/// A registrar and the state that follows from its commands.
+struct RegistrarFixture
+{
+    auto take(const Announcement &heard) -> std::size_t
+    {
+        this->now += 1s;
+        const auto commands = this->registrar.commandsFor(heard, this->objects, this->now);
+        this->apply(commands);
+        return commands.size();
+    }
+
+    auto apply(const std::vector<CommandBody> &commands) -> void
+    {
+        for (const auto &body : commands) {
+            if (const auto *set = std::get_if<SetObject>(&body); set != nullptr)
+                this->objects.put(set->object);
+            else if (const auto *gone = std::get_if<DeleteObject>(&body); gone != nullptr)
+                this->objects.erase(gone->kind, gone->name);
+            else if (const auto *adopted = std::get_if<AdoptPrimary>(&body); adopted != nullptr)
+                this->objects.put(
+                    Group{.name = adopted->group, .term = 1, .primary = adopted->endpoint});
+            else if (const auto *left = std::get_if<LeaveEndpoint>(&body); left != nullptr) {
+                auto endpoint = *this->objects.find<Endpoint>(left->endpoint);
+                endpoint.leaving = true;
+                this->objects.put(endpoint);
+            }
+        }
+    }
+
+    EndpointRegistrar registrar{{.adoptsPrimaries = true, .silenceLimit = 20s}};
+    FleetObjects objects;
+    TimePoint now = START;
+};
+
+} // namespace
+
+TEST_CASE("an announcement is stored once, and a change of it again")
+{
+    auto fixture = RegistrarFixture();
+    CHECK(fixture.take(announcement("e1", 5, 1)) == 1);
+    CHECK(fixture.take(announcement("e1", 5, 2)) == 0);
+    auto moved = announcement("e1", 5, 3);
+    moved.zone = "z2";
+    CHECK(fixture.take(moved) == 1);
+    CHECK(fixture.objects.find<Endpoint>("e1")->zone == "z2");
+}
+
+// Guards against late announcements of a former process that hide the present one.
+TEST_CASE("older announcements change nothing")
+{
+    auto fixture = RegistrarFixture();
+    REQUIRE(fixture.take(announcement("e1", 5, 9)) == 1);
+    auto late = announcement("e1", 5, 4);
+    late.address = "127.0.0.1:9";
+    CHECK(fixture.take(late) == 0);
+    auto reborn = announcement("e1", 8, 1);
+    reborn.address = "127.0.0.1:2";
+    CHECK(fixture.take(reborn) == 1);
+    auto former = announcement("e1", 5, 10);
+    former.leaving = true;
+    CHECK(fixture.take(former) == 0);
+    CHECK(fixture.objects.find<Endpoint>("e1")->address == "127.0.0.1:2");
+    CHECK_FALSE(fixture.objects.find<Endpoint>("e1")->leaving);
+}
+
+TEST_CASE("an address belongs to the process that started there last")
+{
+    auto fixture = RegistrarFixture();
+    REQUIRE(fixture.take(announcement("old", 5, 1)) == 1);
+    CHECK(fixture.take(announcement("new", 8, 1)) == 2);
+    CHECK(fixture.objects.find<Endpoint>("old") == nullptr);
+    CHECK(fixture.take(announcement("old", 5, 2)) == 0);
+}
+
+TEST_CASE("a departure is noted at once, also right after another command")
+{
+    auto fixture = RegistrarFixture();
+    REQUIRE(fixture.take(announcement("e1", 5, 1)) == 1);
+    auto leaving = announcement("e1", 5, 2);
+    leaving.leaving = true;
+    CHECK(fixture.take(leaving) == 1);
+    CHECK(fixture.objects.find<Endpoint>("e1")->leaving);
+    auto gone = announcement("e1", 0, 0);
+    gone.leaving = true;
+    gone.gone = true;
+    CHECK(fixture.take(gone) == 1);
+    CHECK(fixture.objects.find<Endpoint>("e1") == nullptr);
+    CHECK(fixture.take(announcement("e1", 5, 3)) == 0);
+}
+
+TEST_CASE("the announced primary is adopted while the group has had none")
+{
+    auto fixture = RegistrarFixture();
+    auto primary = announcement("e1", 5, 1);
+    primary.primary = true;
+    CHECK(fixture.take(primary) == 2);
+    CHECK(fixture.objects.find<Group>("g")->primary == "e1");
+    auto second = announcement("e2", 6, 1);
+    second.address = "127.0.0.1:2";
+    second.primary = true;
+    CHECK(fixture.take(second) == 1);
+    CHECK(fixture.objects.find<Group>("g")->primary == "e1");
+}
+
+TEST_CASE("silent endpoints are removed, but not primaries, and not right after an election")
+{
+    auto fixture = RegistrarFixture();
+    auto primary = announcement("e1", 5, 1);
+    primary.primary = true;
+    std::ignore = fixture.take(primary);
+    auto second = announcement("e2", 6, 1);
+    second.address = "127.0.0.1:2";
+    std::ignore = fixture.take(second);
+    CHECK(fixture.registrar.removalsOfSilent(fixture.objects, fixture.now + 10s).empty());
+    CHECK(fixture.registrar.removalsOfSilent(fixture.objects, fixture.now + 21s).size() == 1);
+    fixture.registrar.beginLeadership(fixture.now + 20s);
+    CHECK(fixture.registrar.removalsOfSilent(fixture.objects, fixture.now + 21s).empty());
+}
+
+} // namespace auburnrail
--- /dev/null
+++ b/libs/proxy/tests/FakeServers.h
@@ -0,0 +1,146 @@
+#ifndef AUBURNRAIL_PROXY_TESTS_FAKESERVERS_H
+#define AUBURNRAIL_PROXY_TESTS_FAKESERVERS_H
+
+#include <proxy/StatementHooks.h>
+
+#include <core/VirtualScheduler.h>
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace auburnrail::testing {
+
+/// Servers behind StatementHooks, on a virtual clock: each request takes 1 ms and gets the next
+/// scripted outcome, or success.
+class FakeServers
+{
+public:
+    using Script = std::function<auto(const ServerRequest &)->ServerOutcome>;
+
+    [[nodiscard]] auto hooks() -> StatementHooks
+    {
+        return StatementHooks{
+            .executor = this->scheduler.executor(),
+            .holdsLease = [this](TimePoint) { return this->leased; },
+            .place = [this](const PlacementRequest &request,
+                            TimePoint) -> std::optional<Placement> {
+                this->placements.push_back(request);
+                if (this->unplaceable > 0) {
+                    --this->unplaceable;
+                    return std::nullopt;
+                }
+                const auto isPrimary = request.needsPrimary || !request.except.empty()
+                                       || request.consistency == ReadConsistency::Primary;
+                auto placement = Placement{.endpoint = isPrimary ? "primary" : "replica",
+                                           .isPrimary = isPrimary,
+                                           .term = 1};
+                if (!isPrimary)
+                    placement.minimumPosition = Position{1, 7};
+                return placement;
+            },
+            .lease =
+                [this](const Placement &placement, const StatementOrder &, auto done) {
+                    if (!this->leaseStatus.ok()) {
+                        done(this->leaseStatus);
+                        return;
+                    }
+                    done(this->makeLink(placement));
+                },
+            .release =
+                [this](const ServerLinkPointer &link, bool reusable) {
+                    this->released.emplace_back(link->handle.endpoint, reusable);
+                },
+            .observe =
+                [](const ServerLink &, const ServerOutcome &) {
+                }};
+    }
+
+    /// Outcome of the next requests with this operation, in order.
+    auto script(ServerOperation operation, ServerOutcome outcome) -> void
+    {
+        this->scripts[operation].push_back(std::move(outcome));
+    }
+
+    [[nodiscard]] static auto answered(StatementAnswer answer) -> ServerOutcome
+    {
+        return ServerOutcome{.phase = ServerPhase::Answered, .answer = std::move(answer)};
+    }
+
+    [[nodiscard]] static auto refused(StatementError error, SessionState state = SessionState::Idle)
+        -> ServerOutcome
+    {
+        return answered(
+            StatementAnswer{.failure = StatementFailure{error, "scripted"}, .state = state});
+    }
+
+    [[nodiscard]] static auto lost() -> ServerOutcome
+    {
+        return ServerOutcome{.phase = ServerPhase::Lost, .error = "scripted"};
+    }
+
+    /// How often a request with this operation was sent.
+    [[nodiscard]] auto count(ServerOperation operation) const -> std::size_t
+    {
+        auto found = std::size_t(0);
+        for (const auto &request : this->sent)
+            found += request.operation == operation ? 1 : 0;
+        return found;
+    }
+
+    VirtualScheduler scheduler;
+    bool leased = true;
+    int unplaceable = 0;
+    absl::Status leaseStatus;
+    std::vector<PlacementRequest> placements;
+    std::vector<ServerRequest> sent;
+    std::vector<std::pair<std::string, bool>> released; ///< Endpoint, reusable.
+
+private:
+    auto makeLink(const Placement &placement) -> ServerLinkPointer
+    {
+        const auto link = std::make_shared<ServerLink>();
+        link->handle = ConnectionHandle{placement.endpoint, ++this->lastId};
+        link->isPrimary = placement.isPrimary;
+        link->term = placement.term;
+        link->close = [] {
+        };
+        link->exchange = [this, inTransaction = std::make_shared<bool>(false)](
+                             const ServerRequest &request, Duration, ServerLink::Done done) {
+            this->sent.push_back(request);
+            auto outcome = this->nextOutcome(request, *inTransaction);
+            this->scheduler.executor().postAfter(
+                std::chrono::milliseconds(1),
+                [done = std::move(done), outcome = std::move(outcome)] { done(outcome); });
+        };
+        return link;
+    }
+
+    auto nextOutcome(const ServerRequest &request, bool &inTransaction) -> ServerOutcome
+    {
+        auto &outcomes = this->scripts[request.operation];
+        if (!outcomes.empty()) {
+            auto outcome = std::move(outcomes.front());
+            outcomes.pop_front();
+            return outcome;
+        }
+        if (request.operation == ServerOperation::Begin
+            || request.operation == ServerOperation::BeginReadOnly)
+            inTransaction = true;
+        if (request.operation == ServerOperation::Rollback || request.text == "COMMIT")
+            inTransaction = false;
+        return answered(StatementAnswer{
+            .signature = request.id.empty() ? "" : "signed-" + request.id,
+            .state = inTransaction ? SessionState::InTransaction : SessionState::Idle,
+            .position = Position{1, 10}});
+    }
+
+    std::map<ServerOperation, std::deque<ServerOutcome>> scripts;
+    std::uint64_t lastId = 0;
+};
+
+} // namespace auburnrail::testing
+
+#endif
--- /dev/null
+++ b/libs/proxy/tests/LinkPoolTest.cpp
@@ -0,0 +1,147 @@
+#include <proxy/LinkPool.h>
+
+#include <catch2/catch.hpp>
+
+#include <optional>
+#include <vector>
+
+namespace auburnrail {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// A pool whose connections open when the test says so.
+struct PoolFixture
+{
+    PoolFixture()
+        : pool(LinkPoolHooks{
+            .open = [this](const ConnectionHandle &handle,
+                           const std::string &owner) { this->opening.emplace_back(handle, owner); },
+            .close =
+                [this](const ConnectionHandle &handle) {
+                    this->closed.push_back(handle);
+                }})
+    {
+        this->pool.setLimit("e", 2);
+    }
+
+    /// Result of the acquire once it has one.
+    auto acquire(const std::string &organisation, std::uint32_t priority = 1)
+        -> std::shared_ptr<std::optional<absl::StatusOr<ConnectionHandle>>>
+    {
+        auto result = std::make_shared<std::optional<absl::StatusOr<ConnectionHandle>>>();
+        this->pool.acquire(LinkOrder{.endpoint = "e",
+                                     .organisation = organisation,
+                                     .priority = priority,
+                                     .deadline = this->now + 1s},
+                           this->now, [result](auto handle) { *result = std::move(handle); });
+        return result;
+    }
+
+    auto openAll() -> void
+    {
+        for (const auto &[handle, owner] : std::exchange(this->opening, {}))
+            this->pool.opened(handle, this->now);
+    }
+
+    TimePoint now = TimePoint(100s);
+    std::vector<std::pair<ConnectionHandle, std::string>> opening;
+    std::vector<ConnectionHandle> closed;
+    LinkPool pool;
+};
+
+} // namespace
+
+// Guards against a statement that runs on a connection of another organisation.
+TEST_CASE("a connection serves the organisation that it was opened for only")
+{
+    auto fixture = PoolFixture();
+    const auto first = fixture.acquire("a");
+    fixture.openAll();
+    REQUIRE((first->has_value() && (*first)->ok()));
+    fixture.pool.release(***first, true, fixture.now);
+    CHECK(fixture.pool.hasIdle("e", "a"));
+    const auto again = fixture.acquire("a");
+    REQUIRE(again->has_value());
+    CHECK(***again == ***first);
+    fixture.pool.release(***again, true, fixture.now);
+    const auto other = fixture.acquire("b");
+    CHECK_FALSE(other->has_value());
+    REQUIRE(fixture.opening.size() == 1);
+    CHECK(fixture.opening[0].second == "b");
+}
+
+// Load pattern: more organisations than connections.
+TEST_CASE("at the limit the connection that was idle for longest is given up")
+{
+    auto fixture = PoolFixture();
+    for (const auto *organisation : {"a", "b"}) {
+        const auto link = fixture.acquire(organisation);
+        fixture.openAll();
+        fixture.now += 10ms;
+        fixture.pool.release(***link, true, fixture.now);
+    }
+    const auto third = fixture.acquire("c");
+    CHECK(fixture.closed.size() == 1);
+    CHECK_FALSE(fixture.pool.hasIdle("e", "a"));
+    CHECK(fixture.pool.hasIdle("e", "b"));
+    fixture.openAll();
+    CHECK(third->has_value());
+}
+
+TEST_CASE("waiters are served by priority, then by arrival, and end at their deadline")
+{
+    auto fixture = PoolFixture();
+    const auto one = fixture.acquire("a");
+    const auto two = fixture.acquire("a");
+    fixture.openAll();
+    const auto late = fixture.acquire("a", 2);
+    const auto urgent = fixture.acquire("a", 0);
+    fixture.pool.release(***one, true, fixture.now);
+    CHECK(urgent->has_value());
+    CHECK_FALSE(late->has_value());
+    fixture.now += 2s;
+    fixture.pool.advance(fixture.now, 3s);
+    REQUIRE(late->has_value());
+    CHECK(absl::IsResourceExhausted((*late)->status()));
+}
+
+TEST_CASE("a full server is asked again after a pause, an unreachable one fails a waiter")
+{
+    auto fixture = PoolFixture();
+    const auto waiter = fixture.acquire("a");
+    auto handle = fixture.opening.at(0).first;
+    fixture.opening.clear();
+    fixture.pool.openFailed(handle, absl::ResourceExhaustedError("full"), fixture.now);
+    CHECK_FALSE(waiter->has_value());
+    CHECK(fixture.opening.empty());
+    fixture.now += LinkPool::FULL_PAUSE_MS;
+    fixture.pool.advance(fixture.now, 3s);
+    REQUIRE(fixture.opening.size() == 1);
+    handle = fixture.opening.at(0).first;
+    fixture.pool.openFailed(handle, absl::UnavailableError("no route"), fixture.now);
+    REQUIRE(waiter->has_value());
+    CHECK(absl::IsUnavailable((*waiter)->status()));
+}
+
+TEST_CASE("idle connections are closed after the idle limit and when their server goes")
+{
+    auto fixture = PoolFixture();
+    const auto link = fixture.acquire("a");
+    fixture.openAll();
+    fixture.pool.release(***link, true, fixture.now);
+    fixture.pool.advance(fixture.now + 2s, 3s);
+    CHECK(fixture.closed.empty());
+    fixture.pool.advance(fixture.now + 4s, 3s);
+    CHECK(fixture.closed.size() == 1);
+    const auto used = fixture.acquire("a");
+    fixture.openAll();
+    const auto waiting = fixture.acquire("b");
+    fixture.pool.remove("e");
+    CHECK(absl::IsUnavailable((*waiting)->status()));
+    fixture.pool.release(***used, true, fixture.now);
+    CHECK(fixture.closed.size() == 2);
+}
+
+} // namespace auburnrail
