Let waiters borrow connections, refuse late writes, judge nothing without a lease; count suspensions

And the clock of leases was the steady clock, which stands still while an instance is suspended.

Ruled out: larger fixed shares (together they exceed what a server accepts, and idle connections would hold them).

Change: a waiter may open a connection beyond the entry's share after 20 ms, which is closed after its use; a connection that the server ends at its start means "full" and is no failure of the server; idle connections close after 1.5 s; what writes needs 250 ms; without a lease an unknown database or key is answered as busy; all clocks are CLOCK_BOOTTIME.

--- a/apps/auburnrail/Main.cpp
+++ b/apps/auburnrail/Main.cpp
@@ -1,4 +1,6 @@
 #include <http/HttpConnection.h>
+
+#include <core/MonotonicClock.h>
 #include <operators/OperatorProgram.h>
 #include <settings/ControlSettings.h>
 #include <settings/EntrySettings.h>
@@ -59,7 +61,7 @@
 {
     return auburnrail::ProgramHooks{
         .client = {.exchange = auburnrail::exchangeOnce,
-                   .now = [] { return std::chrono::steady_clock::now(); },
+                   .now = monotonicNow,
                    .pause =
                        [](auburnrail::Duration length) {
                            std::this_thread::sleep_for(length);
--- a/libs/core/src/RankedCondition.cpp
+++ b/libs/core/src/RankedCondition.cpp
@@ -1,5 +1,7 @@
 #include <core/RankedCondition.h>
 
+#include <core/MonotonicClock.h>
+
 namespace auburnrail {
 
 auto RankedCondition::wait(RankedMutex &mutex) -> void
@@ -9,7 +11,9 @@
 
 auto RankedCondition::waitUntil(RankedMutex &mutex, TimePoint deadline) -> bool
 {
-    return this->condition.wait_until(mutex, deadline) == std::cv_status::no_timeout;
+    // The condition knows the steady clock only, which may lag behind monotonicNow().
+    const auto left = deadline - monotonicNow();
+    return this->condition.wait_for(mutex, left) == std::cv_status::no_timeout;
 }
 
 auto RankedCondition::notifyOne() -> void
--- a/libs/core/src/TaskQueue.cpp
+++ b/libs/core/src/TaskQueue.cpp
@@ -1,3 +1,4 @@
+#include <core/MonotonicClock.h>
 #include <core/TaskQueue.h>
 
 #include <core/RankedLock.h>
@@ -14,7 +15,7 @@
 auto TaskQueue::postAfter(Duration delay, Task task) -> TimerId
 {
     const RankedLock lock(this->mutex);
-    const auto due = std::chrono::steady_clock::now() + delay;
+    const auto due = monotonicNow() + delay;
     const auto id = this->timers.schedule(due, std::move(task));
     // A waiting thread has to recompute its wake-up time.
     this->wakeUp.notifyOne();
@@ -31,7 +32,7 @@
 {
     const RankedLock lock(this->mutex);
     while (!this->closed) {
-        if (auto due = this->timers.takeDue(std::chrono::steady_clock::now()))
+        if (auto due = this->timers.takeDue(monotonicNow()))
             return due;
         if (!this->ready.empty()) {
             auto task = std::move(this->ready.front());
--- a/libs/core/src/WorkerPool.cpp
+++ b/libs/core/src/WorkerPool.cpp
@@ -1,3 +1,4 @@
+#include <core/MonotonicClock.h>
 #include <core/WorkerPool.h>
 
 #include <cassert>
@@ -20,7 +21,7 @@
 auto WorkerPool::executor() -> Executor
 {
     return Executor{
-        .now = [] { return std::chrono::steady_clock::now(); },
+        .now = monotonicNow,
         .post = [this](Task task) { this->queue.post(std::move(task)); },
         .postAfter = [this](Duration delay,
                             Task task) { return this->queue.postAfter(delay, std::move(task)); },
--- a/libs/core/tests/ExecutorTest.cpp
+++ b/libs/core/tests/ExecutorTest.cpp
@@ -1,9 +1,12 @@
+#include <core/MonotonicClock.h>
 #include <core/RankedLock.h>
 #include <core/VirtualScheduler.h>
 #include <core/WorkerPool.h>
 
 #include <catch2/catch.hpp>
 
+#include <ctime>
+
 #include <future>
 #include <string>
 
@@ -63,4 +66,18 @@
     SUCCEED();
 }
 
+// Guards against a lease that is held over a suspension, which the steady clock does not count.
+TEST_CASE("the clock of leases is the one that counts suspensions")
+{
+    auto time = timespec();
+    clock_gettime(CLOCK_BOOTTIME, &time);
+    const auto boot =
+        TimePoint(std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec));
+    const auto first = monotonicNow();
+    CHECK(first >= boot);
+    CHECK(first - boot < std::chrono::seconds(1));
+    auto pool = WorkerPool(1);
+    CHECK(pool.executor().now() >= first);
+}
+
 } // namespace auburnrail
--- a/libs/failover/tests/FailoverContractTest.cpp
+++ b/libs/failover/tests/FailoverContractTest.cpp
@@ -213,4 +213,53 @@
     CHECK(table.size() == 0);
 }
 
+// Guards against a promotion that drops an acknowledged write: with one synchronous replica a write
+// may be on any one replica, so that all of them must be asked, or the old primary.
+TEST_CASE("with a synchronous replica no write is lost while one replica does not answer")
+{
+    auto group = GroupSimulation();
+    group.view.synchronousReplicas = 1;
+    group.view.endpoints.push_back({"d", "4"});
+    group.endpoints["d"] = GroupSimulation::Endpoint();
+    group.coordinator->groupChanged(group.view, group.scheduler.now());
+    // The replica that holds the last write is away, while a majority of the four answers.
+    group.endpoints["b"].reachable = false;
+    isolatePrimary(group);
+    group.endpoints["e"] = GroupSimulation::Endpoint();
+    group.view.endpoints.push_back({"e", "5"});
+    group.coordinator->groupChanged(group.view, group.scheduler.now());
+    group.runFor(7s);
+    CHECK(group.view.phase == GroupPhase::Fencing);
+    group.endpoints["b"].reachable = true;
+    group.runFor(5s);
+    CHECK(group.view.phase == GroupPhase::Serving);
+    CHECK(group.view.primary == "b");
+}
+
+TEST_CASE("with a synchronous replica a planned promotion leaves the old primary")
+{
+    auto group = GroupSimulation();
+    group.view.synchronousReplicas = 1;
+    group.view.endpoints[0].leaving = true;
+    group.coordinator->groupChanged(group.view, group.scheduler.now());
+    REQUIRE(group.coordinator->promotePlanned("logs", "c", group.scheduler.now()).ok());
+    group.runFor(7s);
+    CHECK(group.view.phase == GroupPhase::Serving);
+    // The wanted replica was let to catch up with what the most advanced one holds.
+    CHECK(group.view.primary == "c");
+    CHECK(group.endpoints["c"].position.index >= 11);
+}
+
+TEST_CASE("of equally advanced replicas one that stays is promoted")
+{
+    auto group = GroupSimulation();
+    group.view.synchronousReplicas = 1;
+    group.endpoints["c"].position.index = 11;
+    group.view.endpoints[1].leaving = true;
+    group.coordinator->groupChanged(group.view, group.scheduler.now());
+    isolatePrimary(group);
+    group.runFor(7s);
+    CHECK(group.view.primary == "c");
+}
+
 } // namespace auburnrail
--- a/libs/net/src/IoPool.cpp
+++ b/libs/net/src/IoPool.cpp
@@ -2,6 +2,8 @@
 
 #include "detail/IoTimers.h"
 
+#include <core/MonotonicClock.h>
+
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
@@ -44,7 +46,7 @@
 auto IoPool::executor() -> Executor
 {
     return Executor{
-        .now = [] { return std::chrono::steady_clock::now(); },
+        .now = monotonicNow,
         .post = [this](Task task) { boost::asio::post(this->impl->context, std::move(task)); },
         .postAfter =
             [timers = this->impl->timers](Duration delay, Task task) {
--- a/libs/proxy/include/proxy/LinkPool.h
+++ b/libs/proxy/include/proxy/LinkPool.h
@@ -34,6 +34,10 @@
     /// A server that has no connection left is asked again after this; about the time that a
     /// statement holds one.
     static constexpr auto FULL_PAUSE_MS = std::chrono::milliseconds(30);
+    /// A waiter that found no connection for this long may have one beyond the entry's limit: all
+    /// entries are seldom at theirs together, and the server refuses what is too much. About the
+    /// time that a short statement holds a connection.
+    static constexpr auto BORROW_AFTER_MS = std::chrono::milliseconds(20);
     static constexpr auto MAX_WAITERS = std::size_t(256);
 
     explicit LinkPool(LinkPoolHooks poolHooks);
@@ -82,8 +86,8 @@
     auto serveWaiters(const std::string &endpoint, detail::EndpointLinks &links, TimePoint now,
                       Effects &effects) -> void;
     ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
-    auto openFor(const std::string &endpoint, const std::string &organisation,
-                 detail::EndpointLinks &links, Effects &effects) -> bool;
+    auto openFor(const std::string &endpoint, const detail::EndpointLinks::Waiter &waiter,
+                 detail::EndpointLinks &links, TimePoint now, Effects &effects) -> void;
     static auto run(const Effects &effects) -> void;
 
     LinkPoolHooks hooks;
--- a/libs/proxy/include/proxy/ServerLinks.h
+++ b/libs/proxy/include/proxy/ServerLinks.h
@@ -29,8 +29,9 @@
     /// Longest wait for the answer to a probe or a rollback.
     static constexpr auto PROBE_TIME_LIMIT_MS = std::chrono::milliseconds(500);
     static constexpr auto ROLLBACK_TIME_LIMIT_MS = std::chrono::milliseconds(1000);
-    /// A connection that was idle for this long is closed, so that others in the fleet get it.
-    static constexpr auto IDLE_LIMIT_MS = std::chrono::milliseconds(3000);
+    /// A connection that was idle for this long is closed, so that others in the fleet get it. Some
+    /// times the pause between two statements of a busy organisation at one entry.
+    static constexpr auto IDLE_LIMIT_MS = std::chrono::milliseconds(1500);
 
     /// The tables and the pool must outlive this object.
     ServerLinks(IoPool &ioPool, EndpointTable &endpointTable, PrimaryPositions &primaryPositions,
--- a/libs/proxy/include/proxy/StatementRun.h
+++ b/libs/proxy/include/proxy/StatementRun.h
@@ -34,6 +34,9 @@
     /// A statement with less time left is not sent any more: its answer would come too late, and a
     /// write would be in doubt. A round trip between regions and a short statement.
     static constexpr auto LEAST_TIME_MS = std::chrono::milliseconds(60);
+    /// The same for what writes. A late write can't be repeated by its caller, while one that was
+    /// not run can, so it is sent only with time for a queue at the server and for its replica.
+    static constexpr auto LEAST_TIME_TO_WRITE_MS = std::chrono::milliseconds(250);
 
     StatementRun(StatementHooks statementHooks, StatementOrder statementOrder, Done doneHook);
 
@@ -71,7 +74,7 @@
     [[nodiscard]] auto placementRequest() const -> PlacementRequest;
     [[nodiscard]] auto statementRequest() const -> ServerRequest;
     [[nodiscard]] auto timeLeft() const -> Duration;
-    [[nodiscard]] auto mayAttemptAgain() const -> bool;
+    [[nodiscard]] auto hasTimeToRun() const -> bool;
 
     const StatementHooks hooks;
     const StatementOrder order;
--- a/libs/proxy/include/proxy/detail/EndpointLinks.h
+++ b/libs/proxy/include/proxy/detail/EndpointLinks.h
@@ -33,6 +33,7 @@
     {
         std::string organisation;
         std::uint32_t priority = 0;
+        TimePoint since;
         TimePoint deadline;
         Done done;
     };
--- a/libs/proxy/src/LinkPool.cpp
+++ b/libs/proxy/src/LinkPool.cpp
@@ -67,6 +67,7 @@
                              [&](const auto &waiter) { return waiter.priority > order.priority; });
             links.waiters.insert(later, {.organisation = order.organisation,
                                          .priority = order.priority,
+                                         .since = now,
                                          .deadline = order.deadline,
                                          .done = std::move(done)});
             this->serveWaiters(order.endpoint, links, now, effects);
@@ -242,25 +243,29 @@
         const auto isCovered = countOpening(links, waiter->organisation) > sameBefore;
         ++sameBefore;
         if (!isCovered && now >= links.fullUntil)
-            this->openFor(endpoint, waiter->organisation, links, effects);
+            this->openFor(endpoint, *waiter, links, now, effects);
         ++waiter;
     }
 }
 
-auto LinkPool::openFor(const std::string &endpoint, const std::string &organisation,
-                       detail::EndpointLinks &links, Effects &effects) -> bool
+auto LinkPool::openFor(const std::string &endpoint, const detail::EndpointLinks::Waiter &waiter,
+                       detail::EndpointLinks &links, TimePoint now, Effects &effects) -> void
 {
-    if (links.used() >= links.limit) {
-        if (links.idle.empty())
-            return false;
+    if (links.used() >= links.limit && !links.idle.empty()) {
         const auto given = ConnectionHandle{endpoint, links.idle.front().id};
         links.idle.erase(links.idle.begin());
         effects.emplace_back([this, given] { this->hooks.close(given); });
+    } else if (links.used() >= links.limit) {
+        const auto mayBorrow =
+            now - waiter.since >= BORROW_AFTER_MS && links.used() < 2 * links.limit + 1;
+        if (!mayBorrow)
+            return;
     }
     const auto handle = ConnectionHandle{endpoint, ++this->lastId};
-    links.opening.emplace(handle.id, organisation);
-    effects.emplace_back([this, handle, organisation] { this->hooks.open(handle, organisation); });
-    return true;
+    links.opening.emplace(handle.id, waiter.organisation);
+    effects.emplace_back([this, handle, organisation = waiter.organisation] {
+        this->hooks.open(handle, organisation);
+    });
 }
 
 } // namespace auburnrail
--- a/libs/proxy/src/ProxySession.cpp
+++ b/libs/proxy/src/ProxySession.cpp
@@ -48,7 +48,12 @@
     this->keyId = findKeyId(*objects, opening.key, this->secret);
     const auto found = authoriseOperation(*objects, this->database, this->keyId);
     if (const auto *reason = std::get_if<ReasonCode>(&found); reason != nullptr) {
-        const auto failure = failureOf(*reason);
+        // Without a lease this entry may not have heard of the route or the key.
+        const auto isCertain =
+            this->hooks.statements.holdsLease(this->hooks.statements.executor.now());
+        const auto failure =
+            isCertain ? failureOf(*reason)
+                      : StatementFailure{StatementError::Busy, "this entry has no lease"};
         this->report(StatementReport{.database = this->database, .failure = failure});
         this->hooks.sendRefusal(failure);
         this->end();
--- a/libs/proxy/src/ServerLinks.cpp
+++ b/libs/proxy/src/ServerLinks.cpp
@@ -24,6 +24,9 @@
 
 auto openStatus(const ServerOutcome &outcome) -> absl::Status
 {
+    // A server that has no connection left ends a new one without a word.
+    if (outcome.phase == ServerPhase::Lost)
+        return absl::ResourceExhaustedError("the server ended the connection at its start");
     if (outcome.phase != ServerPhase::Answered)
         return absl::UnavailableError(outcome.error);
     if (!outcome.answer.failure)
@@ -185,12 +188,8 @@
 {
     const auto now = this->hooks.executor.now();
     const auto status = openStatus(outcome);
-    const auto &failure = outcome.answer.failure;
-    const auto isAnother = failure && failure->error == StatementError::Misrouted;
-    if (outcome.phase != ServerPhase::Answered || isAnother)
-        this->endpoints.recordFailure(
-            handle.endpoint, isAnother ? EndpointFailure::Unreachable : failureOf(outcome.phase),
-            now);
+    if (absl::IsUnavailable(status))
+        this->endpoints.recordFailure(handle.endpoint, EndpointFailure::Unreachable, now);
     if (!status.ok()) {
         link->close();
         this->linkPool.openFailed(handle, status, now);
--- a/libs/proxy/src/StatementRun.cpp
+++ b/libs/proxy/src/StatementRun.cpp
@@ -52,7 +52,7 @@
 auto StatementRun::attempt() -> void
 {
     const auto now = this->hooks.executor.now();
-    if (this->timeLeft() <= LEAST_TIME_MS) {
+    if (!this->hasTimeToRun()) {
         this->fail(StatementError::Busy, "not run in time: " + this->lastProblem,
                    SessionState::Idle);
         return;
@@ -97,7 +97,7 @@
     }
     this->link = *std::move(result);
     // The wait for a connection may have outlasted the lease or the deadline.
-    if (this->timeLeft() <= LEAST_TIME_MS || !this->hooks.holdsLease(this->hooks.executor.now())) {
+    if (!this->hasTimeToRun() || !this->hooks.holdsLease(this->hooks.executor.now())) {
         this->dropLink(true);
         this->attempt();
         return;
@@ -227,7 +227,7 @@
     else if (!this->placement.isPrimary)
         this->tried.push_back(this->placement.endpoint);
     this->dropLink(isNotRun(failure.error));
-    if (!this->mayAttemptAgain()) {
+    if (!this->hasTimeToRun()) {
         this->fail(StatementError::Busy, "not run: " + this->lastProblem, SessionState::Idle);
         return;
     }
@@ -248,9 +248,10 @@
                    });
 }
 
-auto StatementRun::mayAttemptAgain() const -> bool
+auto StatementRun::hasTimeToRun() const -> bool
 {
-    return this->timeLeft() > LEAST_TIME_MS;
+    const auto writesAlone = this->order.writes() && !this->order.opens;
+    return this->timeLeft() > (writesAlone ? LEAST_TIME_TO_WRITE_MS : LEAST_TIME_MS);
 }
 
 auto StatementRun::lost(const ServerOutcome &outcome) -> void
@@ -278,7 +279,7 @@
                    SessionState::Idle);
         return;
     }
-    if (timedOut || !this->mayAttemptAgain()) {
+    if (timedOut || !this->hasTimeToRun()) {
         this->fail(mayHaveRun && !opened ? StatementError::Timeout : StatementError::Busy,
                    this->lastProblem, SessionState::Idle);
         return;
--- a/libs/proxy/src/detail/ServerSocket.cpp
+++ b/libs/proxy/src/detail/ServerSocket.cpp
@@ -6,14 +6,14 @@
 namespace auburnrail::detail {
 
 ServerSocket::ServerSocket(StreamConnection::Pointer openStream, ServerCodec serverCodec,
-                           std::function<auto()->void> idleEnded)
+                           std::function<auto()->void> idleEndedHook)
     : stream(std::move(openStream))
     , codec(std::move(serverCodec))
-    , idleEnded(std::move(idleEnded))
+    , idleEnded(std::move(idleEndedHook))
 {
 }
 
-auto ServerSocket::start(const ServerOpening &opening, Duration timeLimit, ServerLink::Done done)
+auto ServerSocket::start(const ServerOpening &message, Duration timeLimit, ServerLink::Done newDone)
     -> void
 {
     this->stream->start(StreamHooks{
@@ -22,20 +22,20 @@
             [self = this->shared_from_this()] {
                 self->ended();
             }});
-    this->stream->executor().post(
-        [self = this->shared_from_this(), opening, timeLimit, newDone = std::move(done)]() mutable {
-            self->send(self->codec.encodeOpening(opening), timeLimit, std::move(newDone));
-        });
+    this->stream->executor().post([self = this->shared_from_this(), message, timeLimit,
+                                   newDone = std::move(newDone)]() mutable {
+        self->send(self->codec.encodeOpening(message), timeLimit, std::move(newDone));
+    });
 }
 
-auto ServerSocket::exchange(const ServerRequest &request, Duration timeLimit, ServerLink::Done done)
-    -> void
+auto ServerSocket::exchange(const ServerRequest &request, Duration timeLimit,
+                            ServerLink::Done newDone) -> void
 {
-    this->stream->executor().post(
-        [self = this->shared_from_this(), request, timeLimit, newDone = std::move(done)]() mutable {
-            self->opening = false;
-            self->send(self->codec.encodeRequest(request), timeLimit, std::move(newDone));
-        });
+    this->stream->executor().post([self = this->shared_from_this(), request, timeLimit,
+                                   newDone = std::move(newDone)]() mutable {
+        self->opening = false;
+        self->send(self->codec.encodeRequest(request), timeLimit, std::move(newDone));
+    });
 }
 
 auto ServerSocket::close() -> void
--- a/libs/proxy/src/detail/ServerSocket.h
+++ b/libs/proxy/src/detail/ServerSocket.h
@@ -19,12 +19,13 @@
 public:
     /// `idleEnded` is called once when the connection ends while no request is under way.
     ServerSocket(StreamConnection::Pointer openStream, ServerCodec serverCodec,
-                 std::function<auto()->void> idleEnded);
+                 std::function<auto()->void> idleEndedHook);
 
     /// Begins to read, and sends the first message. `done` gets its answer.
-    auto start(const ServerOpening &opening, Duration timeLimit, ServerLink::Done done) -> void;
+    auto start(const ServerOpening &message, Duration timeLimit, ServerLink::Done newDone) -> void;
 
-    auto exchange(const ServerRequest &request, Duration timeLimit, ServerLink::Done done) -> void;
+    auto exchange(const ServerRequest &request, Duration timeLimit, ServerLink::Done newDone)
+        -> void;
 
     auto close() -> void;
 
--- a/libs/proxy/tests/LinkPoolTest.cpp
+++ b/libs/proxy/tests/LinkPoolTest.cpp
@@ -107,6 +107,25 @@
     CHECK(absl::IsResourceExhausted((*late)->status()));
 }
 
+// Load pattern: transactions with pauses hold the entry's connections while other entries have some
+// to spare.
+TEST_CASE("a waiter gets a connection beyond the limit after a while, which is not kept")
+{
+    auto fixture = PoolFixture();
+    const auto one = fixture.acquire("a");
+    const auto two = fixture.acquire("a");
+    fixture.openAll();
+    const auto third = fixture.acquire("a");
+    CHECK(fixture.opening.empty());
+    fixture.now += LinkPool::BORROW_AFTER_MS;
+    fixture.pool.advance(fixture.now, 3s);
+    CHECK(fixture.opening.size() == 1);
+    fixture.openAll();
+    REQUIRE(third->has_value());
+    fixture.pool.release(***third, true, fixture.now);
+    CHECK(fixture.closed.size() == 1);
+}
+
 TEST_CASE("a full server is asked again after a pause, an unreachable one fails a waiter")
 {
     auto fixture = PoolFixture();
--- a/libs/proxy/tests/ProxySessionTest.cpp
+++ b/libs/proxy/tests/ProxySessionTest.cpp
@@ -135,6 +135,17 @@
     }
 }
 
+// Guards against "no such database" from an entry that has just started and knows none.
+TEST_CASE("an entry without a lease does not judge databases and keys")
+{
+    auto fixture = SessionFixture();
+    fixture.servers.leased = false;
+    fixture.objects = FleetObjects();
+    fixture.open();
+    CHECK(fixture.refusals.at(0).error == StatementError::Busy);
+    CHECK(fixture.closed);
+}
+
 // Guards against withdrawn keys and removed routes that go on working on open sessions.
 TEST_CASE("each operation is checked against the state of its moment")
 {
--- a/libs/proxy/tests/StatementRunTest.cpp
+++ b/libs/proxy/tests/StatementRunTest.cpp
@@ -133,6 +133,19 @@
     CHECK(errorOf(runToEnd(servers, order)) == StatementError::Busy);
 }
 
+// Guards against writes in doubt: one that is sent with little time left can't be repeated.
+TEST_CASE("a write with little time left is refused as not run")
+{
+    auto servers = FakeServers();
+    auto order = orderFor(StatementKind::Write, servers);
+    order.policy.statementTimeout = 200ms;
+    CHECK(errorOf(runToEnd(servers, order)) == StatementError::Busy);
+    CHECK(servers.sent.empty());
+    order = orderFor(StatementKind::Read, servers);
+    order.policy.statementTimeout = 200ms;
+    CHECK_FALSE(errorOf(runToEnd(servers, order)));
+}
+
 TEST_CASE("a connection is brought to the session before the statement")
 {
     auto servers = FakeServers();
--- a/libs/wire/src/detail/MemberSender.cpp
+++ b/libs/wire/src/detail/MemberSender.cpp
@@ -3,6 +3,7 @@
 #include "../ConsensusConverter.h"
 
 #include <Consensus.h>
+#include <core/MonotonicClock.h>
 #include <core/RankedLock.h>
 
 #include <thrift/protocol/TCompactProtocol.h>
@@ -36,7 +37,7 @@
 
 auto MemberSender::enqueue(Message message) -> void
 {
-    auto dueAt = std::chrono::steady_clock::now();
+    auto dueAt = monotonicNow();
     if (this->hooks.delay)
         dueAt += this->hooks.delay(message.from.name, message.to.name);
     const RankedLock lock(this->mutex);
@@ -79,7 +80,7 @@
     while (!this->stopping) {
         if (this->queue.empty()) {
             this->wakeUp.wait(this->mutex);
-        } else if (this->queue.front().dueAt > std::chrono::steady_clock::now()) {
+        } else if (this->queue.front().dueAt > monotonicNow()) {
             this->wakeUp.waitUntil(this->mutex, this->queue.front().dueAt);
         } else {
             auto message = std::move(this->queue.front().message);
@@ -114,10 +115,10 @@
 
 auto MemberSender::waitAfterFailure() -> void
 {
-    const auto end = std::chrono::steady_clock::now() + this->backoff;
+    const auto end = monotonicNow() + this->backoff;
     this->backoff = std::min(this->backoff * 2, this->settings.maxBackoff);
     const RankedLock lock(this->mutex);
-    while (!this->stopping && std::chrono::steady_clock::now() < end)
+    while (!this->stopping && monotonicNow() < end)
         this->wakeUp.waitUntil(this->mutex, end);
 }
 
