--- a/libs/control/include/control/ConfigurationService.h
+++ b/libs/control/include/control/ConfigurationService.h
@@ -30,6 +30,8 @@
     [[nodiscard]] auto read() -> absl::StatusOr<std::string>;
 
 private:
+    [[nodiscard]] auto replaceAndAwait(ReplaceConfiguration configuration) -> absl::Status;
+
     ControlTables &tables;
 };
 
--- a/libs/control/src/ConfigurationService.cpp
+++ b/libs/control/src/ConfigurationService.cpp
@@ -1,5 +1,6 @@
 #include <control/ConfigurationService.h>
 
+#include <daemon/Logging.h>
 #include <state/CheckConfiguration.h>
 
 #include <future>
@@ -13,6 +14,19 @@
 }
 
 auto ConfigurationService::replace(ReplaceConfiguration configuration) -> absl::Status
+{
+    const auto version = configuration.document.version;
+    const auto begin = this->tables.executor.now();
+    auto status = this->replaceAndAwait(std::move(configuration));
+    logLine(LogLevel::Info, "configuration", "configuration received",
+            {{"version", std::to_string(version)},
+             {"outcome", status.ok() ? "in force" : std::string(status.message())},
+             {"revision", std::to_string(this->tables.store.revision())},
+             {"ms", std::to_string(toMillis(this->tables.executor.now() - begin))}});
+    return status;
+}
+
+auto ConfigurationService::replaceAndAwait(ReplaceConfiguration configuration) -> absl::Status
 {
     if (auto status = checkConfiguration(configuration).toStatus(); !status.ok())
         return status;
--- a/libs/control/src/ControlTables.cpp
+++ b/libs/control/src/ControlTables.cpp
@@ -2,6 +2,7 @@
 
 #include "FailoverGap.h"
 
+#include <daemon/Logging.h>
 #include <observe/BurnObjectives.h>
 
 #include <absl/strings/str_cat.h>
@@ -182,6 +183,16 @@
 {
     const auto state = this->store.objects();
     auto commands = this->registrar.commandsFor(announcement, state, this->executor.now());
+    if (!commands.empty()) {
+        logLine(LogLevel::Info, "endpoint",
+                announcement.leaving ? "endpoint leaves" : "endpoint announced",
+                {{"endpoint", announcement.endpoint},
+                 {"group", announcement.group},
+                 {"address", announcement.address},
+                 {"primary", announcement.primary ? "true" : "false"},
+                 {"sequence", std::to_string(announcement.sequence)},
+                 {"changes", std::to_string(commands.size())}});
+    }
     if (!announcement.leaving) {
         for (auto &body : commands)
             this->submitInternal(std::move(body));
--- a/libs/entry/include/entry/HeartbeatLoop.h
+++ b/libs/entry/include/entry/HeartbeatLoop.h
@@ -43,6 +43,8 @@
     [[nodiscard]] auto compose(Revision revision) -> Heartbeat;
     [[nodiscard]] auto primaryReports(const FleetObjects &state) -> std::vector<PrimaryReport>;
     [[nodiscard]] auto apply(const HeartbeatAnswer &answer) -> bool;
+    /// Logs when the lease is granted after an absence, or lost.
+    auto noteLease(bool renewed, const std::string &member, const std::string &outcome) -> void;
     auto chooseMember(const std::string &leaderHint, bool granted) -> void;
     [[nodiscard]] auto pauseUnlessStopped(Duration length) -> bool;
 
@@ -50,6 +52,7 @@
     std::vector<MemberAddress> members;
     HeartbeatLoopHooks hooks;
     BurnSender burnSender;   ///< Used by the thread only.
+    bool heldLease = false;  ///< As it was logged last; used by the thread only.
     std::size_t current = 0; ///< Member that gets the next heartbeat; used by the thread only.
     RankedMutex mutex{LockRank::WorkerQueue};
     RankedCondition stopped;
--- a/libs/entry/src/HeartbeatLoop.cpp
+++ b/libs/entry/src/HeartbeatLoop.cpp
@@ -1,9 +1,12 @@
 #include <entry/HeartbeatLoop.h>
 
+#include <daemon/Logging.h>
+
 #include <core/RankedLock.h>
 
 #include <algorithm>
 #include <cassert>
+#include <string>
 
 namespace auburnrail {
 
@@ -75,10 +78,11 @@
     const auto ticket = this->tables.lease.beginHeartbeat(this->tables.executor.now());
     auto heartbeat = this->compose(ticket.revision);
     heartbeat.shares = report;
-    const auto &member = this->members[this->current].name;
+    const auto member = this->members[this->current].name;
     heartbeat.burn = this->burnSender.begin(member, this->tables.executor.now());
     const auto answer = this->hooks.send(member, heartbeat, ANSWER_TIME_LIMIT);
     if (!answer.ok()) {
+        this->noteLease(false, member, std::string(answer.status().message()));
         this->burnSender.end(false, this->tables.executor.now());
         this->chooseMember("", false);
         return false;
@@ -92,10 +96,25 @@
             answer->shares, ticket.sentAt + answer->lease.duration, this->tables.executor.now());
     }
     this->burnSender.end(isGranted, this->tables.executor.now());
+    this->noteLease(isGranted, member, std::string(nameOf(answer->lease.status)));
     this->chooseMember(answer->leader, isGranted);
     return isGranted;
 }
 
+auto HeartbeatLoop::noteLease(bool renewed, const std::string &member, const std::string &outcome)
+    -> void
+{
+    const auto holds = renewed || this->tables.lease.holds(this->tables.executor.now());
+    if (holds == this->heldLease)
+        return;
+    this->heldLease = holds;
+    logLine(holds ? LogLevel::Info : LogLevel::Warning, "lease",
+            holds ? "lease granted" : "lease lost",
+            {{"member", member},
+             {"outcome", outcome},
+             {"revision", std::to_string(this->tables.lease.revision())}});
+}
+
 auto HeartbeatLoop::compose(Revision revision) -> Heartbeat
 {
     const auto state = this->tables.state.snapshot();
--- a/libs/net/src/detail/TcpStream.cpp
+++ b/libs/net/src/detail/TcpStream.cpp
@@ -159,12 +159,11 @@
                                  self->writing.clear();
                                  if (self->ended)
                                      return;
-                                 if (error)
+                                 const auto isDone = self->output.empty() && self->endsWhenWritten;
+                                 if (error || isDone)
                                      self->end();
                                  else if (!self->output.empty())
                                      self->write();
-                                 else if (self->endsWhenWritten)
-                                     self->end();
                              });
 }
 
--- a/libs/proxy/include/proxy/PreparedStatement.h
+++ b/libs/proxy/include/proxy/PreparedStatement.h
@@ -11,7 +11,7 @@
     std::string shape;
     bool writes = false;
 
-    auto operator<=>(const PreparedStatement &) const = default;
+    auto operator==(const PreparedStatement &) const -> bool = default;
 };
 
 } // namespace auburnrail
--- a/libs/request/include/request/ConnectionHandle.h
+++ b/libs/request/include/request/ConnectionHandle.h
@@ -1,6 +1,7 @@
 #ifndef AUBURNRAIL_REQUEST_CONNECTIONHANDLE_H
 #define AUBURNRAIL_REQUEST_CONNECTIONHANDLE_H
 
+#include <compare>
 #include <cstdint>
 #include <string>
 
@@ -12,7 +13,16 @@
     std::string endpoint;
     std::uint64_t id = 0; ///< Unique in the process; 0 names none.
 
-    auto operator<=>(const ConnectionHandle &) const = default;
+    // Not defaulted: clang-tidy 14 reports the comparison with zero inside a defaulted one.
+    auto operator<=>(const ConnectionHandle &other) const -> std::strong_ordering
+    {
+        const auto byEndpoint = this->endpoint.compare(other.endpoint);
+        if (byEndpoint == 0)
+            return this->id <=> other.id;
+        return byEndpoint < 0 ? std::strong_ordering::less : std::strong_ordering::greater;
+    }
+
+    auto operator==(const ConnectionHandle &) const -> bool = default;
 };
 
 } // namespace auburnrail
