Read a configuration only from tables that hold everything committed

Its log led with a quorum, but the tables were still taking the entries committed before; and the quorum was checked after the read, not before.

Change: ControlTables::isLeading, true from the notice of leadership, which reaches the tables behind all entries committed before. The read checks it first.

--- a/libs/control/include/control/ControlTables.h
+++ b/libs/control/include/control/ControlTables.h
@@ -19,6 +19,8 @@
 #include <core/Executor.h>
 #include <core/RandomSource.h>
 
+#include <atomic>
+
 namespace auburnrail {
 
 /// The shared tables of one control member, wired to each other. Calls to endpoints run on the
@@ -41,6 +43,10 @@
 
     auto leadershipChanged(bool leads) -> void;
 
+    /// Whether this member leads and its tables hold everything that was committed before. The
+    /// quorum alone is not enough: the log may lead while the tables still take its entries.
+    [[nodiscard]] auto isLeading(TimePoint now) const -> bool;
+
     /// Acts on the passing of time; called every few tens of milliseconds.
     auto tick(TimePoint now) -> void;
 
@@ -88,6 +94,7 @@
     /// Tells the tables that follow the fleet state what it says now.
     auto stateChanged(bool isWhole) -> void;
 
+    std::atomic<bool> hasBegunLeadership{false};
     TimePoint nextTending; ///< Used by tick() only.
     FleetObjects followed; ///< State that the tables were told last; used on the log's thread only.
 };
--- a/libs/control/src/ConfigurationService.cpp
+++ b/libs/control/src/ConfigurationService.cpp
@@ -48,10 +48,10 @@
 
 auto ConfigurationService::read() -> absl::StatusOr<std::string>
 {
-    const auto objects = this->tables.store.objects();
-    // Checked after the read: whatever was committed before by another leader is in what was read.
-    if (!this->tables.hooks.isLeaderWithQuorum(this->tables.executor.now()))
+    // Checked before the read: whatever was in force by then is in what is read.
+    if (!this->tables.isLeading(this->tables.executor.now()))
         return absl::UnavailableError("this member may not know the newest configuration");
+    const auto objects = this->tables.store.objects();
     const auto *document = objects.find<ConfigurationDocument>(ConfigurationDocument::NAME);
     if (document == nullptr)
         return absl::UnavailableError("no configuration has been put in force");
--- a/libs/control/src/ControlTables.cpp
+++ b/libs/control/src/ControlTables.cpp
@@ -295,12 +295,19 @@
         this->ledger.beginLeadership(now);
         this->failover.beginLeadership(now);
         this->registrar.beginLeadership(now);
+        this->hasBegunLeadership = true;
     } else {
+        this->hasBegunLeadership = false;
         this->leases.endLeadership();
         this->failover.endLeadership(now);
     }
 }
 
+auto ControlTables::isLeading(TimePoint now) const -> bool
+{
+    return this->hasBegunLeadership && this->hooks.isLeaderWithQuorum(now);
+}
+
 auto ControlTables::tick(TimePoint now) -> void
 {
     this->leases.advance(now);
