End the open connections of a pool when it stops

Cause (address sanitizer, auburnrail_net_tests and auburnrail_platform_tests): a connection and its owner hold each other until the connection ends, and a stopped pool ended none, so 6 to 19 KB were leaked in the tests; a program that stopped one pool of several would leak every open session.

Ruled out: weak references in the owners (a request under way must keep its connection).

Change: the pool knows its started connections and ends them once its threads have been joined; timers are dropped.

Before: both test programs failed under the address sanitizer.

--- a/libs/net/include/net/IoPool.h
+++ b/libs/net/include/net/IoPool.h
@@ -12,6 +12,10 @@
 
 namespace auburnrail {
 
+namespace detail {
+class OpenStreams;
+}
+
 /// Fixed set of threads that handle socket events, posted tasks and timers. A connection without
 /// traffic occupies no thread; a thread without work waits in the kernel. Safe from any thread.
 class IoPool
@@ -33,10 +37,13 @@
     /// thread of the pool.
     [[nodiscard]] auto serialExecutor() -> Executor;
 
-    /// Lets running handlers end, drops the others and joins the threads. Not to be called by a
-    /// handler.
+    /// Lets running handlers end, joins the threads, ends the connections that are open and drops
+    /// everything that was posted. Not to be called by a handler.
     auto stop() -> void;
 
+    /// For connections of this pool.
+    [[nodiscard]] auto openStreams() -> std::shared_ptr<detail::OpenStreams>;
+
     [[nodiscard]] auto context() -> boost::asio::io_context &;
 
 private:
--- a/libs/net/src/ConnectStream.cpp
+++ b/libs/net/src/ConnectStream.cpp
@@ -59,20 +59,21 @@
         attempt->socket.close(ignored);
         finish(*attempt, absl::DeadlineExceededError("no answer from " + address));
     });
-    attempt->socket.async_connect(*target, [attempt, address, limits, executor = pool.executor()](
-                                               const boost::system::error_code &error) {
-        attempt->timer.cancel();
-        if (!attempt->done)
-            return;
-        if (error) {
-            finish(*attempt, absl::UnavailableError(absl::StrCat("can't connect to ", address, ": ",
-                                                                 error.message())));
-            return;
-        }
-        detail::applySocketOptions(attempt->socket, limits);
-        finish(*attempt,
-               std::make_shared<detail::TcpStream>(std::move(attempt->socket), executor, limits));
-    });
+    attempt->socket.async_connect(
+        *target, [attempt, address, limits, executor = pool.executor(),
+                  streams = pool.openStreams()](const boost::system::error_code &error) {
+            attempt->timer.cancel();
+            if (!attempt->done)
+                return;
+            if (error) {
+                finish(*attempt, absl::UnavailableError(absl::StrCat("can't connect to ", address,
+                                                                     ": ", error.message())));
+                return;
+            }
+            detail::applySocketOptions(attempt->socket, limits);
+            finish(*attempt, std::make_shared<detail::TcpStream>(std::move(attempt->socket),
+                                                                 executor, streams, limits));
+        });
 }
 
 } // namespace auburnrail
--- a/libs/net/src/IoPool.cpp
+++ b/libs/net/src/IoPool.cpp
@@ -1,6 +1,7 @@
 #include <net/IoPool.h>
 
 #include "detail/IoTimers.h"
+#include "detail/OpenStreams.h"
 
 #include <core/MonotonicClock.h>
 
@@ -27,6 +28,7 @@
     boost::asio::io_context context;
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work;
     std::shared_ptr<detail::IoTimers> timers;
+    std::shared_ptr<detail::OpenStreams> streams = std::make_shared<detail::OpenStreams>();
     std::vector<std::thread> threads;
 };
 
@@ -79,6 +81,13 @@
         if (thread.joinable())
             thread.join();
     }
+    this->impl->streams->endAll();
+    this->impl->timers->dropAll();
+}
+
+auto IoPool::openStreams() -> std::shared_ptr<detail::OpenStreams>
+{
+    return this->impl->streams;
 }
 
 auto IoPool::context() -> boost::asio::io_context &
--- a/libs/net/src/StreamListener.cpp
+++ b/libs/net/src/StreamListener.cpp
@@ -49,8 +49,8 @@
                     return;
                 }
                 detail::applySocketOptions(socket, self->limits);
-                self->accepted(std::make_shared<detail::TcpStream>(std::move(socket),
-                                                                   self->executor, self->limits));
+                self->accepted(std::make_shared<detail::TcpStream>(
+                    std::move(socket), self->executor, self->pool.openStreams(), self->limits));
                 self->accept();
             });
     }
--- a/libs/net/src/detail/IoTimers.cpp
+++ b/libs/net/src/detail/IoTimers.cpp
@@ -42,6 +42,12 @@
     timer->cancel();
 }
 
+auto IoTimers::dropAll() -> void
+{
+    const RankedLock lock(this->mutex);
+    this->timers.clear();
+}
+
 auto IoTimers::take(TimerId id) -> bool
 {
     const RankedLock lock(this->mutex);
--- a/libs/net/src/detail/IoTimers.h
+++ b/libs/net/src/detail/IoTimers.h
@@ -23,6 +23,9 @@
     auto start(Duration delay, Task task) -> TimerId;
     auto cancel(TimerId id) -> void;
 
+    /// Cancels every timer. Their tasks are dropped with the context.
+    auto dropAll() -> void;
+
 private:
     using Timer = std::shared_ptr<boost::asio::steady_timer>;
 
--- a/libs/net/src/detail/TcpStream.cpp
+++ b/libs/net/src/detail/TcpStream.cpp
@@ -53,8 +53,9 @@
 }
 
 TcpStream::TcpStream(Socket connectedSocket, const Executor &poolExecutor,
-                     const StreamLimits &streamLimits)
+                     std::shared_ptr<OpenStreams> openStreams, const StreamLimits &streamLimits)
     : socket(std::move(connectedSocket))
+    , streams(std::move(openStreams))
     , limits(streamLimits)
     , serial(serialOf(socket.get_executor(), poolExecutor))
 {
@@ -77,6 +78,7 @@
                                   return;
                               }
                               self->reading = true;
+                              self->streams->add(self.get(), [self] { self->end(); });
                               self->read();
                           });
 }
@@ -177,6 +179,7 @@
     this->socket.close(ignored);
     if (!this->reading)
         return;
+    this->streams->remove(this);
     // The owner may drop this object in `closed`, and the hooks hold the owner.
     const auto last = std::exchange(this->hooks, StreamHooks());
     if (last.closed)
--- a/libs/net/src/detail/TcpStream.h
+++ b/libs/net/src/detail/TcpStream.h
@@ -1,6 +1,8 @@
 #ifndef AUBURNRAIL_NET_DETAIL_TCPSTREAM_H
 #define AUBURNRAIL_NET_DETAIL_TCPSTREAM_H
 
+#include "OpenStreams.h"
+
 #include <net/StreamConnection.h>
 
 #include <boost/asio/ip/tcp.hpp>
@@ -18,7 +20,7 @@
     using Socket = boost::asio::basic_stream_socket<boost::asio::ip::tcp, Strand>;
 
     TcpStream(Socket connectedSocket, const Executor &poolExecutor,
-              const StreamLimits &streamLimits);
+              std::shared_ptr<OpenStreams> openStreams, const StreamLimits &streamLimits);
 
     auto start(StreamHooks streamHooks) -> void override;
     auto send(std::string bytes) -> void override;
@@ -33,6 +35,7 @@
     auto end() -> void;
 
     Socket socket;
+    const std::shared_ptr<OpenStreams> streams;
     const StreamLimits limits;
     Executor serial;
     StreamHooks hooks;
