Remove two operations that nothing calls

IoPool::serialExecutor was written again as serialOf in TcpStream.cpp, which is the one in use; LinkPool::waiting had no caller, tests included.

Ruled out: moving TcpStream to serialExecutor; its strand comes with the accepted socket.

Change: both operations are gone; no behaviour.

--- a/libs/net/include/net/IoPool.h
+++ b/libs/net/include/net/IoPool.h
@@ -33,10 +33,6 @@
     /// Tasks must not block.
     [[nodiscard]] auto executor() -> Executor;
 
-    /// An executor whose tasks run one after the other, in the order of posting, though on any
-    /// thread of the pool.
-    [[nodiscard]] auto serialExecutor() -> Executor;
-
     /// Lets running handlers end, joins the threads, ends the connections that are open and drops
     /// everything that was posted. Not to be called by a handler.
     auto stop() -> void;
--- a/libs/net/src/IoPool.cpp
+++ b/libs/net/src/IoPool.cpp
@@ -8,7 +8,6 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/strand.hpp>
 
 #include <cassert>
 #include <thread>
@@ -58,21 +57,6 @@
     };
 }
 
-auto IoPool::serialExecutor() -> Executor
-{
-    const auto strand = boost::asio::make_strand(this->impl->context);
-    auto serial = this->executor();
-    serial.post = [strand](Task task) {
-        boost::asio::post(strand, std::move(task));
-    };
-    serial.postAfter = [strand, timers = this->impl->timers](Duration delay, Task task) {
-        return timers->start(delay, [strand, task = std::move(task)]() mutable {
-            boost::asio::post(strand, std::move(task));
-        });
-    };
-    return serial;
-}
-
 auto IoPool::stop() -> void
 {
     this->impl->work.reset();
--- a/libs/proxy/include/proxy/LinkPool.h
+++ b/libs/proxy/include/proxy/LinkPool.h
@@ -74,9 +74,6 @@
     /// Whether a connection of the organisation is idle now.
     [[nodiscard]] auto hasIdle(std::string_view endpoint, std::string_view organisation) -> bool;
 
-    /// Waiters at a server.
-    [[nodiscard]] auto waiting(std::string_view endpoint) -> std::size_t;
-
 private:
     using Effects = std::vector<std::function<auto()->void>>;
 
--- a/libs/proxy/src/LinkPool.cpp
+++ b/libs/proxy/src/LinkPool.cpp
@@ -214,13 +214,6 @@
                           [&](const auto &idle) { return idle.organisation == organisation; });
 }
 
-auto LinkPool::waiting(std::string_view endpoint) -> std::size_t
-{
-    const RankedLock lock(this->mutex);
-    const auto found = this->endpoints.find(endpoint);
-    return found == this->endpoints.end() ? 0 : found->second.waiters.size();
-}
-
 auto LinkPool::serveWaiters(const std::string &endpoint, detail::EndpointLinks &links,
                             TimePoint now, Effects &effects) -> void
 {
