Bound the volume of logs and never wait for standard output

Cause: lines were written by the thread that served the request, without a bound but for failed statements, so a reader that takes nothing would have stopped requests. Served statements left no line, and Thrift wrote plain text to standard error, so that a lost control member had no structured line.

Ruled out: a budget in each component, as StatementLog had; two floods at once would each take theirs, and routine lines could not make room for failures.

Change: LogBudget, one for the process, omits routine lines first and tells how many it omitted; an asynchronous appender discards lines that standard output doesn't take; programs flush it before they end. Each statement has a line now, failed ones as warnings, with its position only where one is known; statement series are registered once instead of looked up by name. What Thrift says goes through the log. TokenBucket moves to core, where both use it.

Conclusion: a request's id leads to its line whether it was served or not.

--- a/apps/auburnrail-control/Main.cpp
+++ b/apps/auburnrail-control/Main.cpp
@@ -4,6 +4,7 @@
 #include <platform/ControlFrontEnd.h>
 #include <platform/EndpointOrders.h>
 #include <settings/ClusterSecret.h>
+#include <wire/TransportMessages.h>
 
 #include <CLI/CLI.hpp>
 
@@ -73,5 +74,8 @@
         return status.ok() ? 0 : report(status);
     }
     auburnrail::setUpLogging(auburnrail::LogLevel::Info);
-    return runNode(settings, *secret);
+    auburnrail::logTransportMessages();
+    const auto code = runNode(settings, *secret);
+    auburnrail::shutDownLogging();
+    return code;
 }
--- a/apps/auburnrail-entry/Main.cpp
+++ b/apps/auburnrail-entry/Main.cpp
@@ -3,6 +3,7 @@
 #include <entry/EntryNode.h>
 #include <platform/LineCodec.h>
 #include <settings/ClusterSecret.h>
+#include <wire/TransportMessages.h>
 
 #include <CLI/CLI.hpp>
 
@@ -58,5 +59,8 @@
         return EXIT_BAD_SETTINGS;
     }
     auburnrail::setUpLogging(auburnrail::LogLevel::Info);
-    return runNode(settings, *secret);
+    auburnrail::logTransportMessages();
+    const auto code = runNode(settings, *secret);
+    auburnrail::shutDownLogging();
+    return code;
 }
--- a/apps/auburnrail-standin/Main.cpp
+++ b/apps/auburnrail-standin/Main.cpp
@@ -56,5 +56,7 @@
         return EXIT_BAD_SETTINGS;
     }
     auburnrail::setUpLogging(auburnrail::LogLevel::Info);
-    return runServer(settings);
+    const auto code = runServer(settings);
+    auburnrail::shutDownLogging();
+    return code;
 }
--- a/libs/core/include/core/LockRank.h
+++ b/libs/core/include/core/LockRank.h
@@ -14,6 +14,7 @@
     FleetState,
     CommandPipeline,
     EndpointRegistrar,
+    EntryRegistrar,
     EntryDirectory,
     HeldAnswers,
     LeaseTable,
@@ -39,6 +40,7 @@
     Scheduler,
     WorkerQueue,
     Connection,
+    LogBudget,
     Log,
 };
 
@@ -48,6 +50,7 @@
     {LockRank::FleetState, "fleet-state"},
     {LockRank::CommandPipeline, "command-pipeline"},
     {LockRank::EndpointRegistrar, "endpoint-registrar"},
+    {LockRank::EntryRegistrar, "entry-registrar"},
     {LockRank::EntryDirectory, "entry-directory"},
     {LockRank::HeldAnswers, "held-answers"},
     {LockRank::LeaseTable, "lease-table"},
@@ -73,6 +76,7 @@
     {LockRank::Scheduler, "scheduler"},
     {LockRank::WorkerQueue, "worker-queue"},
     {LockRank::Connection, "connection"},
+    {LockRank::LogBudget, "log-budget"},
     {LockRank::Log, "log"},
 });
 
--- a/libs/quota/include/quota/TokenBucket.h
+++ b/libs/core/include/core/TokenBucket.h
@@ -1,5 +1,5 @@
-#ifndef AUBURNRAIL_QUOTA_TOKENBUCKET_H
-#define AUBURNRAIL_QUOTA_TOKENBUCKET_H
+#ifndef AUBURNRAIL_CORE_TOKENBUCKET_H
+#define AUBURNRAIL_CORE_TOKENBUCKET_H
 
 #include <core/Time.h>
 
@@ -16,6 +16,9 @@
     /// `rate` in tokens per second, `burst` in tokens.
     TokenBucket(double rate, double burst, TimePoint now);
 
+    /// A bucket that is full at `now`. `rate` has to be more than 0.
+    static auto full(double rate, double burst, TimePoint now) -> TokenBucket;
+
     /// Changes the limits. Never adds tokens: a larger burst is room that fills at the rate, a
     /// smaller one drops what exceeds it.
     auto setLimits(double newRate, double newBurst, TimePoint now) -> void;
--- a/libs/quota/src/TokenBucket.cpp
+++ b/libs/core/src/TokenBucket.cpp
@@ -1,4 +1,4 @@
-#include <quota/TokenBucket.h>
+#include <core/TokenBucket.h>
 
 #include <algorithm>
 #include <cmath>
@@ -19,6 +19,13 @@
 {
 }
 
+auto TokenBucket::full(double rate, double burst, TimePoint now) -> TokenBucket
+{
+    auto bucket = TokenBucket(rate, burst, now);
+    bucket.tokens = burst;
+    return bucket;
+}
+
 auto TokenBucket::setLimits(double newRate, double newBurst, TimePoint now) -> void
 {
     this->refill(now);
--- a/libs/quota/tests/TokenBucketTest.cpp
+++ b/libs/core/tests/TokenBucketTest.cpp
@@ -1,4 +1,4 @@
-#include <quota/TokenBucket.h>
+#include <core/TokenBucket.h>
 
 #include <catch2/catch.hpp>
 
--- a/libs/daemon/include/daemon/Logging.h
+++ b/libs/daemon/include/daemon/Logging.h
@@ -13,11 +13,16 @@
 /// Named facts of one log line, such as {"request", id}. Never a key or a token.
 using LogFields = std::vector<std::pair<std::string_view, std::string>>;
 
-/// Sends log lines to standard output, one JSON object a line, at `level` and above. Call once,
-/// before the first line.
+/// Sends log lines to standard output, one JSON object a line, at `level` and above. Lines are
+/// written by a thread of their own; when standard output takes no more, they are discarded. Call
+/// once, before the first line.
 auto setUpLogging(LogLevel level) -> void;
 
-/// Writes one line. `logger` is the component's name. Safe from any thread.
+/// Writes what is still queued. To be called before the process ends; lines after it are lost.
+auto shutDownLogging() -> void;
+
+/// Queues one line within the process's `LogBudget`; the next line says how many were omitted.
+/// `logger` is the component's name. Never waits for standard output. Safe from any thread.
 auto logLine(LogLevel level, std::string_view logger, std::string_view message,
              const LogFields &fields = {}) -> void;
 
--- a/libs/daemon/src/Logging.cpp
+++ b/libs/daemon/src/Logging.cpp
@@ -1,15 +1,30 @@
 #include <daemon/Logging.h>
 
+#include <daemon/LogBudget.h>
+
+#include <core/MonotonicClock.h>
+
+#include <log4cxx/asyncappender.h>
 #include <log4cxx/basicconfigurator.h>
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/jsonlayout.h>
 #include <log4cxx/logger.h>
+#include <log4cxx/logmanager.h>
 #include <log4cxx/mdc.h>
 
 namespace auburnrail {
 
 namespace {
 
+/// Lines that wait while standard output takes none; more than the budget gives at once.
+constexpr auto QUEUED_LINES = 512;
+
+auto processBudget() -> LogBudget &
+{
+    static auto budget = LogBudget(monotonicNow());
+    return budget;
+}
+
 auto toLog4cxx(LogLevel level) -> log4cxx::LevelPtr
 {
     switch (level) {
@@ -33,10 +48,19 @@
     layout->setPrettyPrint(false);
     const auto appender = std::make_shared<log4cxx::ConsoleAppender>(
         layout, log4cxx::ConsoleAppender::getSystemOut());
-    log4cxx::BasicConfigurator::configure(appender);
+    const auto queue = std::make_shared<log4cxx::AsyncAppender>();
+    queue->addAppender(appender);
+    queue->setBufferSize(QUEUED_LINES);
+    queue->setBlocking(false);
+    log4cxx::BasicConfigurator::configure(queue);
     log4cxx::Logger::getRootLogger()->setLevel(toLog4cxx(level));
 }
 
+auto shutDownLogging() -> void
+{
+    log4cxx::LogManager::shutdown();
+}
+
 auto logLine(LogLevel level, std::string_view logger, std::string_view message,
              const LogFields &fields) -> void
 {
@@ -44,10 +68,18 @@
     const auto severity = toLog4cxx(level);
     if (!target->isEnabledFor(severity))
         return;
-    for (const auto &[name, value] : fields)
+    const auto omitted = processBudget().admit(level, monotonicNow());
+    if (!omitted)
+        return;
+    auto complete = fields;
+    if (omitted->routine > 0)
+        complete.emplace_back("omitted_routine", std::to_string(omitted->routine));
+    if (omitted->failures > 0)
+        complete.emplace_back("omitted_failures", std::to_string(omitted->failures));
+    for (const auto &[name, value] : complete)
         log4cxx::MDC::put(std::string(name), value);
     target->forcedLog(severity, std::string(message));
-    for (const auto &field : fields)
+    for (const auto &field : complete)
         log4cxx::MDC::remove(std::string(field.first));
 }
 
--- a/libs/entry/src/EntryNode.cpp
+++ b/libs/entry/src/EntryNode.cpp
@@ -73,7 +73,7 @@
     , workers(WORKER_COUNT)
     , tables(makeIdentity(settings, clusterSecret, makeSecureRandom()), workers.executor(),
              makeSecureRandom(), !settings.sessionsAddress.empty())
-    , statements(tables.metrics, tables.executor.now())
+    , statements(tables.metrics)
     , sessions(makeSessions(sessionCodecs))
     , probes(settings.callersAddress.empty() ? nullptr : std::make_unique<ProbeLoop>(tables))
     , callers(settings.callersAddress.empty() ? nullptr
@@ -97,10 +97,7 @@
                 this->tables.admission.admit(organisation, deadline, this->tables.executor.now(),
                                              std::move(done));
             },
-        .report =
-            [this](const StatementReport &report) {
-                this->statements.add(report, this->tables.executor.now());
-            },
+        .report = [this](const StatementReport &report) { this->statements.add(report); },
         .random = makeSecureRandom()};
     auto server = std::make_unique<ProxyServer>(
         ProxyServerSettings{.zone = this->settings.zone,
--- a/libs/entry/src/RequestTrail.cpp
+++ b/libs/entry/src/RequestTrail.cpp
@@ -96,7 +96,7 @@
     tables.countRequest(answer, latency);
     if (answer.reason == ReasonCode::Completed)
         return;
-    logLine(LogLevel::Info, "request", answer.message,
+    logLine(LogLevel::Warning, "request", answer.message,
             {{"request", this->requestId},
              {"organisation", this->organisation},
              {"service", this->service},
--- a/libs/entry/src/StatementLog.cpp
+++ b/libs/entry/src/StatementLog.cpp
@@ -2,63 +2,64 @@
 
 #include <daemon/Logging.h>
 
-#include <core/RankedLock.h>
-
 #include <absl/strings/str_cat.h>
 
 #include <chrono>
-#include <utility>
 
 namespace auburnrail {
 
-StatementLog::StatementLog(Metrics &entryMetrics, TimePoint now)
-    : metrics(entryMetrics)
-    , budget(LINES_PER_SECOND, LINES_AT_ONCE, now)
+namespace {
+
+auto countOf(Metrics &metrics, std::string_view outcome) -> MetricId
 {
+    return metrics.series(MetricKind::Counter, "auburnrail_statements_total",
+                          "Statements of sessions that ended, by outcome.",
+                          {{"outcome", std::string(outcome)}});
 }
 
-auto StatementLog::add(const StatementReport &report, TimePoint now) -> void
+auto countsOfErrors(Metrics &metrics)
+{
+    auto counts = std::array<MetricId, ENUM_NAMES<StatementError>.size()>();
+    for (const auto &row : ENUM_NAMES<StatementError>)
+        counts.at(static_cast<std::size_t>(row.value)) = countOf(metrics, row.name);
+    return counts;
+}
+
+} // namespace
+
+StatementLog::StatementLog(Metrics &entryMetrics)
+    : metrics(entryMetrics)
+    , served(countOf(entryMetrics, "ok"))
+    , failed(countsOfErrors(entryMetrics))
+    , seconds(entryMetrics.series(MetricKind::Distribution, "auburnrail_statement_seconds",
+                                  "Time from the arrival of a statement to its answer."))
 {
-    this->count(report);
-    if (!report.failure)
-        return;
-    auto omitted = std::uint64_t(0);
-    {
-        const RankedLock lock(this->mutex);
-        if (!this->budget.tryTake(now)) {
-            ++this->leftOut;
-            return;
-        }
-        omitted = std::exchange(this->leftOut, 0);
-    }
-    const auto position = report.position.value_or(Position());
-    logLine(LogLevel::Info, "session", "statement failed",
-            {{"request", report.id},
-             {"statement", std::string(nameOf(report.kind))},
-             {"database", report.database},
-             {"organisation", report.organisation},
-             {"endpoint", report.endpoint},
-             {"attempts", absl::StrCat(report.attempts)},
-             {"error", std::string(nameOf(report.failure->error))},
-             {"detail", report.failure->detail},
-             {"position", absl::StrCat(position.term, ".", position.index)},
-             {"revision", absl::StrCat(report.revision)},
-             {"ms", absl::StrCat(toMillis(report.duration))},
-             {"left_out", absl::StrCat(omitted)}});
 }
 
-auto StatementLog::count(const StatementReport &report) -> void
+auto StatementLog::add(const StatementReport &report) -> void
 {
-    const auto outcome =
-        report.failure ? std::string(nameOf(report.failure->error)) : std::string("ok");
-    const auto statements = this->metrics.series(MetricKind::Counter, "auburnrail_statements_total",
-                                                 "Statements of sessions that ended, by outcome.",
-                                                 {{"outcome", outcome}});
-    this->metrics.add(statements);
-    const auto seconds =
-        this->metrics.series(MetricKind::Distribution, "auburnrail_statement_seconds",
-                             "Time from the arrival of a statement to its answer.");
-    this->metrics.record(seconds, std::chrono::duration<double>(report.duration).count());
+    this->metrics.add(report.failure
+                          ? this->failed.at(static_cast<std::size_t>(report.failure->error))
+                          : this->served);
+    this->metrics.record(this->seconds, std::chrono::duration<double>(report.duration).count());
+    auto fields = LogFields{{"request", report.id},
+                            {"statement", std::string(nameOf(report.kind))},
+                            {"database", report.database},
+                            {"organisation", report.organisation},
+                            {"endpoint", report.endpoint},
+                            {"attempts", absl::StrCat(report.attempts)},
+                            {"revision", absl::StrCat(report.revision)},
+                            {"ms", absl::StrCat(toMillis(report.duration))}};
+    if (report.position)
+        fields.emplace_back("position",
+                            absl::StrCat(report.position->term, ".", report.position->index));
+    if (!report.failure) {
+        logLine(LogLevel::Info, "session", "statement served", fields);
+        return;
+    }
+    fields.emplace_back("error", std::string(nameOf(report.failure->error)));
+    fields.emplace_back("detail", report.failure->detail);
+    logLine(LogLevel::Warning, "session", "statement failed", fields);
 }
 
 } // namespace auburnrail
--- a/libs/quota/benchmarks/CentralScheme.cpp
+++ b/libs/quota/benchmarks/CentralScheme.cpp
@@ -1,6 +1,6 @@
 #include <Schemes.h>
 
-#include <quota/TokenBucket.h>
+#include <core/TokenBucket.h>
 
 #include <memory>
 
--- a/libs/quota/benchmarks/Workload.cpp
+++ b/libs/quota/benchmarks/Workload.cpp
@@ -1,6 +1,6 @@
 #include <Workload.h>
 
-#include <quota/TokenBucket.h>
+#include <core/TokenBucket.h>
 
 #include <core/RandomSource.h>
 
--- a/libs/quota/include/quota/detail/HeldShare.h
+++ b/libs/quota/include/quota/detail/HeldShare.h
@@ -1,7 +1,7 @@
 #ifndef AUBURNRAIL_QUOTA_DETAIL_HELDSHARE_H
 #define AUBURNRAIL_QUOTA_DETAIL_HELDSHARE_H
 
-#include <quota/TokenBucket.h>
+#include <core/TokenBucket.h>
 
 #include <cstdint>
 
