--- a/idl/Control.thrift
+++ b/idl/Control.thrift
@@ -60,6 +60,7 @@
   10: i64 holdMillis
   11: string operatorsAddress
   12: list<BurnContributionMessage> burn
+  13: i64 shareLeadership
 }
 
 struct HeartbeatAnswerMessage {
@@ -73,6 +74,7 @@
   8: i64 minimumRevision
   9: i32 entries
   10: i32 zoneEntries
+  11: i64 shareLeadership
 }
 
 service Control {
--- a/idl/Fleet.thrift
+++ b/idl/Fleet.thrift
@@ -90,6 +90,12 @@
   5: i64 changedAt
 }
 
+struct Entry {
+  1: string name
+  2: map<string, string> labels
+  3: i64 changedAt
+}
+
 union FleetObject {
   1: Service serviceObject
   2: Organisation organisation
@@ -99,6 +105,7 @@
   6: Endpoint endpoint
   7: Objective objective
   8: ConfigurationDocument document
+  9: Entry entry
 }
 
 struct FleetChange {
--- a/libs/control/benchmarks/HeartbeatBenchmarks.cpp
+++ b/libs/control/benchmarks/HeartbeatBenchmarks.cpp
@@ -53,7 +53,7 @@
                                         }})
         , service(tables)
     {
-        this->tables.leadershipChanged(true);
+        this->tables.leadershipChanged(true, 1);
     }
 
     ~Leader()
--- a/libs/control/include/control/ControlTables.h
+++ b/libs/control/include/control/ControlTables.h
@@ -1,12 +1,14 @@
 #ifndef AUBURNRAIL_CONTROL_CONTROLTABLES_H
 #define AUBURNRAIL_CONTROL_CONTROLTABLES_H
 
+#include <consensus/Term.h>
 #include <control/CommandPipeline.h>
 #include <control/ControlTablesHooks.h>
 #include <control/ControlTablesSettings.h>
 #include <control/EndpointCommander.h>
 #include <control/EndpointRegistrar.h>
 #include <control/EntryDirectory.h>
+#include <control/EntryRegistrar.h>
 #include <control/FailoverLog.h>
 #include <control/FleetStore.h>
 #include <control/HeldAnswers.h>
@@ -41,7 +43,10 @@
     /// Takes a whole state from the leader.
     auto installed(const std::string &snapshot) -> void;
 
-    auto leadershipChanged(bool leads) -> void;
+    auto leadershipChanged(bool leads, Term term) -> void;
+
+    /// Whether shares of limits may be lent to the instance that sent a heartbeat now.
+    [[nodiscard]] auto mayLend(const std::string &instance, TimePoint now) -> bool;
 
     /// Whether this member leads and its tables hold everything that was committed before. The
     /// quorum alone is not enough: the log may lead while the tables still take its entries.
@@ -70,6 +75,7 @@
     HeldAnswers held;
     ShareLedger ledger;
     EndpointRegistrar registrar;
+    EntryRegistrar entryRegistrar;
     EntryDirectory entries;
     EndpointCommander commander;
     const EndpointOrders orders;
@@ -79,6 +85,7 @@
 
 private:
     [[nodiscard]] auto makeFailoverHooks() -> FailoverHooks;
+    auto beginLending(Term term, TimePoint now) -> void;
 
     /// Replaces primaries that leave, and removes endpoints that fell silent.
     auto tendEndpoints(TimePoint now) -> void;
--- a/libs/control/src/ControlNode.cpp
+++ b/libs/control/src/ControlNode.cpp
@@ -100,7 +100,7 @@
                                   Term /*term*/) { this->tables.installed(snapshot); },
         .leadershipChanged =
             [this](bool leads, Term term) {
-                this->tables.leadershipChanged(leads);
+                this->tables.leadershipChanged(leads, term);
                 logLine(LogLevel::Info, "consensus", leads ? "became leader" : "ended leadership",
                         {{"member", this->settings.member}, {"term", std::to_string(term)}});
             },
@@ -111,6 +111,7 @@
             [this](const absl::Status &status) {
                 logLine(LogLevel::Error, "storage", std::string(status.message()),
                         {{"member", this->settings.member}});
+                shutDownLogging();
                 // State that can't be made durable must not be served.
                 std::_Exit(EXIT_FAILURE);
             }};
--- a/libs/control/src/ControlTables.cpp
+++ b/libs/control/src/ControlTables.cpp
@@ -232,6 +232,8 @@
     });
     for (auto &body : this->registrar.removalsOfSilent(state, now))
         this->submitInternal(std::move(body));
+    for (auto &body : this->entryRegistrar.removalsOfSilent(state, now))
+        this->submitInternal(std::move(body));
 }
 
 auto ControlTables::countFailover(const FailoverRecord &record) -> void
@@ -269,8 +271,15 @@
     auto objects = this->store.objects();
     const auto now = this->executor.now();
     objects.table<Organisation>().forEach([&](const Organisation &organisation) {
-        if (isWhole || organisation.changedAt > this->followed.revision())
-            this->ledger.setLimits(organisation.name, toLimits(organisation), now);
+        if (!isWhole && organisation.changedAt <= this->followed.revision())
+            return;
+        const auto limits = toLimits(organisation);
+        logLine(LogLevel::Info, "quota", "limits set",
+                {{"organisation", organisation.name},
+                 {"rate_per_s", absl::StrCat(organisation.ratePerSecond)},
+                 {"burst", absl::StrCat(organisation.burst)},
+                 {"revision", absl::StrCat(organisation.changedAt)}});
+        this->ledger.setLimits(organisation.name, limits, now);
     });
     this->followed.table<Organisation>().forEach([&](const Organisation &organisation) {
         if (objects.find<Organisation>(organisation.name) == nullptr)
@@ -287,12 +296,19 @@
     this->followed = std::move(objects);
 }
 
-auto ControlTables::leadershipChanged(bool leads) -> void
+auto ControlTables::mayLend(const std::string &instance, TimePoint now) -> bool
+{
+    return this->entryRegistrar.admits(
+        instance, this->store.objects(), now,
+        [this](CommandBody body) { this->submitInternal(std::move(body)); });
+}
+
+auto ControlTables::leadershipChanged(bool leads, Term term) -> void
 {
     const auto now = this->executor.now();
     if (leads) {
         this->leases.beginLeadership(this->store.revision(), now);
-        this->ledger.beginLeadership(now);
+        this->beginLending(term, now);
         this->failover.beginLeadership(now);
         this->registrar.beginLeadership(now);
         this->hasBegunLeadership = true;
@@ -303,6 +319,19 @@
     }
 }
 
+auto ControlTables::beginLending(Term term, TimePoint now) -> void
+{
+    const auto state = this->store.objects();
+    auto leadership = ShareLeadership{.number = term};
+    state.table<Entry>().forEach(
+        [&](const Entry &entry) { leadership.earlierHolders.insert(entry.name); });
+    logLine(LogLevel::Info, "quota", "lending waits for the entries of the former leader",
+            {{"term", absl::StrCat(term)},
+             {"entries", absl::StrCat(leadership.earlierHolders.size())}});
+    this->entryRegistrar.beginLeadership(state, now);
+    this->ledger.beginLeadership(std::move(leadership), now);
+}
+
 auto ControlTables::isLeading(TimePoint now) const -> bool
 {
     return this->hasBegunLeadership && this->hooks.isLeaderWithQuorum(now);
--- a/libs/control/src/HeartbeatService.cpp
+++ b/libs/control/src/HeartbeatService.cpp
@@ -11,10 +11,11 @@
 /// Bounds what an entry can ask for; a quarter of the lease leaves time for a lost answer.
 constexpr auto MAX_HOLD = LEASE_DURATION / 4;
 
-/// Entries act on the objects that follow from a configuration document, not on its text.
+/// Entries act on the objects that follow from a configuration document, not on its text, and need
+/// no list of each other.
 auto isForEntries(const FleetChange &change) -> bool
 {
-    return change.kind != ObjectKind::Document;
+    return change.kind != ObjectKind::Document && change.kind != ObjectKind::Entry;
 }
 
 } // namespace
@@ -34,22 +35,27 @@
     answer.lease = this->tables.leases.renew(id, heartbeat.appliedRevision, now);
     if (answer.lease.status != LeaseStatus::Granted)
         return answer;
-    std::ignore = this->tables.ledger.report(heartbeat.shares, now);
+    const auto mayLend = this->tables.mayLend(heartbeat.instance, now);
+    if (mayLend)
+        std::ignore = this->tables.ledger.report(heartbeat.shares, now);
     this->tables.entries.record(EntryRecord{.instance = heartbeat.instance,
                                             .zone = heartbeat.zone,
                                             .operatorsAddress = heartbeat.operatorsAddress,
                                             .appliedRevision = heartbeat.appliedRevision,
                                             .heardAt = now});
     this->takeReports(heartbeat, now);
+    // A new leader may lend once every entry has reported after its first answer.
+    const auto isKnown = heartbeat.shares.leadership == this->tables.ledger.leadership();
+    const auto holdLimit = isKnown || !mayLend ? heartbeat.holdLimit : Duration();
     this->tables.held.hold(heartbeat.shares.holder, heartbeat.appliedRevision,
-                           now + std::clamp<Duration>(heartbeat.holdLimit, Duration(), MAX_HOLD));
+                           now + std::clamp<Duration>(holdLimit, Duration(), MAX_HOLD));
     now = this->tables.executor.now();
     this->addChanges(heartbeat.appliedRevision, answer);
     answer.entries = static_cast<std::uint32_t>(this->tables.leases.size());
     answer.zoneEntries =
         static_cast<std::uint32_t>(this->tables.entries.countInZone(heartbeat.zone, now));
     answer.lease = this->tables.leases.renew(id, heartbeat.appliedRevision, now);
-    if (answer.lease.status == LeaseStatus::Granted)
+    if (mayLend && answer.lease.status == LeaseStatus::Granted)
         answer.shares = this->tables.ledger.grant(heartbeat.shares.holder, now);
     return answer;
 }
--- a/libs/operators/src/CommandJson.cpp
+++ b/libs/operators/src/CommandJson.cpp
@@ -73,6 +73,13 @@
 {
 }
 
+/// A leader relies on the list of entries to know who may hold shares.
+auto refuseEntry(JsonReader &reader, ObjectKind kind) -> void
+{
+    if (kind == ObjectKind::Entry)
+        reader.fault("kind", "entries register themselves; only their labels can be changed");
+}
+
 auto readBody(JsonReader &reader) -> CommandBody
 {
     const auto type = reader.requiredText("type");
@@ -80,7 +87,9 @@
         if (!reader.has("object"))
             reader.fault("object", "must be set");
         auto object = reader.object("object");
-        return SetObject{decodeObject(object)};
+        auto body = SetObject{decodeObject(object)};
+        refuseEntry(reader, kindOf(body.object));
+        return body;
     }
     if (type == "withdraw-key")
         return WithdrawKey{reader.requiredText("key")};
@@ -94,8 +103,10 @@
     }
     const auto kind = decodeKind(reader);
     auto name = reader.requiredText("name");
-    if (isDelete)
+    if (isDelete) {
+        refuseEntry(reader, kind);
         return DeleteObject{kind, std::move(name)};
+    }
     auto key = reader.requiredText("key");
     if (type == "remove-label")
         return RemoveLabel{kind, std::move(name), std::move(key)};
--- a/libs/operators/src/ObjectJson.cpp
+++ b/libs/operators/src/ObjectJson.cpp
@@ -102,6 +102,10 @@
     writer.integer("bytes", static_cast<std::int64_t>(object.text.size()));
 }
 
+auto writeFields(const Entry & /*object*/, JsonWriter & /*writer*/) -> void
+{
+}
+
 auto writeFields(const Objective &object, JsonWriter &writer) -> void
 {
     writer.text("measure", nameOf(object.kind));
@@ -165,6 +169,10 @@
     object.version = static_cast<std::uint64_t>(reader.integer("version"));
 }
 
+auto readFields(JsonReader & /*reader*/, Entry & /*object*/) -> void
+{
+}
+
 auto readFields(JsonReader &reader, Objective &object) -> void
 {
     object.kind = readEnum(reader, "measure", object.kind);
@@ -207,6 +215,8 @@
         return Objective();
     case ObjectKind::Document:
         return ConfigurationDocument();
+    case ObjectKind::Entry:
+        return Entry();
     }
     return Service();
 }
--- a/libs/quota/benchmarks/LedgerScale.cpp
+++ b/libs/quota/benchmarks/LedgerScale.cpp
@@ -36,7 +36,7 @@
     };
     offer();
     auto ledger = std::make_unique<ShareLedger>(QuotaTiming());
-    ledger->beginLeadership(now - QuotaTiming().leaseWait());
+    ledger->beginLeadership({.number = 1}, now - QuotaTiming().leaseWait());
     for (auto i = std::size_t(0); i < organisations; ++i) {
         ledger->setLimits("organisation-" + std::to_string(i), {1'000'000, 10'000'000}, now);
     }
--- a/libs/quota/benchmarks/LendingFleet.cpp
+++ b/libs/quota/benchmarks/LendingFleet.cpp
@@ -23,7 +23,7 @@
             });
     };
     this->ledger = std::make_unique<ShareLedger>(QuotaTiming(), ShareLedgerHooks{grantReady});
-    this->ledger->beginLeadership(scheduler.now() - QuotaTiming().leaseWait());
+    this->ledger->beginLeadership({.number = 1}, scheduler.now() - QuotaTiming().leaseWait());
     for (const auto &[organisation, limits] : workload.limits)
         this->ledger->setLimits(organisation, limits, scheduler.now());
     for (auto entry = std::size_t(0); entry < Workload::ENTRIES; ++entry) {
--- a/libs/quota/include/quota/ShareGrant.h
+++ b/libs/quota/include/quota/ShareGrant.h
@@ -11,7 +11,8 @@
 /// The answer to a ShareReport.
 struct ShareGrant
 {
-    std::uint64_t sequence = 0; ///< Sequence of the report that this answers.
+    std::uint64_t sequence = 0;   ///< Sequence of the report that this answers.
+    std::uint64_t leadership = 0; ///< Of the leader that answers.
     bool urgent = false;       ///< A share changes so much that the answer should not be held back.
     std::vector<Share> shares; ///< Only those that differ from the reported ones; 0 takes one away.
 };
--- a/libs/quota/include/quota/ShareHolder.h
+++ b/libs/quota/include/quota/ShareHolder.h
@@ -67,6 +67,7 @@
     RankedMutex mutex{LockRank::ShareHolder};
     std::map<std::string, detail::HeldShare, std::less<>> organisations ABSL_GUARDED_BY(mutex);
     std::uint64_t sequence ABSL_GUARDED_BY(mutex) = 0;
+    std::uint64_t leadership ABSL_GUARDED_BY(mutex) = 0; ///< Newest one that answered.
     std::optional<TimePoint> leaseEnd ABSL_GUARDED_BY(mutex);
     std::optional<TimePoint> reportedAt ABSL_GUARDED_BY(mutex);
     bool wanted ABSL_GUARDED_BY(mutex) = false;
--- a/libs/quota/include/quota/ShareLedger.h
+++ b/libs/quota/include/quota/ShareLedger.h
@@ -3,6 +3,7 @@
 
 #include <quota/QuotaTiming.h>
 #include <quota/ShareGrant.h>
+#include <quota/ShareLeadership.h>
 #include <quota/ShareLedgerHooks.h>
 #include <quota/ShareLimits.h>
 #include <quota/ShareReport.h>
@@ -33,9 +34,13 @@
 public:
     explicit ShareLedger(QuotaTiming timing, ShareLedgerHooks hooks = {});
 
-    /// Forgets all holders. Until one lease wait has passed, what holders report is adopted and no
-    /// share grows, because leases of the earlier leader may live on unseen.
-    auto beginLeadership(TimePoint now) -> void;
+    /// Forgets all holders. What they report is adopted and no share grows until nothing that the
+    /// earlier leader lent can be in use unseen: when each of its holders has sent a report after
+    /// it heard of this leadership, or when one lease wait has passed.
+    auto beginLeadership(ShareLeadership begun, TimePoint now) -> void;
+
+    /// Number of the present leadership; 0 before the first.
+    [[nodiscard]] auto leadership() -> std::uint64_t;
 
     /// Sets the limits of `organisation`. Lowered limits shrink shares with the next answers; until
     /// holders confirm, the earlier limits bound what is admitted.
@@ -72,6 +77,7 @@
     ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
     auto answer(const HolderId &holder, const detail::HolderRecord &record) -> ShareGrant;
     ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex) auto expireLocked(TimePoint now) -> void;
+    ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex) auto startLendingWhenSafe(TimePoint now) -> void;
     ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex) auto allocateChanged(TimePoint now) -> void;
     ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
     auto findReady(const detail::OrganisationShares &shares) -> void;
@@ -86,8 +92,9 @@
     std::set<std::pair<TimePoint, HolderId>> expiries ABSL_GUARDED_BY(mutex);
     std::set<std::string, std::less<>> changed ABSL_GUARDED_BY(mutex);
     std::set<HolderId> ready ABSL_GUARDED_BY(mutex);
-    std::optional<TimePoint> lendingFrom ABSL_GUARDED_BY(mutex); ///< Nothing before leadership.
-    bool lending ABSL_GUARDED_BY(mutex) = false;                 ///< The lease wait is over.
+    ShareLeadership current ABSL_GUARDED_BY(mutex); ///< With the holders not heard under it yet.
+    std::optional<TimePoint> lendingFrom ABSL_GUARDED_BY(mutex); ///< At the latest.
+    bool lending ABSL_GUARDED_BY(mutex) = false;
 };
 
 } // namespace auburnrail
--- a/libs/quota/include/quota/ShareReport.h
+++ b/libs/quota/include/quota/ShareReport.h
@@ -23,6 +23,7 @@
     std::uint64_t sequence = 0; ///< Grows with each report of the holder; starts at 1.
     std::vector<Demand> demands;
     std::vector<Share> heldShares; ///< Every share in use when the report was made.
+    std::uint64_t leadership = 0;  ///< Newest one that answered the holder; 0 before any did.
 };
 
 } // namespace auburnrail
--- a/libs/quota/src/ShareHolder.cpp
+++ b/libs/quota/src/ShareHolder.cpp
@@ -115,6 +115,7 @@
     this->wanted = false;
     auto report = ShareReport{.holder = this->holder, .zone = this->zone};
     report.sequence = ++this->sequence;
+    report.leadership = this->leadership;
     for (auto entry = this->organisations.begin(); entry != this->organisations.end();) {
         auto &share = entry->second;
         share.arrivedPerSecond =
@@ -139,6 +140,7 @@
 {
     const RankedLock lock(this->mutex);
     this->dropLapsed(now);
+    this->leadership = std::max(this->leadership, grant.leadership);
     if (grant.sequence != this->sequence || end <= now)
         return false;
     this->leaseEnd = std::max(end, this->leaseEnd.value_or(end));
--- a/libs/quota/src/ShareLedger.cpp
+++ b/libs/quota/src/ShareLedger.cpp
@@ -38,9 +38,10 @@
 {
 }
 
-auto ShareLedger::beginLeadership(TimePoint now) -> void
+auto ShareLedger::beginLeadership(ShareLeadership begun, TimePoint now) -> void
 {
     const RankedLock lock(this->mutex);
+    this->current = std::move(begun);
     this->holders.clear();
     this->expiries.clear();
     this->ready.clear();
@@ -50,6 +51,12 @@
     this->lendingFrom = now + this->timing.leaseWait();
 }
 
+auto ShareLedger::leadership() -> std::uint64_t
+{
+    const RankedLock lock(this->mutex);
+    return this->current.number;
+}
+
 auto ShareLedger::setLimits(std::string_view organisation, ShareLimits limits, TimePoint now)
     -> void
 {
@@ -84,6 +91,7 @@
     auto holdersReady = std::set<HolderId>();
     {
         const RankedLock lock(this->mutex);
+        grant.leadership = this->current.number;
         if (!this->lendingFrom)
             return grant;
         this->expireLocked(now);
@@ -101,6 +109,10 @@
             record.zone = report.zone;
             this->takeReport(report, record, trusted);
         }
+        // A report that was made under this leadership is later than all that an earlier one lent.
+        if (report.leadership == this->current.number)
+            this->current.earlierHolders.erase(report.holder.instance);
+        this->startLendingWhenSafe(now);
         this->allocateChanged(now);
         grant = this->answer(report.holder, record);
         this->ready.erase(report.holder);
@@ -253,7 +265,7 @@
 
 auto ShareLedger::answer(const HolderId &holder, const detail::HolderRecord &record) -> ShareGrant
 {
-    auto grant = ShareGrant{.sequence = record.sequence};
+    auto grant = ShareGrant{.sequence = record.sequence, .leadership = this->current.number};
     for (const auto &organisation : record.organisations) {
         auto &shares = this->organisations[organisation];
         auto &claim = shares.claims[holder];
@@ -279,11 +291,7 @@
 
 auto ShareLedger::expireLocked(TimePoint now) -> void
 {
-    if (this->lendingFrom && !this->lending && now >= *this->lendingFrom) {
-        this->lending = true;
-        for (const auto &[organisation, shares] : this->organisations)
-            this->changed.insert(organisation);
-    }
+    this->startLendingWhenSafe(now);
     while (!this->expiries.empty() && this->expiries.begin()->first <= now) {
         const auto holder = this->expiries.begin()->second;
         this->expiries.erase(this->expiries.begin());
@@ -293,6 +301,17 @@
     }
 }
 
+auto ShareLedger::startLendingWhenSafe(TimePoint now) -> void
+{
+    if (!this->lendingFrom || this->lending)
+        return;
+    if (now < *this->lendingFrom && !this->current.earlierHolders.empty())
+        return;
+    this->lending = true;
+    for (const auto &[organisation, shares] : this->organisations)
+        this->changed.insert(organisation);
+}
+
 auto ShareLedger::allocateChanged(TimePoint now) -> void
 {
     for (auto name = this->changed.begin(); name != this->changed.end();) {
--- a/libs/state/include/state/FleetObject.h
+++ b/libs/state/include/state/FleetObject.h
@@ -3,6 +3,7 @@
 
 #include <state/ConfigurationDocument.h>
 #include <state/Endpoint.h>
+#include <state/Entry.h>
 #include <state/Group.h>
 #include <state/Key.h>
 #include <state/ObjectKind.h>
@@ -18,7 +19,7 @@
 
 /// One object of the fleet state. The alternatives have the order of ObjectKind.
 using FleetObject = std::variant<Service, Organisation, Key, Route, Group, Endpoint, Objective,
-                                 ConfigurationDocument>;
+                                 ConfigurationDocument, Entry>;
 
 [[nodiscard]] inline auto kindOf(const FleetObject &object) -> ObjectKind
 {
--- a/libs/state/include/state/FleetObjects.h
+++ b/libs/state/include/state/FleetObjects.h
@@ -74,7 +74,7 @@
 
     std::tuple<ObjectTable<Service>, ObjectTable<Organisation>, ObjectTable<Key>,
                ObjectTable<Route>, ObjectTable<Group>, ObjectTable<Endpoint>,
-               ObjectTable<Objective>, ObjectTable<ConfigurationDocument>>
+               ObjectTable<Objective>, ObjectTable<ConfigurationDocument>, ObjectTable<Entry>>
         tables;
     NameIndex routesByService;
     NameIndex endpointsByGroup;
--- a/libs/state/include/state/ObjectKind.h
+++ b/libs/state/include/state/ObjectKind.h
@@ -17,6 +17,7 @@
     Endpoint,
     Objective,
     Document,
+    Entry,
 };
 
 template <>
@@ -29,6 +30,7 @@
     {ObjectKind::Endpoint, "endpoint"},
     {ObjectKind::Objective, "objective"},
     {ObjectKind::Document, "document"},
+    {ObjectKind::Entry, "entry"},
 });
 
 } // namespace auburnrail
--- a/libs/state/src/ObjectRules.cpp
+++ b/libs/state/src/ObjectRules.cpp
@@ -115,6 +115,11 @@
     return invalid("a configuration document is replaced as a whole, not set");
 }
 
+auto check(const FleetObjects & /*objects*/, const Entry & /*entry*/) -> Problem
+{
+    return std::nullopt;
+}
+
 auto isGroupInUse(const FleetObjects &objects, const std::string &group) -> bool
 {
     auto inUse = !objects.endpointsOf(group).empty();
--- a/libs/wire/src/FleetConversion.cpp
+++ b/libs/wire/src/FleetConversion.cpp
@@ -153,6 +153,14 @@
     result.__set_document(detail::toWire(from));
 }
 
+auto convert(const Entry &from, wire::FleetObject &result) -> void
+{
+    auto to = wire::Entry();
+    to.name = from.name;
+    copyLabels(from, to);
+    result.__set_entry(to);
+}
+
 auto convert(wire::Service &&from) -> FleetObject
 {
     auto to = Service{.name = std::move(from.name),
@@ -230,6 +238,13 @@
     return to;
 }
 
+auto convert(wire::Entry &&from) -> FleetObject
+{
+    auto to = Entry{.name = std::move(from.name)};
+    copyLabels(std::move(from), to);
+    return to;
+}
+
 } // namespace
 
 auto toWire(const ConfigurationDocument &document) -> wire::ConfigurationDocument
@@ -263,7 +278,7 @@
     const auto &isSet = object.__isset;
     const auto count = int(isSet.serviceObject) + int(isSet.organisation) + int(isSet.key)
                        + int(isSet.route) + int(isSet.databaseGroup) + int(isSet.endpoint)
-                       + int(isSet.objective) + int(isSet.document);
+                       + int(isSet.objective) + int(isSet.document) + int(isSet.entry);
     if (count != 1)
         throw DecodeFault("an object is not of exactly one kind");
     if (isSet.serviceObject)
@@ -280,6 +295,8 @@
         return convert(std::move(object.endpoint));
     if (isSet.document)
         return fromWire(std::move(object.document));
+    if (isSet.entry)
+        return convert(std::move(object.entry));
     return convert(std::move(object.objective));
 }
 
--- a/libs/wire/src/HeartbeatCodec.cpp
+++ b/libs/wire/src/HeartbeatCodec.cpp
@@ -136,6 +136,7 @@
     message.operatorsAddress = heartbeat.operatorsAddress;
     message.appliedRevision = static_cast<std::int64_t>(heartbeat.appliedRevision);
     message.shareSequence = static_cast<std::int64_t>(heartbeat.shares.sequence);
+    message.shareLeadership = static_cast<std::int64_t>(heartbeat.shares.leadership);
     message.demands = toDemandMessages(heartbeat.shares.demands);
     message.heldShares = toShareMessages(heartbeat.shares.heldShares);
     for (const auto &announcement : heartbeat.endpoints)
@@ -159,6 +160,7 @@
     heartbeat.shares.holder = HolderId{heartbeat.instance, heartbeat.incarnation};
     heartbeat.shares.zone = heartbeat.zone;
     heartbeat.shares.sequence = static_cast<std::uint64_t>(message.shareSequence);
+    heartbeat.shares.leadership = static_cast<std::uint64_t>(message.shareLeadership);
     heartbeat.shares.demands = fromDemandMessages(message.demands);
     heartbeat.shares.heldShares = fromShareMessages(message.heldShares);
     for (const auto &announcement : message.endpoints)
@@ -185,6 +187,7 @@
     if (answer.snapshot)
         message.__set_snapshot(encodeSnapshot(*answer.snapshot));
     message.shareSequence = static_cast<std::int64_t>(answer.shares.sequence);
+    message.shareLeadership = static_cast<std::int64_t>(answer.shares.leadership);
     message.shares = toShareMessages(answer.shares.shares);
     return message;
 }
@@ -205,6 +208,7 @@
     answer.zoneEntries = static_cast<std::uint32_t>(std::max(message.zoneEntries, 0));
     answer.leader = message.leader;
     answer.shares.sequence = static_cast<std::uint64_t>(message.shareSequence);
+    answer.shares.leadership = static_cast<std::uint64_t>(message.shareLeadership);
     answer.shares.shares = fromShareMessages(message.shares);
     if (auto decoded = decodePayloads(message, answer); !decoded.ok())
         return decoded;
--- a/libs/wire/src/gen/Control_types.cpp
+++ b/libs/wire/src/gen/Control_types.cpp
@@ -1201,6 +1201,10 @@
 void HeartbeatMessage::__set_burn(const std::vector<BurnContributionMessage> & val) {
   this->burn = val;
 }
+
+void HeartbeatMessage::__set_shareLeadership(const int64_t val) {
+  this->shareLeadership = val;
+}
 std::ostream& operator<<(std::ostream& out, const HeartbeatMessage& obj)
 {
   obj.printTo(out);
@@ -1385,6 +1389,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->shareLeadership);
+          this->__isset.shareLeadership = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1490,6 +1502,10 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("shareLeadership", ::apache::thrift::protocol::T_I64, 13);
+  xfer += oprot->writeI64(this->shareLeadership);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1509,6 +1525,7 @@
   swap(a.holdMillis, b.holdMillis);
   swap(a.operatorsAddress, b.operatorsAddress);
   swap(a.burn, b.burn);
+  swap(a.shareLeadership, b.shareLeadership);
   swap(a.__isset, b.__isset);
 }
 
@@ -1525,6 +1542,7 @@
   holdMillis = other68.holdMillis;
   operatorsAddress = other68.operatorsAddress;
   burn = other68.burn;
+  shareLeadership = other68.shareLeadership;
   __isset = other68.__isset;
 }
 HeartbeatMessage::HeartbeatMessage(HeartbeatMessage&& other69) noexcept {
@@ -1540,6 +1558,7 @@
   holdMillis = other69.holdMillis;
   operatorsAddress = std::move(other69.operatorsAddress);
   burn = std::move(other69.burn);
+  shareLeadership = other69.shareLeadership;
   __isset = other69.__isset;
 }
 HeartbeatMessage& HeartbeatMessage::operator=(const HeartbeatMessage& other70) {
@@ -1555,6 +1574,7 @@
   holdMillis = other70.holdMillis;
   operatorsAddress = other70.operatorsAddress;
   burn = other70.burn;
+  shareLeadership = other70.shareLeadership;
   __isset = other70.__isset;
   return *this;
 }
@@ -1571,6 +1591,7 @@
   holdMillis = other71.holdMillis;
   operatorsAddress = std::move(other71.operatorsAddress);
   burn = std::move(other71.burn);
+  shareLeadership = other71.shareLeadership;
   __isset = other71.__isset;
   return *this;
 }
@@ -1589,6 +1610,7 @@
   out << ", " << "holdMillis=" << to_string(holdMillis);
   out << ", " << "operatorsAddress=" << to_string(operatorsAddress);
   out << ", " << "burn=" << to_string(burn);
+  out << ", " << "shareLeadership=" << to_string(shareLeadership);
   out << ")";
 }
 
@@ -1638,6 +1660,10 @@
 void HeartbeatAnswerMessage::__set_zoneEntries(const int32_t val) {
   this->zoneEntries = val;
 }
+
+void HeartbeatAnswerMessage::__set_shareLeadership(const int64_t val) {
+  this->shareLeadership = val;
+}
 std::ostream& operator<<(std::ostream& out, const HeartbeatAnswerMessage& obj)
 {
   obj.printTo(out);
@@ -1758,6 +1784,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->shareLeadership);
+          this->__isset.shareLeadership = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1825,6 +1859,10 @@
   xfer += oprot->writeI32(this->zoneEntries);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("shareLeadership", ::apache::thrift::protocol::T_I64, 11);
+  xfer += oprot->writeI64(this->shareLeadership);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1842,6 +1880,7 @@
   swap(a.minimumRevision, b.minimumRevision);
   swap(a.entries, b.entries);
   swap(a.zoneEntries, b.zoneEntries);
+  swap(a.shareLeadership, b.shareLeadership);
   swap(a.__isset, b.__isset);
 }
 
@@ -1856,6 +1895,7 @@
   minimumRevision = other78.minimumRevision;
   entries = other78.entries;
   zoneEntries = other78.zoneEntries;
+  shareLeadership = other78.shareLeadership;
   __isset = other78.__isset;
 }
 HeartbeatAnswerMessage::HeartbeatAnswerMessage(HeartbeatAnswerMessage&& other79) noexcept {
@@ -1869,6 +1909,7 @@
   minimumRevision = other79.minimumRevision;
   entries = other79.entries;
   zoneEntries = other79.zoneEntries;
+  shareLeadership = other79.shareLeadership;
   __isset = other79.__isset;
 }
 HeartbeatAnswerMessage& HeartbeatAnswerMessage::operator=(const HeartbeatAnswerMessage& other80) {
@@ -1882,6 +1923,7 @@
   minimumRevision = other80.minimumRevision;
   entries = other80.entries;
   zoneEntries = other80.zoneEntries;
+  shareLeadership = other80.shareLeadership;
   __isset = other80.__isset;
   return *this;
 }
@@ -1896,6 +1938,7 @@
   minimumRevision = other81.minimumRevision;
   entries = other81.entries;
   zoneEntries = other81.zoneEntries;
+  shareLeadership = other81.shareLeadership;
   __isset = other81.__isset;
   return *this;
 }
@@ -1912,6 +1955,7 @@
   out << ", " << "minimumRevision=" << to_string(minimumRevision);
   out << ", " << "entries=" << to_string(entries);
   out << ", " << "zoneEntries=" << to_string(zoneEntries);
+  out << ", " << "shareLeadership=" << to_string(shareLeadership);
   out << ")";
 }
 
--- a/libs/wire/src/gen/Control_types.h
+++ b/libs/wire/src/gen/Control_types.h
@@ -462,7 +462,7 @@
 std::ostream& operator<<(std::ostream& out, const BurnContributionMessage& obj);
 
 typedef struct _HeartbeatMessage__isset {
-  _HeartbeatMessage__isset() : instance(false), incarnation(false), zone(false), appliedRevision(false), shareSequence(false), demands(false), heldShares(false), endpoints(false), primaries(false), holdMillis(false), operatorsAddress(false), burn(false) {}
+  _HeartbeatMessage__isset() : instance(false), incarnation(false), zone(false), appliedRevision(false), shareSequence(false), demands(false), heldShares(false), endpoints(false), primaries(false), holdMillis(false), operatorsAddress(false), burn(false), shareLeadership(false) {}
   bool instance :1;
   bool incarnation :1;
   bool zone :1;
@@ -475,6 +475,7 @@
   bool holdMillis :1;
   bool operatorsAddress :1;
   bool burn :1;
+  bool shareLeadership :1;
 } _HeartbeatMessage__isset;
 
 class HeartbeatMessage : public virtual ::apache::thrift::TBase {
@@ -491,7 +492,8 @@
                      appliedRevision(0),
                      shareSequence(0),
                      holdMillis(0),
-                     operatorsAddress() {
+                     operatorsAddress(),
+                     shareLeadership(0) {
   }
 
   virtual ~HeartbeatMessage() noexcept;
@@ -507,6 +509,7 @@
   int64_t holdMillis;
   std::string operatorsAddress;
   std::vector<BurnContributionMessage>  burn;
+  int64_t shareLeadership;
 
   _HeartbeatMessage__isset __isset;
 
@@ -534,6 +537,8 @@
 
   void __set_burn(const std::vector<BurnContributionMessage> & val);
 
+  void __set_shareLeadership(const int64_t val);
+
   bool operator == (const HeartbeatMessage & rhs) const
   {
     if (!(instance == rhs.instance))
@@ -560,6 +565,8 @@
       return false;
     if (!(burn == rhs.burn))
       return false;
+    if (!(shareLeadership == rhs.shareLeadership))
+      return false;
     return true;
   }
   bool operator != (const HeartbeatMessage &rhs) const {
@@ -579,7 +586,7 @@
 std::ostream& operator<<(std::ostream& out, const HeartbeatMessage& obj);
 
 typedef struct _HeartbeatAnswerMessage__isset {
-  _HeartbeatAnswerMessage__isset() : status(false), leader(false), leaseMillis(false), update(false), snapshot(false), shareSequence(false), shares(false), minimumRevision(false), entries(false), zoneEntries(false) {}
+  _HeartbeatAnswerMessage__isset() : status(false), leader(false), leaseMillis(false), update(false), snapshot(false), shareSequence(false), shares(false), minimumRevision(false), entries(false), zoneEntries(false), shareLeadership(false) {}
   bool status :1;
   bool leader :1;
   bool leaseMillis :1;
@@ -590,6 +597,7 @@
   bool minimumRevision :1;
   bool entries :1;
   bool zoneEntries :1;
+  bool shareLeadership :1;
 } _HeartbeatAnswerMessage__isset;
 
 class HeartbeatAnswerMessage : public virtual ::apache::thrift::TBase {
@@ -608,7 +616,8 @@
                            shareSequence(0),
                            minimumRevision(0),
                            entries(0),
-                           zoneEntries(0) {
+                           zoneEntries(0),
+                           shareLeadership(0) {
   }
 
   virtual ~HeartbeatAnswerMessage() noexcept;
@@ -622,6 +631,7 @@
   int64_t minimumRevision;
   int32_t entries;
   int32_t zoneEntries;
+  int64_t shareLeadership;
 
   _HeartbeatAnswerMessage__isset __isset;
 
@@ -645,6 +655,8 @@
 
   void __set_zoneEntries(const int32_t val);
 
+  void __set_shareLeadership(const int64_t val);
+
   bool operator == (const HeartbeatAnswerMessage & rhs) const
   {
     if (!(status == rhs.status))
@@ -671,6 +683,8 @@
       return false;
     if (!(zoneEntries == rhs.zoneEntries))
       return false;
+    if (!(shareLeadership == rhs.shareLeadership))
+      return false;
     return true;
   }
   bool operator != (const HeartbeatAnswerMessage &rhs) const {
--- a/libs/wire/src/gen/Fleet_types.cpp
+++ b/libs/wire/src/gen/Fleet_types.cpp
@@ -2261,6 +2261,175 @@
 }
 
 
+Entry::~Entry() noexcept {
+}
+
+
+void Entry::__set_name(const std::string& val) {
+  this->name = val;
+}
+
+void Entry::__set_labels(const std::map<std::string, std::string> & val) {
+  this->labels = val;
+}
+
+void Entry::__set_changedAt(const int64_t val) {
+  this->changedAt = val;
+}
+std::ostream& operator<<(std::ostream& out, const Entry& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Entry::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->name);
+          this->__isset.name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_MAP) {
+          {
+            this->labels.clear();
+            uint32_t _size100;
+            ::apache::thrift::protocol::TType _ktype101;
+            ::apache::thrift::protocol::TType _vtype102;
+            xfer += iprot->readMapBegin(_ktype101, _vtype102, _size100);
+            uint32_t _i104;
+            for (_i104 = 0; _i104 < _size100; ++_i104)
+            {
+              std::string _key105;
+              xfer += iprot->readString(_key105);
+              std::string& _val106 = this->labels[_key105];
+              xfer += iprot->readString(_val106);
+            }
+            xfer += iprot->readMapEnd();
+          }
+          this->__isset.labels = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->changedAt);
+          this->__isset.changedAt = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Entry::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Entry");
+
+  xfer += oprot->writeFieldBegin("name", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->name);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("labels", ::apache::thrift::protocol::T_MAP, 2);
+  {
+    xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->labels.size()));
+    std::map<std::string, std::string> ::const_iterator _iter107;
+    for (_iter107 = this->labels.begin(); _iter107 != this->labels.end(); ++_iter107)
+    {
+      xfer += oprot->writeString(_iter107->first);
+      xfer += oprot->writeString(_iter107->second);
+    }
+    xfer += oprot->writeMapEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("changedAt", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->changedAt);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Entry &a, Entry &b) {
+  using ::std::swap;
+  swap(a.name, b.name);
+  swap(a.labels, b.labels);
+  swap(a.changedAt, b.changedAt);
+  swap(a.__isset, b.__isset);
+}
+
+Entry::Entry(const Entry& other108) {
+  name = other108.name;
+  labels = other108.labels;
+  changedAt = other108.changedAt;
+  __isset = other108.__isset;
+}
+Entry::Entry(Entry&& other109) noexcept {
+  name = std::move(other109.name);
+  labels = std::move(other109.labels);
+  changedAt = other109.changedAt;
+  __isset = other109.__isset;
+}
+Entry& Entry::operator=(const Entry& other110) {
+  name = other110.name;
+  labels = other110.labels;
+  changedAt = other110.changedAt;
+  __isset = other110.__isset;
+  return *this;
+}
+Entry& Entry::operator=(Entry&& other111) noexcept {
+  name = std::move(other111.name);
+  labels = std::move(other111.labels);
+  changedAt = other111.changedAt;
+  __isset = other111.__isset;
+  return *this;
+}
+void Entry::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Entry(";
+  out << "name=" << to_string(name);
+  out << ", " << "labels=" << to_string(labels);
+  out << ", " << "changedAt=" << to_string(changedAt);
+  out << ")";
+}
+
+
 FleetObject::~FleetObject() noexcept {
 }
 
@@ -2304,6 +2473,11 @@
   this->document = val;
 __isset.document = true;
 }
+
+void FleetObject::__set_entry(const Entry& val) {
+  this->entry = val;
+__isset.entry = true;
+}
 std::ostream& operator<<(std::ostream& out, const FleetObject& obj)
 {
   obj.printTo(out);
@@ -2396,6 +2570,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->entry.read(iprot);
+          this->__isset.entry = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2453,6 +2635,11 @@
     xfer += this->document.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.entry) {
+    xfer += oprot->writeFieldBegin("entry", ::apache::thrift::protocol::T_STRUCT, 9);
+    xfer += this->entry.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2468,53 +2655,58 @@
   swap(a.endpoint, b.endpoint);
   swap(a.objective, b.objective);
   swap(a.document, b.document);
+  swap(a.entry, b.entry);
   swap(a.__isset, b.__isset);
 }
 
-FleetObject::FleetObject(const FleetObject& other100) {
-  serviceObject = other100.serviceObject;
-  organisation = other100.organisation;
-  key = other100.key;
-  route = other100.route;
-  databaseGroup = other100.databaseGroup;
-  endpoint = other100.endpoint;
-  objective = other100.objective;
-  document = other100.document;
-  __isset = other100.__isset;
-}
-FleetObject::FleetObject(FleetObject&& other101) noexcept {
-  serviceObject = std::move(other101.serviceObject);
-  organisation = std::move(other101.organisation);
-  key = std::move(other101.key);
-  route = std::move(other101.route);
-  databaseGroup = std::move(other101.databaseGroup);
-  endpoint = std::move(other101.endpoint);
-  objective = std::move(other101.objective);
-  document = std::move(other101.document);
-  __isset = other101.__isset;
-}
-FleetObject& FleetObject::operator=(const FleetObject& other102) {
-  serviceObject = other102.serviceObject;
-  organisation = other102.organisation;
-  key = other102.key;
-  route = other102.route;
-  databaseGroup = other102.databaseGroup;
-  endpoint = other102.endpoint;
-  objective = other102.objective;
-  document = other102.document;
-  __isset = other102.__isset;
+FleetObject::FleetObject(const FleetObject& other112) {
+  serviceObject = other112.serviceObject;
+  organisation = other112.organisation;
+  key = other112.key;
+  route = other112.route;
+  databaseGroup = other112.databaseGroup;
+  endpoint = other112.endpoint;
+  objective = other112.objective;
+  document = other112.document;
+  entry = other112.entry;
+  __isset = other112.__isset;
+}
+FleetObject::FleetObject(FleetObject&& other113) noexcept {
+  serviceObject = std::move(other113.serviceObject);
+  organisation = std::move(other113.organisation);
+  key = std::move(other113.key);
+  route = std::move(other113.route);
+  databaseGroup = std::move(other113.databaseGroup);
+  endpoint = std::move(other113.endpoint);
+  objective = std::move(other113.objective);
+  document = std::move(other113.document);
+  entry = std::move(other113.entry);
+  __isset = other113.__isset;
+}
+FleetObject& FleetObject::operator=(const FleetObject& other114) {
+  serviceObject = other114.serviceObject;
+  organisation = other114.organisation;
+  key = other114.key;
+  route = other114.route;
+  databaseGroup = other114.databaseGroup;
+  endpoint = other114.endpoint;
+  objective = other114.objective;
+  document = other114.document;
+  entry = other114.entry;
+  __isset = other114.__isset;
   return *this;
 }
-FleetObject& FleetObject::operator=(FleetObject&& other103) noexcept {
-  serviceObject = std::move(other103.serviceObject);
-  organisation = std::move(other103.organisation);
-  key = std::move(other103.key);
-  route = std::move(other103.route);
-  databaseGroup = std::move(other103.databaseGroup);
-  endpoint = std::move(other103.endpoint);
-  objective = std::move(other103.objective);
-  document = std::move(other103.document);
-  __isset = other103.__isset;
+FleetObject& FleetObject::operator=(FleetObject&& other115) noexcept {
+  serviceObject = std::move(other115.serviceObject);
+  organisation = std::move(other115.organisation);
+  key = std::move(other115.key);
+  route = std::move(other115.route);
+  databaseGroup = std::move(other115.databaseGroup);
+  endpoint = std::move(other115.endpoint);
+  objective = std::move(other115.objective);
+  document = std::move(other115.document);
+  entry = std::move(other115.entry);
+  __isset = other115.__isset;
   return *this;
 }
 void FleetObject::printTo(std::ostream& out) const {
@@ -2528,6 +2720,7 @@
   out << ", " << "endpoint="; (__isset.endpoint ? (out << to_string(endpoint)) : (out << "<null>"));
   out << ", " << "objective="; (__isset.objective ? (out << to_string(objective)) : (out << "<null>"));
   out << ", " << "document="; (__isset.document ? (out << to_string(document)) : (out << "<null>"));
+  out << ", " << "entry="; (__isset.entry ? (out << to_string(entry)) : (out << "<null>"));
   out << ")";
 }
 
@@ -2660,34 +2853,34 @@
   swap(a.__isset, b.__isset);
 }
 
-FleetChange::FleetChange(const FleetChange& other104) {
-  revision = other104.revision;
-  kind = other104.kind;
-  name = other104.name;
-  fleetObject = other104.fleetObject;
-  __isset = other104.__isset;
-}
-FleetChange::FleetChange(FleetChange&& other105) noexcept {
-  revision = other105.revision;
-  kind = other105.kind;
-  name = std::move(other105.name);
-  fleetObject = std::move(other105.fleetObject);
-  __isset = other105.__isset;
-}
-FleetChange& FleetChange::operator=(const FleetChange& other106) {
-  revision = other106.revision;
-  kind = other106.kind;
-  name = other106.name;
-  fleetObject = other106.fleetObject;
-  __isset = other106.__isset;
+FleetChange::FleetChange(const FleetChange& other116) {
+  revision = other116.revision;
+  kind = other116.kind;
+  name = other116.name;
+  fleetObject = other116.fleetObject;
+  __isset = other116.__isset;
+}
+FleetChange::FleetChange(FleetChange&& other117) noexcept {
+  revision = other117.revision;
+  kind = other117.kind;
+  name = std::move(other117.name);
+  fleetObject = std::move(other117.fleetObject);
+  __isset = other117.__isset;
+}
+FleetChange& FleetChange::operator=(const FleetChange& other118) {
+  revision = other118.revision;
+  kind = other118.kind;
+  name = other118.name;
+  fleetObject = other118.fleetObject;
+  __isset = other118.__isset;
   return *this;
 }
-FleetChange& FleetChange::operator=(FleetChange&& other107) noexcept {
-  revision = other107.revision;
-  kind = other107.kind;
-  name = std::move(other107.name);
-  fleetObject = std::move(other107.fleetObject);
-  __isset = other107.__isset;
+FleetChange& FleetChange::operator=(FleetChange&& other119) noexcept {
+  revision = other119.revision;
+  kind = other119.kind;
+  name = std::move(other119.name);
+  fleetObject = std::move(other119.fleetObject);
+  __isset = other119.__isset;
   return *this;
 }
 void FleetChange::printTo(std::ostream& out) const {
@@ -2810,30 +3003,30 @@
   swap(a.__isset, b.__isset);
 }
 
-FleetUpdateHeader::FleetUpdateHeader(const FleetUpdateHeader& other108) noexcept {
-  baseRevision = other108.baseRevision;
-  revision = other108.revision;
-  changes = other108.changes;
-  __isset = other108.__isset;
+FleetUpdateHeader::FleetUpdateHeader(const FleetUpdateHeader& other120) noexcept {
+  baseRevision = other120.baseRevision;
+  revision = other120.revision;
+  changes = other120.changes;
+  __isset = other120.__isset;
 }
-FleetUpdateHeader::FleetUpdateHeader(FleetUpdateHeader&& other109) noexcept {
-  baseRevision = other109.baseRevision;
-  revision = other109.revision;
-  changes = other109.changes;
-  __isset = other109.__isset;
+FleetUpdateHeader::FleetUpdateHeader(FleetUpdateHeader&& other121) noexcept {
+  baseRevision = other121.baseRevision;
+  revision = other121.revision;
+  changes = other121.changes;
+  __isset = other121.__isset;
 }
-FleetUpdateHeader& FleetUpdateHeader::operator=(const FleetUpdateHeader& other110) noexcept {
-  baseRevision = other110.baseRevision;
-  revision = other110.revision;
-  changes = other110.changes;
-  __isset = other110.__isset;
+FleetUpdateHeader& FleetUpdateHeader::operator=(const FleetUpdateHeader& other122) noexcept {
+  baseRevision = other122.baseRevision;
+  revision = other122.revision;
+  changes = other122.changes;
+  __isset = other122.__isset;
   return *this;
 }
-FleetUpdateHeader& FleetUpdateHeader::operator=(FleetUpdateHeader&& other111) noexcept {
-  baseRevision = other111.baseRevision;
-  revision = other111.revision;
-  changes = other111.changes;
-  __isset = other111.__isset;
+FleetUpdateHeader& FleetUpdateHeader::operator=(FleetUpdateHeader&& other123) noexcept {
+  baseRevision = other123.baseRevision;
+  revision = other123.revision;
+  changes = other123.changes;
+  __isset = other123.__isset;
   return *this;
 }
 void FleetUpdateHeader::printTo(std::ostream& out) const {
@@ -2938,26 +3131,26 @@
   swap(a.__isset, b.__isset);
 }
 
-DeleteObject::DeleteObject(const DeleteObject& other112) {
-  kind = other112.kind;
-  name = other112.name;
-  __isset = other112.__isset;
+DeleteObject::DeleteObject(const DeleteObject& other124) {
+  kind = other124.kind;
+  name = other124.name;
+  __isset = other124.__isset;
 }
-DeleteObject::DeleteObject(DeleteObject&& other113) noexcept {
-  kind = other113.kind;
-  name = std::move(other113.name);
-  __isset = other113.__isset;
+DeleteObject::DeleteObject(DeleteObject&& other125) noexcept {
+  kind = other125.kind;
+  name = std::move(other125.name);
+  __isset = other125.__isset;
 }
-DeleteObject& DeleteObject::operator=(const DeleteObject& other114) {
-  kind = other114.kind;
-  name = other114.name;
-  __isset = other114.__isset;
+DeleteObject& DeleteObject::operator=(const DeleteObject& other126) {
+  kind = other126.kind;
+  name = other126.name;
+  __isset = other126.__isset;
   return *this;
 }
-DeleteObject& DeleteObject::operator=(DeleteObject&& other115) noexcept {
-  kind = other115.kind;
-  name = std::move(other115.name);
-  __isset = other115.__isset;
+DeleteObject& DeleteObject::operator=(DeleteObject&& other127) noexcept {
+  kind = other127.kind;
+  name = std::move(other127.name);
+  __isset = other127.__isset;
   return *this;
 }
 void DeleteObject::printTo(std::ostream& out) const {
@@ -3095,34 +3288,34 @@
   swap(a.__isset, b.__isset);
 }
 
-SetLabel::SetLabel(const SetLabel& other116) {
-  kind = other116.kind;
-  name = other116.name;
-  key = other116.key;
-  value = other116.value;
-  __isset = other116.__isset;
+SetLabel::SetLabel(const SetLabel& other128) {
+  kind = other128.kind;
+  name = other128.name;
+  key = other128.key;
+  value = other128.value;
+  __isset = other128.__isset;
 }
-SetLabel::SetLabel(SetLabel&& other117) noexcept {
-  kind = other117.kind;
-  name = std::move(other117.name);
-  key = std::move(other117.key);
-  value = std::move(other117.value);
-  __isset = other117.__isset;
+SetLabel::SetLabel(SetLabel&& other129) noexcept {
+  kind = other129.kind;
+  name = std::move(other129.name);
+  key = std::move(other129.key);
+  value = std::move(other129.value);
+  __isset = other129.__isset;
 }
-SetLabel& SetLabel::operator=(const SetLabel& other118) {
-  kind = other118.kind;
-  name = other118.name;
-  key = other118.key;
-  value = other118.value;
-  __isset = other118.__isset;
+SetLabel& SetLabel::operator=(const SetLabel& other130) {
+  kind = other130.kind;
+  name = other130.name;
+  key = other130.key;
+  value = other130.value;
+  __isset = other130.__isset;
   return *this;
 }
-SetLabel& SetLabel::operator=(SetLabel&& other119) noexcept {
-  kind = other119.kind;
-  name = std::move(other119.name);
-  key = std::move(other119.key);
-  value = std::move(other119.value);
-  __isset = other119.__isset;
+SetLabel& SetLabel::operator=(SetLabel&& other131) noexcept {
+  kind = other131.kind;
+  name = std::move(other131.name);
+  key = std::move(other131.key);
+  value = std::move(other131.value);
+  __isset = other131.__isset;
   return *this;
 }
 void SetLabel::printTo(std::ostream& out) const {
@@ -3245,30 +3438,30 @@
   swap(a.__isset, b.__isset);
 }
 
-RemoveLabel::RemoveLabel(const RemoveLabel& other120) {
-  kind = other120.kind;
-  name = other120.name;
-  key = other120.key;
-  __isset = other120.__isset;
+RemoveLabel::RemoveLabel(const RemoveLabel& other132) {
+  kind = other132.kind;
+  name = other132.name;
+  key = other132.key;
+  __isset = other132.__isset;
 }
-RemoveLabel::RemoveLabel(RemoveLabel&& other121) noexcept {
-  kind = other121.kind;
-  name = std::move(other121.name);
-  key = std::move(other121.key);
-  __isset = other121.__isset;
+RemoveLabel::RemoveLabel(RemoveLabel&& other133) noexcept {
+  kind = other133.kind;
+  name = std::move(other133.name);
+  key = std::move(other133.key);
+  __isset = other133.__isset;
 }
-RemoveLabel& RemoveLabel::operator=(const RemoveLabel& other122) {
-  kind = other122.kind;
-  name = other122.name;
-  key = other122.key;
-  __isset = other122.__isset;
+RemoveLabel& RemoveLabel::operator=(const RemoveLabel& other134) {
+  kind = other134.kind;
+  name = other134.name;
+  key = other134.key;
+  __isset = other134.__isset;
   return *this;
 }
-RemoveLabel& RemoveLabel::operator=(RemoveLabel&& other123) noexcept {
-  kind = other123.kind;
-  name = std::move(other123.name);
-  key = std::move(other123.key);
-  __isset = other123.__isset;
+RemoveLabel& RemoveLabel::operator=(RemoveLabel&& other135) noexcept {
+  kind = other135.kind;
+  name = std::move(other135.name);
+  key = std::move(other135.key);
+  __isset = other135.__isset;
   return *this;
 }
 void RemoveLabel::printTo(std::ostream& out) const {
@@ -3356,22 +3549,22 @@
   swap(a.__isset, b.__isset);
 }
 
-WithdrawKey::WithdrawKey(const WithdrawKey& other124) {
-  key = other124.key;
-  __isset = other124.__isset;
+WithdrawKey::WithdrawKey(const WithdrawKey& other136) {
+  key = other136.key;
+  __isset = other136.__isset;
 }
-WithdrawKey::WithdrawKey(WithdrawKey&& other125) noexcept {
-  key = std::move(other125.key);
-  __isset = other125.__isset;
+WithdrawKey::WithdrawKey(WithdrawKey&& other137) noexcept {
+  key = std::move(other137.key);
+  __isset = other137.__isset;
 }
-WithdrawKey& WithdrawKey::operator=(const WithdrawKey& other126) {
-  key = other126.key;
-  __isset = other126.__isset;
+WithdrawKey& WithdrawKey::operator=(const WithdrawKey& other138) {
+  key = other138.key;
+  __isset = other138.__isset;
   return *this;
 }
-WithdrawKey& WithdrawKey::operator=(WithdrawKey&& other127) noexcept {
-  key = std::move(other127.key);
-  __isset = other127.__isset;
+WithdrawKey& WithdrawKey::operator=(WithdrawKey&& other139) noexcept {
+  key = std::move(other139.key);
+  __isset = other139.__isset;
   return *this;
 }
 void WithdrawKey::printTo(std::ostream& out) const {
@@ -3474,26 +3667,26 @@
   swap(a.__isset, b.__isset);
 }
 
-GrantTerm::GrantTerm(const GrantTerm& other128) {
-  groupName = other128.groupName;
-  term = other128.term;
-  __isset = other128.__isset;
+GrantTerm::GrantTerm(const GrantTerm& other140) {
+  groupName = other140.groupName;
+  term = other140.term;
+  __isset = other140.__isset;
 }
-GrantTerm::GrantTerm(GrantTerm&& other129) noexcept {
-  groupName = std::move(other129.groupName);
-  term = other129.term;
-  __isset = other129.__isset;
+GrantTerm::GrantTerm(GrantTerm&& other141) noexcept {
+  groupName = std::move(other141.groupName);
+  term = other141.term;
+  __isset = other141.__isset;
 }
-GrantTerm& GrantTerm::operator=(const GrantTerm& other130) {
-  groupName = other130.groupName;
-  term = other130.term;
-  __isset = other130.__isset;
+GrantTerm& GrantTerm::operator=(const GrantTerm& other142) {
+  groupName = other142.groupName;
+  term = other142.term;
+  __isset = other142.__isset;
   return *this;
 }
-GrantTerm& GrantTerm::operator=(GrantTerm&& other131) noexcept {
-  groupName = std::move(other131.groupName);
-  term = other131.term;
-  __isset = other131.__isset;
+GrantTerm& GrantTerm::operator=(GrantTerm&& other143) noexcept {
+  groupName = std::move(other143.groupName);
+  term = other143.term;
+  __isset = other143.__isset;
   return *this;
 }
 void GrantTerm::printTo(std::ostream& out) const {
@@ -3614,30 +3807,30 @@
   swap(a.__isset, b.__isset);
 }
 
-PublishPrimary::PublishPrimary(const PublishPrimary& other132) {
-  groupName = other132.groupName;
-  term = other132.term;
-  endpoint = other132.endpoint;
-  __isset = other132.__isset;
+PublishPrimary::PublishPrimary(const PublishPrimary& other144) {
+  groupName = other144.groupName;
+  term = other144.term;
+  endpoint = other144.endpoint;
+  __isset = other144.__isset;
 }
-PublishPrimary::PublishPrimary(PublishPrimary&& other133) noexcept {
-  groupName = std::move(other133.groupName);
-  term = other133.term;
-  endpoint = std::move(other133.endpoint);
-  __isset = other133.__isset;
+PublishPrimary::PublishPrimary(PublishPrimary&& other145) noexcept {
+  groupName = std::move(other145.groupName);
+  term = other145.term;
+  endpoint = std::move(other145.endpoint);
+  __isset = other145.__isset;
 }
-PublishPrimary& PublishPrimary::operator=(const PublishPrimary& other134) {
-  groupName = other134.groupName;
-  term = other134.term;
-  endpoint = other134.endpoint;
-  __isset = other134.__isset;
+PublishPrimary& PublishPrimary::operator=(const PublishPrimary& other146) {
+  groupName = other146.groupName;
+  term = other146.term;
+  endpoint = other146.endpoint;
+  __isset = other146.__isset;
   return *this;
 }
-PublishPrimary& PublishPrimary::operator=(PublishPrimary&& other135) noexcept {
-  groupName = std::move(other135.groupName);
-  term = other135.term;
-  endpoint = std::move(other135.endpoint);
-  __isset = other135.__isset;
+PublishPrimary& PublishPrimary::operator=(PublishPrimary&& other147) noexcept {
+  groupName = std::move(other147.groupName);
+  term = other147.term;
+  endpoint = std::move(other147.endpoint);
+  __isset = other147.__isset;
   return *this;
 }
 void PublishPrimary::printTo(std::ostream& out) const {
@@ -3725,22 +3918,22 @@
   swap(a.__isset, b.__isset);
 }
 
-LeaveEndpoint::LeaveEndpoint(const LeaveEndpoint& other136) {
-  endpoint = other136.endpoint;
-  __isset = other136.__isset;
+LeaveEndpoint::LeaveEndpoint(const LeaveEndpoint& other148) {
+  endpoint = other148.endpoint;
+  __isset = other148.__isset;
 }
-LeaveEndpoint::LeaveEndpoint(LeaveEndpoint&& other137) noexcept {
-  endpoint = std::move(other137.endpoint);
-  __isset = other137.__isset;
+LeaveEndpoint::LeaveEndpoint(LeaveEndpoint&& other149) noexcept {
+  endpoint = std::move(other149.endpoint);
+  __isset = other149.__isset;
 }
-LeaveEndpoint& LeaveEndpoint::operator=(const LeaveEndpoint& other138) {
-  endpoint = other138.endpoint;
-  __isset = other138.__isset;
+LeaveEndpoint& LeaveEndpoint::operator=(const LeaveEndpoint& other150) {
+  endpoint = other150.endpoint;
+  __isset = other150.__isset;
   return *this;
 }
-LeaveEndpoint& LeaveEndpoint::operator=(LeaveEndpoint&& other139) noexcept {
-  endpoint = std::move(other139.endpoint);
-  __isset = other139.__isset;
+LeaveEndpoint& LeaveEndpoint::operator=(LeaveEndpoint&& other151) noexcept {
+  endpoint = std::move(other151.endpoint);
+  __isset = other151.__isset;
   return *this;
 }
 void LeaveEndpoint::printTo(std::ostream& out) const {
@@ -3843,26 +4036,26 @@
   swap(a.__isset, b.__isset);
 }
 
-AdoptPrimary::AdoptPrimary(const AdoptPrimary& other140) {
-  groupName = other140.groupName;
-  endpoint = other140.endpoint;
-  __isset = other140.__isset;
+AdoptPrimary::AdoptPrimary(const AdoptPrimary& other152) {
+  groupName = other152.groupName;
+  endpoint = other152.endpoint;
+  __isset = other152.__isset;
 }
-AdoptPrimary::AdoptPrimary(AdoptPrimary&& other141) noexcept {
-  groupName = std::move(other141.groupName);
-  endpoint = std::move(other141.endpoint);
-  __isset = other141.__isset;
+AdoptPrimary::AdoptPrimary(AdoptPrimary&& other153) noexcept {
+  groupName = std::move(other153.groupName);
+  endpoint = std::move(other153.endpoint);
+  __isset = other153.__isset;
 }
-AdoptPrimary& AdoptPrimary::operator=(const AdoptPrimary& other142) {
-  groupName = other142.groupName;
-  endpoint = other142.endpoint;
-  __isset = other142.__isset;
+AdoptPrimary& AdoptPrimary::operator=(const AdoptPrimary& other154) {
+  groupName = other154.groupName;
+  endpoint = other154.endpoint;
+  __isset = other154.__isset;
   return *this;
 }
-AdoptPrimary& AdoptPrimary::operator=(AdoptPrimary&& other143) noexcept {
-  groupName = std::move(other143.groupName);
-  endpoint = std::move(other143.endpoint);
-  __isset = other143.__isset;
+AdoptPrimary& AdoptPrimary::operator=(AdoptPrimary&& other155) noexcept {
+  groupName = std::move(other155.groupName);
+  endpoint = std::move(other155.endpoint);
+  __isset = other155.__isset;
   return *this;
 }
 void AdoptPrimary::printTo(std::ostream& out) const {
@@ -3983,30 +4176,30 @@
   swap(a.__isset, b.__isset);
 }
 
-ReplaceConfiguration::ReplaceConfiguration(const ReplaceConfiguration& other144) {
-  document = other144.document;
-  objectCount = other144.objectCount;
-  fleetObjects = other144.fleetObjects;
-  __isset = other144.__isset;
+ReplaceConfiguration::ReplaceConfiguration(const ReplaceConfiguration& other156) {
+  document = other156.document;
+  objectCount = other156.objectCount;
+  fleetObjects = other156.fleetObjects;
+  __isset = other156.__isset;
 }
-ReplaceConfiguration::ReplaceConfiguration(ReplaceConfiguration&& other145) noexcept {
-  document = std::move(other145.document);
-  objectCount = other145.objectCount;
-  fleetObjects = std::move(other145.fleetObjects);
-  __isset = other145.__isset;
+ReplaceConfiguration::ReplaceConfiguration(ReplaceConfiguration&& other157) noexcept {
+  document = std::move(other157.document);
+  objectCount = other157.objectCount;
+  fleetObjects = std::move(other157.fleetObjects);
+  __isset = other157.__isset;
 }
-ReplaceConfiguration& ReplaceConfiguration::operator=(const ReplaceConfiguration& other146) {
-  document = other146.document;
-  objectCount = other146.objectCount;
-  fleetObjects = other146.fleetObjects;
-  __isset = other146.__isset;
+ReplaceConfiguration& ReplaceConfiguration::operator=(const ReplaceConfiguration& other158) {
+  document = other158.document;
+  objectCount = other158.objectCount;
+  fleetObjects = other158.fleetObjects;
+  __isset = other158.__isset;
   return *this;
 }
-ReplaceConfiguration& ReplaceConfiguration::operator=(ReplaceConfiguration&& other147) noexcept {
-  document = std::move(other147.document);
-  objectCount = other147.objectCount;
-  fleetObjects = std::move(other147.fleetObjects);
-  __isset = other147.__isset;
+ReplaceConfiguration& ReplaceConfiguration::operator=(ReplaceConfiguration&& other159) noexcept {
+  document = std::move(other159.document);
+  objectCount = other159.objectCount;
+  fleetObjects = std::move(other159.fleetObjects);
+  __isset = other159.__isset;
   return *this;
 }
 void ReplaceConfiguration::printTo(std::ostream& out) const {
@@ -4267,58 +4460,58 @@
   swap(a.__isset, b.__isset);
 }
 
-CommandBody::CommandBody(const CommandBody& other148) {
-  setObject = other148.setObject;
-  deleteObject = other148.deleteObject;
-  setLabel = other148.setLabel;
-  removeLabel = other148.removeLabel;
-  withdrawKey = other148.withdrawKey;
-  grantTerm = other148.grantTerm;
-  publishPrimary = other148.publishPrimary;
-  leaveEndpoint = other148.leaveEndpoint;
-  adoptPrimary = other148.adoptPrimary;
-  replaceConfiguration = other148.replaceConfiguration;
-  __isset = other148.__isset;
+CommandBody::CommandBody(const CommandBody& other160) {
+  setObject = other160.setObject;
+  deleteObject = other160.deleteObject;
+  setLabel = other160.setLabel;
+  removeLabel = other160.removeLabel;
+  withdrawKey = other160.withdrawKey;
+  grantTerm = other160.grantTerm;
+  publishPrimary = other160.publishPrimary;
+  leaveEndpoint = other160.leaveEndpoint;
+  adoptPrimary = other160.adoptPrimary;
+  replaceConfiguration = other160.replaceConfiguration;
+  __isset = other160.__isset;
 }
-CommandBody::CommandBody(CommandBody&& other149) noexcept {
-  setObject = std::move(other149.setObject);
-  deleteObject = std::move(other149.deleteObject);
-  setLabel = std::move(other149.setLabel);
-  removeLabel = std::move(other149.removeLabel);
-  withdrawKey = std::move(other149.withdrawKey);
-  grantTerm = std::move(other149.grantTerm);
-  publishPrimary = std::move(other149.publishPrimary);
-  leaveEndpoint = std::move(other149.leaveEndpoint);
-  adoptPrimary = std::move(other149.adoptPrimary);
-  replaceConfiguration = std::move(other149.replaceConfiguration);
-  __isset = other149.__isset;
+CommandBody::CommandBody(CommandBody&& other161) noexcept {
+  setObject = std::move(other161.setObject);
+  deleteObject = std::move(other161.deleteObject);
+  setLabel = std::move(other161.setLabel);
+  removeLabel = std::move(other161.removeLabel);
+  withdrawKey = std::move(other161.withdrawKey);
+  grantTerm = std::move(other161.grantTerm);
+  publishPrimary = std::move(other161.publishPrimary);
+  leaveEndpoint = std::move(other161.leaveEndpoint);
+  adoptPrimary = std::move(other161.adoptPrimary);
+  replaceConfiguration = std::move(other161.replaceConfiguration);
+  __isset = other161.__isset;
 }
-CommandBody& CommandBody::operator=(const CommandBody& other150) {
-  setObject = other150.setObject;
-  deleteObject = other150.deleteObject;
-  setLabel = other150.setLabel;
-  removeLabel = other150.removeLabel;
-  withdrawKey = other150.withdrawKey;
-  grantTerm = other150.grantTerm;
-  publishPrimary = other150.publishPrimary;
-  leaveEndpoint = other150.leaveEndpoint;
-  adoptPrimary = other150.adoptPrimary;
-  replaceConfiguration = other150.replaceConfiguration;
-  __isset = other150.__isset;
+CommandBody& CommandBody::operator=(const CommandBody& other162) {
+  setObject = other162.setObject;
+  deleteObject = other162.deleteObject;
+  setLabel = other162.setLabel;
+  removeLabel = other162.removeLabel;
+  withdrawKey = other162.withdrawKey;
+  grantTerm = other162.grantTerm;
+  publishPrimary = other162.publishPrimary;
+  leaveEndpoint = other162.leaveEndpoint;
+  adoptPrimary = other162.adoptPrimary;
+  replaceConfiguration = other162.replaceConfiguration;
+  __isset = other162.__isset;
   return *this;
 }
-CommandBody& CommandBody::operator=(CommandBody&& other151) noexcept {
-  setObject = std::move(other151.setObject);
-  deleteObject = std::move(other151.deleteObject);
-  setLabel = std::move(other151.setLabel);
-  removeLabel = std::move(other151.removeLabel);
-  withdrawKey = std::move(other151.withdrawKey);
-  grantTerm = std::move(other151.grantTerm);
-  publishPrimary = std::move(other151.publishPrimary);
-  leaveEndpoint = std::move(other151.leaveEndpoint);
-  adoptPrimary = std::move(other151.adoptPrimary);
-  replaceConfiguration = std::move(other151.replaceConfiguration);
-  __isset = other151.__isset;
+CommandBody& CommandBody::operator=(CommandBody&& other163) noexcept {
+  setObject = std::move(other163.setObject);
+  deleteObject = std::move(other163.deleteObject);
+  setLabel = std::move(other163.setLabel);
+  removeLabel = std::move(other163.removeLabel);
+  withdrawKey = std::move(other163.withdrawKey);
+  grantTerm = std::move(other163.grantTerm);
+  publishPrimary = std::move(other163.publishPrimary);
+  leaveEndpoint = std::move(other163.leaveEndpoint);
+  adoptPrimary = std::move(other163.adoptPrimary);
+  replaceConfiguration = std::move(other163.replaceConfiguration);
+  __isset = other163.__isset;
   return *this;
 }
 void CommandBody::printTo(std::ostream& out) const {
@@ -4483,38 +4676,38 @@
   swap(a.__isset, b.__isset);
 }
 
-Command::Command(const Command& other152) {
-  commandId = other152.commandId;
-  baseRevision = other152.baseRevision;
-  expectedRevision = other152.expectedRevision;
-  operatorName = other152.operatorName;
-  body = other152.body;
-  __isset = other152.__isset;
+Command::Command(const Command& other164) {
+  commandId = other164.commandId;
+  baseRevision = other164.baseRevision;
+  expectedRevision = other164.expectedRevision;
+  operatorName = other164.operatorName;
+  body = other164.body;
+  __isset = other164.__isset;
 }
-Command::Command(Command&& other153) noexcept {
-  commandId = std::move(other153.commandId);
-  baseRevision = other153.baseRevision;
-  expectedRevision = other153.expectedRevision;
-  operatorName = std::move(other153.operatorName);
-  body = std::move(other153.body);
-  __isset = other153.__isset;
+Command::Command(Command&& other165) noexcept {
+  commandId = std::move(other165.commandId);
+  baseRevision = other165.baseRevision;
+  expectedRevision = other165.expectedRevision;
+  operatorName = std::move(other165.operatorName);
+  body = std::move(other165.body);
+  __isset = other165.__isset;
 }
-Command& Command::operator=(const Command& other154) {
-  commandId = other154.commandId;
-  baseRevision = other154.baseRevision;
-  expectedRevision = other154.expectedRevision;
-  operatorName = other154.operatorName;
-  body = other154.body;
-  __isset = other154.__isset;
+Command& Command::operator=(const Command& other166) {
+  commandId = other166.commandId;
+  baseRevision = other166.baseRevision;
+  expectedRevision = other166.expectedRevision;
+  operatorName = other166.operatorName;
+  body = other166.body;
+  __isset = other166.__isset;
   return *this;
 }
-Command& Command::operator=(Command&& other155) noexcept {
-  commandId = std::move(other155.commandId);
-  baseRevision = other155.baseRevision;
-  expectedRevision = other155.expectedRevision;
-  operatorName = std::move(other155.operatorName);
-  body = std::move(other155.body);
-  __isset = other155.__isset;
+Command& Command::operator=(Command&& other167) noexcept {
+  commandId = std::move(other167.commandId);
+  baseRevision = other167.baseRevision;
+  expectedRevision = other167.expectedRevision;
+  operatorName = std::move(other167.operatorName);
+  body = std::move(other167.body);
+  __isset = other167.__isset;
   return *this;
 }
 void Command::printTo(std::ostream& out) const {
@@ -4657,34 +4850,34 @@
   swap(a.__isset, b.__isset);
 }
 
-CommandResult::CommandResult(const CommandResult& other156) {
-  status = other156.status;
-  message = other156.message;
-  revision = other156.revision;
-  winningCommandId = other156.winningCommandId;
-  __isset = other156.__isset;
-}
-CommandResult::CommandResult(CommandResult&& other157) noexcept {
-  status = other157.status;
-  message = std::move(other157.message);
-  revision = other157.revision;
-  winningCommandId = std::move(other157.winningCommandId);
-  __isset = other157.__isset;
-}
-CommandResult& CommandResult::operator=(const CommandResult& other158) {
-  status = other158.status;
-  message = other158.message;
-  revision = other158.revision;
-  winningCommandId = other158.winningCommandId;
-  __isset = other158.__isset;
+CommandResult::CommandResult(const CommandResult& other168) {
+  status = other168.status;
+  message = other168.message;
+  revision = other168.revision;
+  winningCommandId = other168.winningCommandId;
+  __isset = other168.__isset;
+}
+CommandResult::CommandResult(CommandResult&& other169) noexcept {
+  status = other169.status;
+  message = std::move(other169.message);
+  revision = other169.revision;
+  winningCommandId = std::move(other169.winningCommandId);
+  __isset = other169.__isset;
+}
+CommandResult& CommandResult::operator=(const CommandResult& other170) {
+  status = other170.status;
+  message = other170.message;
+  revision = other170.revision;
+  winningCommandId = other170.winningCommandId;
+  __isset = other170.__isset;
   return *this;
 }
-CommandResult& CommandResult::operator=(CommandResult&& other159) noexcept {
-  status = other159.status;
-  message = std::move(other159.message);
-  revision = other159.revision;
-  winningCommandId = std::move(other159.winningCommandId);
-  __isset = other159.__isset;
+CommandResult& CommandResult::operator=(CommandResult&& other171) noexcept {
+  status = other171.status;
+  message = std::move(other171.message);
+  revision = other171.revision;
+  winningCommandId = std::move(other171.winningCommandId);
+  __isset = other171.__isset;
   return *this;
 }
 void CommandResult::printTo(std::ostream& out) const {
@@ -4841,38 +5034,38 @@
   swap(a.__isset, b.__isset);
 }
 
-RememberedCommand::RememberedCommand(const RememberedCommand& other160) {
-  commandId = other160.commandId;
-  revision = other160.revision;
-  kind = other160.kind;
-  name = other160.name;
-  result = other160.result;
-  __isset = other160.__isset;
-}
-RememberedCommand::RememberedCommand(RememberedCommand&& other161) noexcept {
-  commandId = std::move(other161.commandId);
-  revision = other161.revision;
-  kind = other161.kind;
-  name = std::move(other161.name);
-  result = std::move(other161.result);
-  __isset = other161.__isset;
-}
-RememberedCommand& RememberedCommand::operator=(const RememberedCommand& other162) {
-  commandId = other162.commandId;
-  revision = other162.revision;
-  kind = other162.kind;
-  name = other162.name;
-  result = other162.result;
-  __isset = other162.__isset;
+RememberedCommand::RememberedCommand(const RememberedCommand& other172) {
+  commandId = other172.commandId;
+  revision = other172.revision;
+  kind = other172.kind;
+  name = other172.name;
+  result = other172.result;
+  __isset = other172.__isset;
+}
+RememberedCommand::RememberedCommand(RememberedCommand&& other173) noexcept {
+  commandId = std::move(other173.commandId);
+  revision = other173.revision;
+  kind = other173.kind;
+  name = std::move(other173.name);
+  result = std::move(other173.result);
+  __isset = other173.__isset;
+}
+RememberedCommand& RememberedCommand::operator=(const RememberedCommand& other174) {
+  commandId = other174.commandId;
+  revision = other174.revision;
+  kind = other174.kind;
+  name = other174.name;
+  result = other174.result;
+  __isset = other174.__isset;
   return *this;
 }
-RememberedCommand& RememberedCommand::operator=(RememberedCommand&& other163) noexcept {
-  commandId = std::move(other163.commandId);
-  revision = other163.revision;
-  kind = other163.kind;
-  name = std::move(other163.name);
-  result = std::move(other163.result);
-  __isset = other163.__isset;
+RememberedCommand& RememberedCommand::operator=(RememberedCommand&& other175) noexcept {
+  commandId = std::move(other175.commandId);
+  revision = other175.revision;
+  kind = other175.kind;
+  name = std::move(other175.name);
+  result = std::move(other175.result);
+  __isset = other175.__isset;
   return *this;
 }
 void RememberedCommand::printTo(std::ostream& out) const {
@@ -5013,34 +5206,34 @@
   swap(a.__isset, b.__isset);
 }
 
-FleetSnapshotHeader::FleetSnapshotHeader(const FleetSnapshotHeader& other164) noexcept {
-  revision = other164.revision;
-  forgottenRevision = other164.forgottenRevision;
-  fleetObjects = other164.fleetObjects;
-  commands = other164.commands;
-  __isset = other164.__isset;
-}
-FleetSnapshotHeader::FleetSnapshotHeader(FleetSnapshotHeader&& other165) noexcept {
-  revision = other165.revision;
-  forgottenRevision = other165.forgottenRevision;
-  fleetObjects = other165.fleetObjects;
-  commands = other165.commands;
-  __isset = other165.__isset;
-}
-FleetSnapshotHeader& FleetSnapshotHeader::operator=(const FleetSnapshotHeader& other166) noexcept {
-  revision = other166.revision;
-  forgottenRevision = other166.forgottenRevision;
-  fleetObjects = other166.fleetObjects;
-  commands = other166.commands;
-  __isset = other166.__isset;
+FleetSnapshotHeader::FleetSnapshotHeader(const FleetSnapshotHeader& other176) noexcept {
+  revision = other176.revision;
+  forgottenRevision = other176.forgottenRevision;
+  fleetObjects = other176.fleetObjects;
+  commands = other176.commands;
+  __isset = other176.__isset;
+}
+FleetSnapshotHeader::FleetSnapshotHeader(FleetSnapshotHeader&& other177) noexcept {
+  revision = other177.revision;
+  forgottenRevision = other177.forgottenRevision;
+  fleetObjects = other177.fleetObjects;
+  commands = other177.commands;
+  __isset = other177.__isset;
+}
+FleetSnapshotHeader& FleetSnapshotHeader::operator=(const FleetSnapshotHeader& other178) noexcept {
+  revision = other178.revision;
+  forgottenRevision = other178.forgottenRevision;
+  fleetObjects = other178.fleetObjects;
+  commands = other178.commands;
+  __isset = other178.__isset;
   return *this;
 }
-FleetSnapshotHeader& FleetSnapshotHeader::operator=(FleetSnapshotHeader&& other167) noexcept {
-  revision = other167.revision;
-  forgottenRevision = other167.forgottenRevision;
-  fleetObjects = other167.fleetObjects;
-  commands = other167.commands;
-  __isset = other167.__isset;
+FleetSnapshotHeader& FleetSnapshotHeader::operator=(FleetSnapshotHeader&& other179) noexcept {
+  revision = other179.revision;
+  forgottenRevision = other179.forgottenRevision;
+  fleetObjects = other179.fleetObjects;
+  commands = other179.commands;
+  __isset = other179.__isset;
   return *this;
 }
 void FleetSnapshotHeader::printTo(std::ostream& out) const {
--- a/libs/wire/src/gen/Fleet_types.h
+++ b/libs/wire/src/gen/Fleet_types.h
@@ -39,6 +39,8 @@
 
 class ConfigurationDocument;
 
+class Entry;
+
 class FleetObject;
 
 class FleetChange;
@@ -835,8 +837,66 @@
 
 std::ostream& operator<<(std::ostream& out, const ConfigurationDocument& obj);
 
+typedef struct _Entry__isset {
+  _Entry__isset() : name(false), labels(false), changedAt(false) {}
+  bool name :1;
+  bool labels :1;
+  bool changedAt :1;
+} _Entry__isset;
+
+class Entry : public virtual ::apache::thrift::TBase {
+ public:
+
+  Entry(const Entry&);
+  Entry(Entry&&) noexcept;
+  Entry& operator=(const Entry&);
+  Entry& operator=(Entry&&) noexcept;
+  Entry() noexcept
+        : name(),
+          changedAt(0) {
+  }
+
+  virtual ~Entry() noexcept;
+  std::string name;
+  std::map<std::string, std::string>  labels;
+  int64_t changedAt;
+
+  _Entry__isset __isset;
+
+  void __set_name(const std::string& val);
+
+  void __set_labels(const std::map<std::string, std::string> & val);
+
+  void __set_changedAt(const int64_t val);
+
+  bool operator == (const Entry & rhs) const
+  {
+    if (!(name == rhs.name))
+      return false;
+    if (!(labels == rhs.labels))
+      return false;
+    if (!(changedAt == rhs.changedAt))
+      return false;
+    return true;
+  }
+  bool operator != (const Entry &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Entry & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Entry &a, Entry &b);
+
+std::ostream& operator<<(std::ostream& out, const Entry& obj);
+
 typedef struct _FleetObject__isset {
-  _FleetObject__isset() : serviceObject(false), organisation(false), key(false), route(false), databaseGroup(false), endpoint(false), objective(false), document(false) {}
+  _FleetObject__isset() : serviceObject(false), organisation(false), key(false), route(false), databaseGroup(false), endpoint(false), objective(false), document(false), entry(false) {}
   bool serviceObject :1;
   bool organisation :1;
   bool key :1;
@@ -845,6 +905,7 @@
   bool endpoint :1;
   bool objective :1;
   bool document :1;
+  bool entry :1;
 } _FleetObject__isset;
 
 class FleetObject : public virtual ::apache::thrift::TBase {
@@ -866,6 +927,7 @@
   Endpoint endpoint;
   Objective objective;
   ConfigurationDocument document;
+  Entry entry;
 
   _FleetObject__isset __isset;
 
@@ -885,6 +947,8 @@
 
   void __set_document(const ConfigurationDocument& val);
 
+  void __set_entry(const Entry& val);
+
   bool operator == (const FleetObject & rhs) const
   {
     if (__isset.serviceObject != rhs.__isset.serviceObject)
@@ -919,6 +983,10 @@
       return false;
     else if (__isset.document && !(document == rhs.document))
       return false;
+    if (__isset.entry != rhs.__isset.entry)
+      return false;
+    else if (__isset.entry && !(entry == rhs.entry))
+      return false;
     return true;
   }
   bool operator != (const FleetObject &rhs) const {
