Let callers wait for an expected lease, and serve first what can be in time

Those that waited for a token or a connection were served in order of arrival, so after a failure each one, old or new, missed its latency objective until the backlog was gone.

Ruled out: waiting alone.

RateAdmission and LinkPool serve those that can still meet their objective before those that can't, which wait on. A wait of the opening counts towards the objective of the first operation.

Tests: the backlog of 100 requests at a rate of one every 8 ms, as after a restart; openings, statements and the gate on virtual time.

What binds now is that buckets start empty after a restart, while everyone asks at once.

--- a/libs/entry/include/entry/EntryTables.h
+++ b/libs/entry/include/entry/EntryTables.h
@@ -6,6 +6,7 @@
 #include <entry/EntryIdentity.h>
 #include <entry/RateAdmission.h>
 
+#include <lease/LeaseGate.h>
 #include <lease/LeaseHolder.h>
 #include <observe/BurnReport.h>
 #include <observe/ExplainLog.h>
@@ -71,6 +72,7 @@
     const RandomSource random;
     AppliedState state;
     LeaseHolder lease;
+    LeaseGate leaseGate;
     ShareHolder shares;
     RateAdmission admission;
     EndpointTable endpoints;
--- a/libs/entry/include/entry/RateAdmission.h
+++ b/libs/entry/include/entry/RateAdmission.h
@@ -2,6 +2,7 @@
 #define AUBURNRAIL_ENTRY_RATEADMISSION_H
 
 #include <entry/RateAdmissionHooks.h>
+#include <request/AdmissionOrder.h>
 
 #include <core/RankedMutex.h>
 #include <core/Time.h>
@@ -15,9 +16,11 @@
 
 namespace auburnrail {
 
-/// Admits requests at their organisation's rate. A request without a token waits in its
-/// organisation's bounded queue, in order of arrival; one whose deadline can't be met, or that
-/// finds the queue full, is refused at once. Decisions only; safe from any thread.
+/// Admits requests at their organisation's rate. Load patterns: an organisation over its rate, and
+/// the backlog after a failure. A request without a token waits in its organisation's bounded
+/// queue: those that can meet their latency objective first, then the others, each in order of
+/// arrival. One whose deadline can't be met, or that finds the queue full, is refused at once.
+/// Decisions only; safe from any thread.
 class RateAdmission
 {
 public:
@@ -27,8 +30,7 @@
     explicit RateAdmission(RateAdmissionHooks admissionHooks);
 
     /// Calls `done` with nothing when the request is admitted, now or later, or with a refusal.
-    auto admit(const std::string &organisation, TimePoint deadline, TimePoint now,
-               AdmissionDone done) -> void;
+    auto admit(const AdmissionOrder &order, TimePoint now, AdmissionDone done) -> void;
 
     /// Serves the waiters that have a token now and refuses those whose deadline has passed.
     /// Returns when to call again, or nothing when none waits.
@@ -37,6 +39,7 @@
 private:
     struct Waiter
     {
+        TimePoint objectiveEnd;
         TimePoint deadline;
         AdmissionDone done;
     };
@@ -53,10 +56,16 @@
         -> RequestRefusal;
 
     /// Why a request that finds no token is refused at once; nothing when it may wait.
-    [[nodiscard]] auto refusalReason(const std::string &organisation, std::size_t waiting,
-                                     TimePoint deadline, TimePoint now)
+    [[nodiscard]] auto refusalReason(const AdmissionOrder &order, const Queue &queue, TimePoint now)
         -> std::optional<ReasonCode>;
 
+    /// The waiter that gets the next token. The queue is not empty.
+    [[nodiscard]] static auto nextOf(Queue &queue, TimePoint now) -> Queue::iterator;
+
+    ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
+    auto refuseExpired(const std::string &organisation, Queue &queue, TimePoint now,
+                       std::vector<Ended> &ended) -> void;
+
     ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
     auto advanceQueue(const std::string &organisation, Queue &queue, TimePoint now,
                       std::vector<Ended> &ended) -> std::optional<TimePoint>;
--- a/libs/entry/src/EntryNode.cpp
+++ b/libs/entry/src/EntryNode.cpp
@@ -92,11 +92,15 @@
         .serverCodec = codecs.server,
         .state = [this] { return this->tables.state.snapshot(); },
         .holdsLease = [this](TimePoint now) { return this->tables.lease.holds(now); },
-        .admit =
-            [this](const std::string &organisation, TimePoint deadline, OperationAdmitted done) {
-                this->tables.admission.admit(organisation, deadline, this->tables.executor.now(),
+        .awaitLease =
+            [this](TimePoint deadline, LeaseGate::Done done) {
+                this->tables.leaseGate.await(deadline, this->tables.executor.now(),
                                              std::move(done));
             },
+        .admit =
+            [this](const AdmissionOrder &order, OperationAdmitted done) {
+                this->tables.admission.admit(order, this->tables.executor.now(), std::move(done));
+            },
         .report = [this](const StatementReport &report) { this->statements.add(report); },
         .random = makeSecureRandom()};
     auto server = std::make_unique<ProxyServer>(
--- a/libs/entry/src/EntryTables.cpp
+++ b/libs/entry/src/EntryTables.cpp
@@ -49,6 +49,7 @@
     : identity(entryIdentity)
     , executor(std::move(entryExecutor))
     , random(std::move(entryRandom))
+    , leaseGate(this->executor.now())
     , shares(HolderId{identity.instance, identity.incarnation}, identity.zone, QuotaTiming())
     , admission(RateAdmissionHooks{
           .tryAcquire =
@@ -192,6 +193,7 @@
 auto EntryTables::expire(TimePoint now) -> void
 {
     std::ignore = this->admission.advance(now);
+    this->leaseGate.advance(now);
     this->pool.expire(now);
     this->replication.expire(now);
     this->transactions.expire(now);
--- a/libs/entry/src/HeartbeatLoop.cpp
+++ b/libs/entry/src/HeartbeatLoop.cpp
@@ -92,6 +92,7 @@
         answer->lease.status == LeaseStatus::Granted && this->apply(*answer)
         && this->tables.lease.completeHeartbeat(ticket, answer->lease, this->tables.executor.now());
     if (isGranted) {
+        this->tables.leaseGate.granted();
         std::ignore = this->tables.shares.adopt(
             answer->shares, ticket.sentAt + answer->lease.duration, this->tables.executor.now());
     }
--- a/libs/entry/src/RateAdmission.cpp
+++ b/libs/entry/src/RateAdmission.cpp
@@ -1,5 +1,7 @@
 #include <entry/RateAdmission.h>
 
+#include <request/ObjectiveTime.h>
+
 #include <core/RankedLock.h>
 
 #include <algorithm>
@@ -30,67 +32,89 @@
                           .retryAfter = this->hooks.timeToToken(organisation, now)};
 }
 
-auto RateAdmission::refusalReason(const std::string &organisation, std::size_t waiting,
-                                  TimePoint deadline, TimePoint now) -> std::optional<ReasonCode>
+auto RateAdmission::refusalReason(const AdmissionOrder &order, const Queue &queue, TimePoint now)
+    -> std::optional<ReasonCode>
 {
-    if (waiting >= MAX_WAITERS)
+    if (queue.size() >= MAX_WAITERS)
         return ReasonCode::QueueFull;
-    if (now >= deadline)
+    if (now >= order.deadline)
         return ReasonCode::RateLimited;
+    const auto isLate = missesObjective(order.objectiveEnd, now);
+    const auto ahead = std::count_if(queue.begin(), queue.end(), [&](const auto &waiter) {
+        return isLate || !missesObjective(waiter.objectiveEnd, now);
+    });
     // Without others ahead a new share may still bring a token in time.
-    const auto wait = this->hooks.timeToToken(organisation, now);
-    const auto isHopeless =
-        waiting > 0 && wait && now + *wait * static_cast<Duration::rep>(waiting + 1) > deadline;
+    const auto wait = this->hooks.timeToToken(order.organisation, now);
+    const auto isHopeless = ahead > 0 && wait && now + *wait * (ahead + 1) > order.deadline;
     return isHopeless ? std::optional(ReasonCode::RateLimited) : std::nullopt;
 }
 
-auto RateAdmission::admit(const std::string &organisation, TimePoint deadline, TimePoint now,
-                          AdmissionDone done) -> void
+auto RateAdmission::nextOf(Queue &queue, TimePoint now) -> Queue::iterator
+{
+    const auto inTime = std::find_if(queue.begin(), queue.end(), [now](const auto &waiter) {
+        return !missesObjective(waiter.objectiveEnd, now);
+    });
+    return inTime == queue.end() ? queue.begin() : inTime;
+}
+
+auto RateAdmission::admit(const AdmissionOrder &order, TimePoint now, AdmissionDone done) -> void
 {
     auto refused = std::optional<RequestRefusal>();
     {
         const RankedLock lock(this->mutex);
-        auto &queue = this->queues[organisation];
-        const auto hasToken = this->hooks.tryAcquire(organisation, now);
-        if (hasToken && !queue.empty()) {
-            // The token belongs to the request that has waited longest.
-            std::swap(done, queue.front().done);
-            std::swap(deadline, queue.front().deadline);
-            std::rotate(queue.begin(), std::next(queue.begin()), queue.end());
-        }
+        auto &queue = this->queues[order.organisation];
+        const auto hasToken = this->hooks.tryAcquire(order.organisation, now);
         if (!hasToken) {
-            const auto reason = this->refusalReason(organisation, queue.size(), deadline, now);
+            const auto reason = this->refusalReason(order, queue, now);
             if (!reason) {
-                queue.push_back(Waiter{deadline, std::move(done)});
-                this->hooks.setBacklog(organisation, queue.size(), now);
+                queue.push_back(Waiter{order.objectiveEnd, order.deadline, std::move(done)});
+                this->hooks.setBacklog(order.organisation, queue.size(), now);
                 return;
             }
-            refused = this->refusal(*reason, organisation, now);
+            refused = this->refusal(*reason, order.organisation, now);
+        } else if (!queue.empty()) {
+            queue.push_back(Waiter{order.objectiveEnd, order.deadline, std::move(done)});
+            const auto next = nextOf(queue, now);
+            done = std::move(next->done);
+            queue.erase(next);
         }
     }
     done(std::move(refused));
 }
 
+auto RateAdmission::refuseExpired(const std::string &organisation, Queue &queue, TimePoint now,
+                                  std::vector<Ended> &ended) -> void
+{
+    for (auto waiter = queue.begin(); waiter != queue.end();) {
+        if (waiter->deadline > now) {
+            ++waiter;
+            continue;
+        }
+        ended.push_back(Ended{std::move(waiter->done),
+                              this->refusal(ReasonCode::RateLimited, organisation, now)});
+        waiter = queue.erase(waiter);
+    }
+}
+
 auto RateAdmission::advanceQueue(const std::string &organisation, Queue &queue, TimePoint now,
                                  std::vector<Ended> &ended) -> std::optional<TimePoint>
 {
-    while (!queue.empty()) {
-        auto &first = queue.front();
-        if (first.deadline <= now) {
-            ended.push_back(Ended{std::move(first.done),
-                                  this->refusal(ReasonCode::RateLimited, organisation, now)});
-        } else if (this->hooks.tryAcquireQueued(organisation, now)) {
-            ended.push_back(Ended{std::move(first.done), std::nullopt});
-        } else {
-            const auto wait = this->hooks.timeToToken(organisation, now);
-            return std::min(first.deadline,
-                            now
-                                + std::min<Duration>(wait.value_or(SHARE_RECHECK_INTERVAL),
-                                                     SHARE_RECHECK_INTERVAL));
-        }
-        queue.pop_front();
+    this->refuseExpired(organisation, queue, now, ended);
+    while (!queue.empty() && this->hooks.tryAcquireQueued(organisation, now)) {
+        const auto next = nextOf(queue, now);
+        ended.push_back(Ended{std::move(next->done), std::nullopt});
+        queue.erase(next);
     }
-    return std::nullopt;
+    if (queue.empty())
+        return std::nullopt;
+    const auto wait = this->hooks.timeToToken(organisation, now);
+    const auto first =
+        std::min_element(queue.begin(), queue.end(), [](const auto &left, const auto &right) {
+            return left.deadline < right.deadline;
+        });
+    return std::min(
+        first->deadline,
+        now + std::min<Duration>(wait.value_or(SHARE_RECHECK_INTERVAL), SHARE_RECHECK_INTERVAL));
 }
 
 auto RateAdmission::advance(TimePoint now) -> std::optional<TimePoint>
--- a/libs/entry/src/RequestRunner.cpp
+++ b/libs/entry/src/RequestRunner.cpp
@@ -77,7 +77,9 @@
             done(std::nullopt);
             return;
         }
-        tables.admission.admit(organisation, deadline, tables.executor.now(),
+        const auto order = AdmissionOrder{
+            .organisation = organisation, .objectiveEnd = deadline, .deadline = deadline};
+        tables.admission.admit(order, tables.executor.now(),
                                onLoop<std::optional<RequestRefusal>>(loop, std::move(done)));
     };
     hooks.acquire = [&tables, loop](const std::string &endpoint, const std::string &organisation,
--- a/libs/entry/tests/RateAdmissionTest.cpp
+++ b/libs/entry/tests/RateAdmissionTest.cpp
@@ -44,6 +44,13 @@
     };
 }
 
+/// Without a latency objective that ends before the deadline.
+auto orderUntil(const std::string &organisation, TimePoint deadline) -> AdmissionOrder
+{
+    return AdmissionOrder{
+        .organisation = organisation, .objectiveEnd = deadline + 1h, .deadline = deadline};
+}
+
 } // namespace
 
 // Guards against requests that overtake others of their organisation, and against waits past a
@@ -54,13 +61,13 @@
     auto admission = RateAdmission(tokens.hooks());
     auto trace = std::string();
     const auto start = TimePoint(1s);
-    admission.admit("shed", start + 1s, start, record(trace, "a"));
-    admission.admit("shed", start + 1s, start, record(trace, "b"));
-    admission.admit("shed", start + 300ms, start, record(trace, "c"));
+    admission.admit(orderUntil("shed", start + 1s), start, record(trace, "a"));
+    admission.admit(orderUntil("shed", start + 1s), start, record(trace, "b"));
+    admission.admit(orderUntil("shed", start + 300ms), start, record(trace, "c"));
     CHECK(trace == "a");
     CHECK(tokens.backlog == 2);
     tokens.tokens = 1;
-    admission.admit("shed", start + 1s, start + 100ms, record(trace, "d"));
+    admission.admit(orderUntil("shed", start + 1s), start + 100ms, record(trace, "d"));
     CHECK(trace == "ab");
     std::ignore = admission.advance(start + 300ms);
     CHECK(trace == "abc!");
@@ -70,14 +77,41 @@
     CHECK(tokens.backlog == 0);
 }
 
+// Guards against a backlog after a failure that makes every later request miss its objective too:
+// 100 requests that waited for 600 ms, then one every 10 ms, at a rate of one every 8 ms.
+TEST_CASE("requests that can meet their objective go before a backlog that can't")
+{
+    auto tokens = FakeTokens();
+    auto admission = RateAdmission(tokens.hooks());
+    const auto start = TimePoint(10s);
+    auto lateServed = 0;
+    auto inTime = 0;
+    const auto add = [&](TimePoint since, TimePoint now, int &count) {
+        const auto order = AdmissionOrder{
+            .organisation = "shed", .objectiveEnd = since + 500ms, .deadline = now + 1h};
+        admission.admit(order, now, [&count](const auto &refusal) { count += refusal ? 0 : 1; });
+    };
+    for (auto index = 0; index < 100; ++index)
+        add(start - 600ms, start, lateServed);
+    for (auto ms = 8; ms <= 1000; ms += 8) {
+        const auto now = start + std::chrono::milliseconds(ms);
+        if (ms % 10 < 8)
+            add(now, now, inTime);
+        ++tokens.tokens;
+        std::ignore = admission.advance(now);
+    }
+    CHECK(inTime == 100);
+    CHECK(lateServed == 25);
+}
+
 TEST_CASE("a request whose turn comes after its deadline is refused at once")
 {
     auto tokens = FakeTokens();
     auto admission = RateAdmission(tokens.hooks());
     auto trace = std::string();
     const auto start = TimePoint(1s);
-    admission.admit("shed", start + 1s, start, record(trace, "a"));
-    admission.admit("shed", start + 150ms, start, record(trace, "b"));
+    admission.admit(orderUntil("shed", start + 1s), start, record(trace, "a"));
+    admission.admit(orderUntil("shed", start + 150ms), start, record(trace, "b"));
     CHECK(trace == "b!");
 }
 
@@ -89,9 +123,9 @@
     auto trace = std::string();
     const auto start = TimePoint(1s);
     for (auto index = std::size_t(0); index < RateAdmission::MAX_WAITERS; ++index)
-        admission.admit("shed", start + 1h, start, record(trace, ""));
-    admission.admit("shed", start + 1h, start, record(trace, "x"));
-    admission.admit("yard", start + 1h, start, record(trace, "y"));
+        admission.admit(orderUntil("shed", start + 1h), start, record(trace, ""));
+    admission.admit(orderUntil("shed", start + 1h), start, record(trace, "x"));
+    admission.admit(orderUntil("yard", start + 1h), start, record(trace, "y"));
     CHECK(trace == "x!");
 }
 
--- /dev/null
+++ b/libs/proxy/include/proxy/AwaitLease.h
@@ -0,0 +1,16 @@
+#ifndef AUBURNRAIL_PROXY_AWAITLEASE_H
+#define AUBURNRAIL_PROXY_AWAITLEASE_H
+
+#include <core/Time.h>
+
+#include <functional>
+
+namespace auburnrail {
+
+/// Waits for an entry's lease; calls `done` on any thread.
+using AwaitLease =
+    std::function<auto(TimePoint deadline, std::function<auto(bool held)->void> done)->void>;
+
+} // namespace auburnrail
+
+#endif
--- a/libs/proxy/include/proxy/LinkOrder.h
+++ b/libs/proxy/include/proxy/LinkOrder.h
@@ -14,6 +14,7 @@
     std::string endpoint;
     std::string organisation;   ///< Connections belong to one organisation for their whole life.
     std::uint32_t priority = 0; ///< 0 is served first.
+    TimePoint objectiveEnd;     ///< An answer after this misses the latency objective.
     TimePoint deadline;
 };
 
--- a/libs/proxy/include/proxy/ProxyServerHooks.h
+++ b/libs/proxy/include/proxy/ProxyServerHooks.h
@@ -1,10 +1,12 @@
 #ifndef AUBURNRAIL_PROXY_PROXYSERVERHOOKS_H
 #define AUBURNRAIL_PROXY_PROXYSERVERHOOKS_H
 
+#include <proxy/AwaitLease.h>
 #include <proxy/ClientCodec.h>
 #include <proxy/OperationAdmission.h>
 #include <proxy/ServerCodec.h>
 #include <proxy/StatementReport.h>
+#include <request/AdmissionOrder.h>
 
 #include <state/FleetObjects.h>
 
@@ -26,11 +28,10 @@
     /// The fleet state that this entry has applied.
     std::function<auto()->std::shared_ptr<const FleetObjects>> state;
     std::function<auto(TimePoint now)->bool> holdsLease;
+    AwaitLease awaitLease;
 
     /// Takes a token of the organisation's rate, now or later.
-    std::function<
-        auto(const std::string &organisation, TimePoint deadline, OperationAdmitted done)->void>
-        admit;
+    std::function<auto(const AdmissionOrder &order, OperationAdmitted done)->void> admit;
 
     std::function<auto(const StatementReport &report)->void> report;
     RandomSource random;
--- a/libs/proxy/include/proxy/ProxySession.h
+++ b/libs/proxy/include/proxy/ProxySession.h
@@ -32,6 +32,9 @@
     /// Statements of one caller that wait for their turn; a caller that sends more is cut off.
     static constexpr auto MAX_WAITING = std::size_t(64);
 
+    /// Wait of an opening for the entry's lease; common clients give up after 2 s.
+    static constexpr auto OPENING_WAIT_MS = std::chrono::milliseconds(1500);
+
     ProxySession(ProxySessionHooks sessionHooks, std::string clusterSecret);
 
     auto open(const SessionOpening &opening) -> void;
@@ -55,6 +58,8 @@
     [[nodiscard]] auto isBusy() const -> bool;
 
 private:
+    auto openBefore(const SessionOpening &opening, TimePoint deadline) -> void;
+    auto refuseOpening(const StatementFailure &failure) -> void;
     auto next() -> void;
     auto run(const ClientStatement &statement) -> void;
     auto runLocal(const ClientStatement &statement) -> void;
@@ -102,7 +107,11 @@
     std::string runningOrganisation;
     StatementKind runningKind = StatementKind::Malformed;
     TimePoint runningSince;
+    TimePoint operationSince;
+    /// Set when the opening had to wait, which the caller counts as part of its first operation.
+    std::optional<TimePoint> openingSince;
     TimerId idleTimer = 0;
+    bool opening = false; ///< The opening waits for the entry's lease.
     bool opened = false;
     bool running = false;
     bool draining = false;
--- a/libs/proxy/include/proxy/StatementHooks.h
+++ b/libs/proxy/include/proxy/StatementHooks.h
@@ -1,6 +1,7 @@
 #ifndef AUBURNRAIL_PROXY_STATEMENTHOOKS_H
 #define AUBURNRAIL_PROXY_STATEMENTHOOKS_H
 
+#include <proxy/AwaitLease.h>
 #include <proxy/Placement.h>
 #include <proxy/PlacementRequest.h>
 #include <proxy/ServerLink.h>
@@ -22,6 +23,11 @@
     Executor executor;
 
     std::function<auto(TimePoint now)->bool> holdsLease;
+
+    /// For an entry without a lease: calls `done` when it has one, or with false when the deadline
+    /// passes or none is likely to come.
+    AwaitLease awaitLease;
+
     std::function<auto(const PlacementRequest &request, TimePoint now)->std::optional<Placement>>
         place;
 
--- a/libs/proxy/include/proxy/StatementOrder.h
+++ b/libs/proxy/include/proxy/StatementOrder.h
@@ -32,12 +32,18 @@
     double weight = 1;
     std::optional<Position> sessionPosition; ///< Last commit of the session.
     TimePoint arrivedAt;
+    TimePoint operationSince; ///< The latency objective counts from here.
 
     [[nodiscard]] auto deadline() const -> TimePoint
     {
         return this->arrivedAt + this->policy.statementTimeout;
     }
 
+    [[nodiscard]] auto objectiveEnd() const -> TimePoint
+    {
+        return this->operationSince + this->policy.latencyObjective;
+    }
+
     /// The statement changes data when it runs alone.
     [[nodiscard]] auto writes() const -> bool
     {
--- a/libs/proxy/include/proxy/StatementRun.h
+++ b/libs/proxy/include/proxy/StatementRun.h
@@ -50,6 +50,7 @@
     using OnAnswer = std::function<auto(StatementRun &, StatementAnswer)->void>;
 
     auto attempt() -> void;
+    auto leaseAwaited(bool held) -> void;
     auto attemptAfterPause(const std::string &reason) -> void;
     auto leased(absl::StatusOr<ServerLinkPointer> result) -> void;
     auto prepareNext() -> void;
--- a/libs/proxy/include/proxy/detail/EndpointLinks.h
+++ b/libs/proxy/include/proxy/detail/EndpointLinks.h
@@ -34,6 +34,7 @@
         std::string organisation;
         std::uint32_t priority = 0;
         TimePoint since;
+        TimePoint objectiveEnd;
         TimePoint deadline;
         Done done;
     };
@@ -43,7 +44,7 @@
     std::vector<Idle> idle;                       ///< Idle for longest first.
     std::map<std::uint64_t, std::string> inUse;   ///< Organisation by connection.
     std::map<std::uint64_t, std::string> opening; ///< Organisation by connection.
-    std::list<Waiter> waiters;                    ///< By priority, then by arrival.
+    std::list<Waiter> waiters;                    ///< First to be served first.
     TimePoint fullUntil;                          ///< Until then no connection is opened.
 
     [[nodiscard]] auto used() const -> std::size_t
--- a/libs/proxy/src/LinkPool.cpp
+++ b/libs/proxy/src/LinkPool.cpp
@@ -1,8 +1,11 @@
 #include <proxy/LinkPool.h>
 
+#include <request/ObjectiveTime.h>
+
 #include <core/RankedLock.h>
 
 #include <algorithm>
+#include <tuple>
 
 namespace auburnrail {
 
@@ -62,14 +65,12 @@
                 done(absl::ResourceExhaustedError("too many statements wait for a connection"));
             });
         } else {
-            const auto later =
-                std::find_if(links.waiters.begin(), links.waiters.end(),
-                             [&](const auto &waiter) { return waiter.priority > order.priority; });
-            links.waiters.insert(later, {.organisation = order.organisation,
-                                         .priority = order.priority,
-                                         .since = now,
-                                         .deadline = order.deadline,
-                                         .done = std::move(done)});
+            links.waiters.push_back({.organisation = order.organisation,
+                                     .priority = order.priority,
+                                     .since = now,
+                                     .objectiveEnd = order.objectiveEnd,
+                                     .deadline = order.deadline,
+                                     .done = std::move(done)});
             this->serveWaiters(order.endpoint, links, now, effects);
         }
     }
@@ -217,6 +218,12 @@
 auto LinkPool::serveWaiters(const std::string &endpoint, detail::EndpointLinks &links,
                             TimePoint now, Effects &effects) -> void
 {
+    links.waiters.sort([now](const auto &left, const auto &right) {
+        const auto rank = [now](const auto &waiter) {
+            return std::tuple(waiter.priority, missesObjective(waiter.objectiveEnd, now));
+        };
+        return rank(left) < rank(right);
+    });
     auto awaited = std::map<std::string, std::ptrdiff_t>(); ///< Waiters passed, by organisation.
     for (auto waiter = links.waiters.begin(); waiter != links.waiters.end();) {
         // The connection used last is the one that the server is least likely to have closed.
--- a/libs/proxy/src/ProxyServer.cpp
+++ b/libs/proxy/src/ProxyServer.cpp
@@ -122,6 +122,7 @@
             StatementHooks{
                 .executor = connection->executor(),
                 .holdsLease = this->hooks.holdsLease,
+                .awaitLease = this->hooks.awaitLease,
                 .place = [this](const PlacementRequest &request,
                                 TimePoint now) { return this->placement.place(request, now); },
                 .lease = [this](const Placement &chosen, const StatementOrder &order,
--- a/libs/proxy/src/ProxySession.cpp
+++ b/libs/proxy/src/ProxySession.cpp
@@ -28,37 +28,64 @@
 
 auto ProxySession::open(const SessionOpening &opening) -> void
 {
-    if (this->opened) {
+    if (this->opened || this->opening) {
         this->refuseInput("the session is open already");
         return;
     }
+    this->openBefore(opening, this->hooks.statements.executor.now() + OPENING_WAIT_MS);
+}
+
+auto ProxySession::openBefore(const SessionOpening &opening, TimePoint deadline) -> void
+{
+    const auto &statements = this->hooks.statements;
+    const auto isCertain = statements.holdsLease(statements.executor.now());
     const auto objects = this->hooks.state();
     this->database = opening.database;
     this->keyId = findKeyId(*objects, opening.key, this->secret);
     const auto found = authoriseOperation(*objects, this->database, this->keyId);
     if (const auto *reason = std::get_if<ReasonCode>(&found); reason != nullptr) {
+        if (isCertain) {
+            this->refuseOpening(detail::refusalOf(*reason));
+            return;
+        }
         // Without a lease this entry may not have heard of the route or the key.
-        const auto isCertain =
-            this->hooks.statements.holdsLease(this->hooks.statements.executor.now());
-        const auto failure =
-            isCertain ? detail::refusalOf(*reason)
-                      : StatementFailure{StatementError::Busy, "this entry has no lease"};
-        this->report(StatementReport{.database = this->database, .failure = failure});
-        this->hooks.sendRefusal(failure);
-        this->end();
+        this->opening = true;
+        if (!this->openingSince)
+            this->openingSince = statements.executor.now();
+        statements.awaitLease(
+            deadline, [self = this->shared_from_this(), opening, deadline](bool held) {
+                self->hooks.statements.executor.post([self, opening, deadline, held] {
+                    if (self->ended)
+                        return;
+                    if (held)
+                        self->openBefore(opening, deadline);
+                    else
+                        self->refuseOpening({StatementError::Busy, "this entry has no lease"});
+                });
+            });
         return;
     }
+    this->opening = false;
     this->opened = true;
     this->hooks.sendOpened();
     if (this->draining)
         this->end();
+    else
+        this->next();
+}
+
+auto ProxySession::refuseOpening(const StatementFailure &failure) -> void
+{
+    this->report(StatementReport{.database = this->database, .failure = failure});
+    this->hooks.sendRefusal(failure);
+    this->end();
 }
 
 auto ProxySession::take(ClientStatement statement) -> void
 {
     if (this->ended)
         return;
-    if (!this->opened) {
+    if (!this->opened && !this->opening) {
         this->refuseInput("a statement came before the session was opened");
         return;
     }
@@ -72,7 +99,7 @@
 
 auto ProxySession::next() -> void
 {
-    while (!this->running && !this->ended && !this->waiting.empty()) {
+    while (this->opened && !this->running && !this->ended && !this->waiting.empty()) {
         const auto statement = std::move(this->waiting.front());
         this->waiting.pop_front();
         this->running = true;
--- a/libs/proxy/src/ProxySessionStatements.cpp
+++ b/libs/proxy/src/ProxySessionStatements.cpp
@@ -54,6 +54,7 @@
     const ClientStatement &statement,
     const std::function<auto(const OperationAuthorisation &)->void> &admitted) -> void
 {
+    this->operationSince = std::exchange(this->openingSince, {}).value_or(this->runningSince);
     const auto found = authoriseOperation(*this->hooks.state(), this->database, this->keyId);
     if (const auto *reason = std::get_if<ReasonCode>(&found); reason != nullptr) {
         auto failure = detail::refusalOf(*reason);
@@ -66,9 +67,11 @@
         admitted(authorisation);
         return;
     }
-    const auto deadline = this->runningSince + authorisation.policy.statementTimeout;
+    const auto &policy = authorisation.policy;
     this->hooks.admit(
-        authorisation.organisation, deadline,
+        AdmissionOrder{.organisation = authorisation.organisation,
+                       .objectiveEnd = this->operationSince + policy.latencyObjective,
+                       .deadline = this->runningSince + policy.statementTimeout},
         [self = this->shared_from_this(), authorisation, admitted,
          id = statement.id](const std::optional<RequestRefusal> &refusal) {
             self->hooks.statements.executor.post([self, authorisation, admitted, refusal] {
@@ -151,7 +154,8 @@
                           .prepared = this->findPrepared(statement),
                           .values = this->values,
                           .sessionPosition = this->lastCommit,
-                          .arrivedAt = this->runningSince};
+                          .arrivedAt = this->runningSince,
+                          .operationSince = this->operationSince};
 }
 
 auto ProxySession::runSingle(const ClientStatement &statement) -> void
--- a/libs/proxy/src/ServerLinks.cpp
+++ b/libs/proxy/src/ServerLinks.cpp
@@ -81,6 +81,7 @@
     const auto wish = LinkOrder{.endpoint = placement.endpoint,
                                 .organisation = order.organisation,
                                 .priority = order.policy.priority,
+                                .objectiveEnd = order.objectiveEnd(),
                                 .deadline = order.deadline()};
     this->linkPool.acquire(
         wish, this->hooks.executor.now(),
--- a/libs/proxy/src/StatementRun.cpp
+++ b/libs/proxy/src/StatementRun.cpp
@@ -12,8 +12,9 @@
     , order(std::move(statementOrder))
     , done(std::move(doneHook))
 {
-    assert(this->hooks.holdsLease && this->hooks.place && this->hooks.lease && this->hooks.release
-           && this->hooks.observe && "every hook must be set");
+    assert(this->hooks.holdsLease && this->hooks.awaitLease && this->hooks.place
+           && this->hooks.lease && this->hooks.release && this->hooks.observe
+           && "every hook must be set");
 }
 
 auto StatementRun::start() -> void
@@ -59,7 +60,10 @@
     }
     // Without a lease this entry may not know that the primary was replaced.
     if (!this->hooks.holdsLease(now)) {
-        this->fail(StatementError::Busy, "this entry is cut off from control", SessionState::Idle);
+        this->hooks.awaitLease(
+            this->order.deadline(), [self = this->shared_from_this()](bool held) {
+                self->hooks.executor.post([self, held] { self->leaseAwaited(held); });
+            });
         return;
     }
     const auto chosen = this->hooks.place(this->placementRequest(), now);
@@ -76,6 +80,15 @@
                       });
 }
 
+auto StatementRun::leaseAwaited(bool held) -> void
+{
+    this->lastProblem = "this entry is cut off from control";
+    if (held)
+        this->attempt();
+    else
+        this->fail(StatementError::Busy, this->lastProblem, SessionState::Idle);
+}
+
 auto StatementRun::attemptAfterPause(const std::string &reason) -> void
 {
     this->lastProblem = reason;
--- a/libs/proxy/tests/FakeServers.h
+++ b/libs/proxy/tests/FakeServers.h
@@ -25,6 +25,13 @@
         return StatementHooks{
             .executor = this->scheduler.executor(),
             .holdsLease = [this](TimePoint) { return this->leased; },
+            .awaitLease =
+                [this](TimePoint, std::function<auto(bool)->void> done) {
+                    if (this->leaseExpected)
+                        this->leaseWaiters.push_back(std::move(done));
+                    else
+                        done(false);
+                },
             .place = [this](const PlacementRequest &request,
                             TimePoint) -> std::optional<Placement> {
                 this->placements.push_back(request);
@@ -91,7 +98,16 @@
     }
 
     VirtualScheduler scheduler;
+    auto grantLease() -> void
+    {
+        this->leased = true;
+        for (const auto &done : std::exchange(this->leaseWaiters, {}))
+            done(true);
+    }
+
     bool leased = true;
+    bool leaseExpected = false; ///< Without a lease, callers wait for `grantLease`.
+    std::vector<std::function<auto(bool)->void>> leaseWaiters;
     int unplaceable = 0;
     absl::Status leaseStatus;
     std::vector<PlacementRequest> placements;
--- a/libs/proxy/tests/ProxySessionTest.cpp
+++ b/libs/proxy/tests/ProxySessionTest.cpp
@@ -49,7 +49,7 @@
             .statements = this->servers.hooks(),
             .state = [this] { return std::make_shared<const FleetObjects>(this->objects); },
             .admit =
-                [this](const std::string &, TimePoint, const OperationAdmitted &done) {
+                [this](const AdmissionOrder &, const OperationAdmitted &done) {
                     ++this->admissions;
                     done(this->refusal);
                 },
@@ -142,10 +142,28 @@
     fixture.servers.leased = false;
     fixture.objects = FleetObjects();
     fixture.open();
+    fixture.servers.scheduler.runFor(10ms);
     CHECK(fixture.refusals.at(0).error == StatementError::Busy);
     CHECK(fixture.closed);
 }
 
+// Guards against refusals in the second between the restart of an entry and its first lease.
+TEST_CASE("an opening that comes before the first lease waits for it")
+{
+    auto fixture = SessionFixture();
+    fixture.servers.leased = false;
+    fixture.servers.leaseExpected = true;
+    const auto known = std::exchange(fixture.objects, FleetObjects());
+    fixture.open();
+    CHECK_FALSE(fixture.opened);
+    CHECK(fixture.refusals.empty());
+    fixture.objects = known;
+    fixture.servers.grantLease();
+    fixture.servers.scheduler.runFor(10ms);
+    CHECK(fixture.opened);
+    CHECK_FALSE(errorOf(fixture.ask(StatementKind::Read)));
+}
+
 // Guards against withdrawn keys and removed routes that go on working on open sessions.
 TEST_CASE("each operation is checked against the state of its moment")
 {
--- a/libs/proxy/tests/StatementRunTest.cpp
+++ b/libs/proxy/tests/StatementRunTest.cpp
@@ -123,6 +123,16 @@
     CHECK(servers.sent.empty());
 }
 
+// Guards against refusals while control has no leader for a moment.
+TEST_CASE("a statement waits for a lease that is expected")
+{
+    auto servers = FakeServers();
+    servers.leased = false;
+    servers.leaseExpected = true;
+    servers.scheduler.executor().postAfter(100ms, [&servers] { servers.grantLease(); });
+    CHECK_FALSE(errorOf(runToEnd(servers, orderFor(StatementKind::Read, servers))));
+}
+
 TEST_CASE("a statement waits out a failover, but not beyond its timeout")
 {
     auto servers = FakeServers();
