Serve control's metrics, and log who leads and who belongs to the group

Cause: only entries had metrics, on a port that changes; control left no line when its members changed, and three places waited for a command in their own way, none of which counted its outcome.

Ruled out: metrics on the operators' port alone: what reads them must know one port for every process.

Change: a setting metrics_address for both roles and a MetricsServer that serves nothing else; ControlMetrics counts heartbeats by lease status, commands and configurations by status with their times, and shows leader, term, revision, leases and members. ControlTables::run is the one way to wait for a command. Control logs each change of leader, role, term or members.

Conclusion: a lost leader, a member that is replaced and slow commands can be told from logs and metrics of control.

--- a/libs/control/include/control/ControlNode.h
+++ b/libs/control/include/control/ControlNode.h
@@ -7,6 +7,7 @@
 #include <control/ControlOperators.h>
 #include <control/ControlTables.h>
 #include <control/HeartbeatService.h>
+#include <http/MetricsServer.h>
 
 #include <settings/ControlSettings.h>
 #include <wire/ConsensusTransport.h>
@@ -60,6 +61,10 @@
     [[nodiscard]] auto startTransport() -> absl::Status;
     auto scheduleTick() -> void;
 
+    /// Logs what has changed in who leads and who belongs to the control group.
+    auto noteMembership(TimePoint now) -> void;
+    [[nodiscard]] auto gauges() -> ControlGauges;
+
     const ControlSettings settings;
     const EndpointOrders orders;
     WorkerPool workers;
@@ -70,6 +75,11 @@
     ConfigurationService configurations;
     ControlServer entries;
     ControlOperators operators;
+    MetricsServer metricsServer;
+
+    // Of the tick, which runs one at a time.
+    TimePoint nextMembershipCheck;
+    std::string notedMembership;
 };
 
 } // namespace auburnrail
--- a/libs/control/include/control/ControlTables.h
+++ b/libs/control/include/control/ControlTables.h
@@ -3,6 +3,8 @@
 
 #include <consensus/Term.h>
 #include <control/CommandPipeline.h>
+#include <control/CommandWait.h>
+#include <control/ControlMetrics.h>
 #include <control/ControlTablesHooks.h>
 #include <control/ControlTablesSettings.h>
 #include <control/EndpointCommander.h>
@@ -62,11 +64,17 @@
     /// A command of the system itself, with an id of its own.
     [[nodiscard]] auto makeCommand(CommandBody body) -> Command;
 
+    /// Proposes a command and blocks until its outcome, for at most `timeLimit`. Errors:
+    /// `kDeadlineExceeded` when the outcome is not known by then, and those of CommandPipeline.
+    [[nodiscard]] auto run(const Command &command, CommandWait wait, Duration timeLimit)
+        -> absl::StatusOr<CommandResult>;
+
     /// Proposes a command of the system itself; it is repeated by whoever needs it.
     auto submitInternal(CommandBody body) -> void;
 
     const ControlTablesHooks hooks;
     const ControlTablesSettings settings;
+    ControlMetrics metrics;
     const Executor executor;
     const RandomSource random;
     FleetStore store;
--- a/libs/control/include/control/HeartbeatService.h
+++ b/libs/control/include/control/HeartbeatService.h
@@ -20,6 +20,7 @@
     [[nodiscard]] auto answer(const Heartbeat &heartbeat) -> HeartbeatAnswer;
 
 private:
+    [[nodiscard]] auto compose(const Heartbeat &heartbeat) -> HeartbeatAnswer;
     auto takeReports(const Heartbeat &heartbeat, TimePoint now) -> void;
     auto addChanges(Revision applied, HeartbeatAnswer &answer) -> void;
 
--- a/libs/control/src/ConfigurationService.cpp
+++ b/libs/control/src/ConfigurationService.cpp
@@ -3,9 +3,6 @@
 #include <daemon/Logging.h>
 #include <state/CheckConfiguration.h>
 
-#include <future>
-#include <memory>
-
 namespace auburnrail {
 
 ConfigurationService::ConfigurationService(ControlTables &controlTables)
@@ -18,11 +15,13 @@
     const auto version = configuration.document.version;
     const auto begin = this->tables.executor.now();
     auto status = this->replaceAndAwait(std::move(configuration));
+    const auto took = this->tables.executor.now() - begin;
+    this->tables.metrics.countConfiguration(status, took);
     logLine(LogLevel::Info, "configuration", "configuration received",
             {{"version", std::to_string(version)},
              {"outcome", status.ok() ? "in force" : std::string(status.message())},
              {"revision", std::to_string(this->tables.store.revision())},
-             {"ms", std::to_string(toMillis(this->tables.executor.now() - begin))}});
+             {"ms", std::to_string(toMillis(took))}});
     return status;
 }
 
@@ -30,14 +29,8 @@
 {
     if (auto status = checkConfiguration(configuration).toStatus(); !status.ok())
         return status;
-    const auto promise = std::make_shared<std::promise<absl::StatusOr<CommandResult>>>();
-    auto future = promise->get_future();
-    this->tables.pipeline.submitAndAccept(
-        this->tables.makeCommand(std::move(configuration)),
-        [promise](absl::StatusOr<CommandResult> result) { promise->set_value(std::move(result)); });
-    if (future.wait_for(TIME_LIMIT_MS) != std::future_status::ready)
-        return absl::DeadlineExceededError("the configuration was not in force in time");
-    const auto result = future.get();
+    const auto result = this->tables.run(this->tables.makeCommand(std::move(configuration)),
+                                         CommandWait::InForce, TIME_LIMIT_MS);
     if (!result.ok())
         return result.status();
     if (result->status == CommandStatus::Applied)
--- /dev/null
+++ b/libs/control/src/ControlMetrics.cpp
@@ -0,0 +1,72 @@
+#include <control/ControlMetrics.h>
+
+#include <chrono>
+
+namespace auburnrail {
+
+namespace {
+
+/// Outcomes are few; the rest is room for more of them.
+constexpr auto SERIES_LIMIT = std::size_t(200);
+
+} // namespace
+
+ControlMetrics::ControlMetrics()
+    : metrics(SERIES_LIMIT)
+{
+}
+
+auto ControlMetrics::count(std::string_view name, std::string_view help, std::string_view outcome)
+    -> void
+{
+    this->metrics.add(
+        this->metrics.series(MetricKind::Counter, name, help, {{"outcome", std::string(outcome)}}));
+}
+
+auto ControlMetrics::record(std::string_view name, std::string_view help, Duration took) -> void
+{
+    this->metrics.record(this->metrics.series(MetricKind::Distribution, name, help),
+                         std::chrono::duration<double>(took).count());
+}
+
+auto ControlMetrics::set(std::string_view name, std::string_view help, double value) -> void
+{
+    this->metrics.set(this->metrics.series(MetricKind::Gauge, name, help), value);
+}
+
+auto ControlMetrics::countHeartbeat(LeaseStatus status) -> void
+{
+    this->count("auburnrail_heartbeats_total", "Heartbeats of entries answered, by lease status.",
+                nameOf(status));
+}
+
+auto ControlMetrics::countCommand(const absl::Status &outcome, Duration took) -> void
+{
+    this->count("auburnrail_commands_total", "Commands that ended, by status.",
+                absl::StatusCodeToString(outcome.code()));
+    this->record("auburnrail_command_seconds", "Time from a command's proposal to its outcome.",
+                 took);
+}
+
+auto ControlMetrics::countConfiguration(const absl::Status &outcome, Duration took) -> void
+{
+    this->count("auburnrail_configurations_total", "Whole configurations answered, by status.",
+                absl::StatusCodeToString(outcome.code()));
+    this->record("auburnrail_configuration_seconds",
+                 "Time from the arrival of a configuration to its answer.", took);
+}
+
+auto ControlMetrics::toText(const ControlGauges &gauges) -> std::string
+{
+    this->set("auburnrail_leading", "1 while the member leads.", gauges.leading ? 1 : 0);
+    this->set("auburnrail_term", "Term of the control group.", static_cast<double>(gauges.term));
+    this->set("auburnrail_applied_revision", "Revision of the fleet state that was applied.",
+              static_cast<double>(gauges.revision));
+    this->set("auburnrail_leases", "Leases of entries that the leader counts.",
+              static_cast<double>(gauges.leases));
+    this->set("auburnrail_members", "Members of control that the member knows of.",
+              static_cast<double>(gauges.members));
+    return this->metrics.toText();
+}
+
+} // namespace auburnrail
--- a/libs/control/src/ControlNode.cpp
+++ b/libs/control/src/ControlNode.cpp
@@ -2,6 +2,9 @@
 
 #include <daemon/Logging.h>
 
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
+
 #include <cstdlib>
 
 namespace auburnrail {
@@ -11,6 +14,8 @@
 /// Calls to endpoints block a worker each.
 constexpr auto WORKER_COUNT = std::size_t(16);
 constexpr auto TICK_INTERVAL = std::chrono::milliseconds(20);
+/// An election takes longer, so that each leader is seen.
+constexpr auto MEMBERSHIP_CHECK_INTERVAL = std::chrono::milliseconds(200);
 /// Where primaries announce themselves, a group without one for this long has none.
 constexpr auto ADOPTION_WAIT = std::chrono::seconds(10);
 /// A promotion by the platform takes up to about a second.
@@ -59,9 +64,13 @@
     , configurations(tables)
     , entries(settings.entriesAddress,
               [this](const Heartbeat &heartbeat) { return this->heartbeats.answer(heartbeat); })
-    , operators(settings, tables, ControlOperatorsHooks{.nodeStatus = [this] {
-                    return this->runner.status();
-                }})
+    , operators(settings, tables,
+                ControlOperatorsHooks{.nodeStatus =
+                                          [this] {
+                                              return this->runner.status();
+                                          }})
+    , metricsServer(settings.metricsAddress,
+                    [this] { return this->tables.metrics.toText(this->gauges()); })
 {
 }
 
@@ -182,6 +191,8 @@
         return disk.status();
     if (auto status = this->operators.start(); !status.ok())
         return status;
+    if (auto status = this->metricsServer.start(); !status.ok())
+        return status;
     if (auto status = this->entries.start(); !status.ok())
         return status;
     if (auto status = this->startTransport(); !status.ok())
@@ -192,10 +203,46 @@
     return absl::OkStatus();
 }
 
+auto ControlNode::noteMembership(TimePoint now) -> void
+{
+    if (now < this->nextMembershipCheck)
+        return;
+    this->nextMembershipCheck = now + MEMBERSHIP_CHECK_INTERVAL;
+    const auto status = this->runner.status();
+    auto members = std::vector<std::string>();
+    for (const auto &member : status.members)
+        members.push_back(toString(member.id) + (member.voter ? "" : " (learner)"));
+    const auto names = absl::StrJoin(members, " ");
+    const auto summary = absl::StrCat(status.term, " ", status.leader, " ",
+                                      std::string(nameOf(status.role)), " ", names);
+    if (summary == this->notedMembership)
+        return;
+    this->notedMembership = summary;
+    logLine(LogLevel::Info, "consensus", "membership or leader changed",
+            {{"member", toString(status.self)},
+             {"role", std::string(nameOf(status.role))},
+             {"leader", status.leader},
+             {"term", absl::StrCat(status.term)},
+             {"members", names},
+             {"commit", absl::StrCat(status.commitIndex)}});
+}
+
+auto ControlNode::gauges() -> ControlGauges
+{
+    const auto status = this->runner.status();
+    const auto leading = this->tables.isLeading(this->tables.executor.now());
+    return ControlGauges{.leading = leading,
+                         .term = status.term,
+                         .revision = this->tables.store.revision(),
+                         .leases = leading ? this->tables.leases.size() : 0,
+                         .members = status.members.size()};
+}
+
 auto ControlNode::scheduleTick() -> void
 {
     this->tables.executor.postAfter(TICK_INTERVAL, [this] {
         this->tables.tick(this->tables.executor.now());
+        this->noteMembership(this->tables.executor.now());
         this->scheduleTick();
     });
 }
@@ -205,6 +252,7 @@
     this->tables.held.close();
     this->entries.stop();
     this->operators.stop();
+    this->metricsServer.stop();
     this->transport.stop();
     this->runner.stop();
     this->workers.stop();
--- a/libs/control/src/ControlOperators.cpp
+++ b/libs/control/src/ControlOperators.cpp
@@ -10,8 +10,6 @@
 #include <observe/BurnText.h>
 #include <operators/OperatorHandler.h>
 
-#include <future>
-
 namespace auburnrail {
 
 namespace {
@@ -81,17 +79,12 @@
         answer.message = "this member does not lead";
         return answer;
     }
-    const auto promise = std::make_shared<std::promise<absl::StatusOr<CommandResult>>>();
-    auto future = promise->get_future();
-    this->tables.pipeline.submitAndAccept(command, [promise](absl::StatusOr<CommandResult> result) {
-        promise->set_value(std::move(result));
-    });
-    if (future.wait_for(SUBMIT_TIME_LIMIT) != std::future_status::ready) {
+    const auto result = this->tables.run(command, CommandWait::InForce, SUBMIT_TIME_LIMIT);
+    if (absl::IsDeadlineExceeded(result.status())) {
         answer.status = SubmitStatus::Unknown;
         answer.message = "the command was not accepted in time; resend it with the same id";
         return answer;
     }
-    const auto result = future.get();
     if (result.ok()) {
         answer.status = SubmitStatus::Decided;
         answer.result = *result;
--- a/libs/control/src/ControlTables.cpp
+++ b/libs/control/src/ControlTables.cpp
@@ -94,10 +94,33 @@
     return command;
 }
 
+auto ControlTables::run(const Command &command, CommandWait wait, Duration timeLimit)
+    -> absl::StatusOr<CommandResult>
+{
+    const auto begin = this->executor.now();
+    const auto promise = std::make_shared<std::promise<absl::StatusOr<CommandResult>>>();
+    auto future = promise->get_future();
+    const auto done = [promise](absl::StatusOr<CommandResult> result) {
+        promise->set_value(std::move(result));
+    };
+    if (wait == CommandWait::InForce)
+        this->pipeline.submitAndAccept(command, done);
+    else
+        this->pipeline.submit(command, done);
+    auto result = future.wait_for(timeLimit) == std::future_status::ready
+                      ? future.get()
+                      : absl::DeadlineExceededError("the outcome was not known in time");
+    this->metrics.countCommand(result.status(), this->executor.now() - begin);
+    return result;
+}
+
 auto ControlTables::submitInternal(CommandBody body) -> void
 {
-    this->pipeline.submit(this->makeCommand(std::move(body)),
-                          [](const absl::StatusOr<CommandResult> &) {});
+    this->pipeline.submit(
+        this->makeCommand(std::move(body)),
+        [this, begin = this->executor.now()](const absl::StatusOr<CommandResult> &result) {
+            this->metrics.countCommand(result.status(), this->executor.now() - begin);
+        });
 }
 
 auto ControlTables::makeFailoverHooks() -> FailoverHooks
@@ -199,14 +222,9 @@
         return absl::OkStatus();
     }
     for (auto &body : commands) {
-        const auto promise = std::make_shared<std::promise<bool>>();
-        auto committed = promise->get_future();
-        this->pipeline.submit(this->makeCommand(std::move(body)),
-                              [promise](const absl::StatusOr<CommandResult> &result) {
-                                  promise->set_value(result.ok());
-                              });
-        if (committed.wait_for(DEPARTURE_TIME_LIMIT) != std::future_status::ready
-            || !committed.get())
+        const auto result = this->run(this->makeCommand(std::move(body)), CommandWait::Committed,
+                                      DEPARTURE_TIME_LIMIT);
+        if (!result.ok())
             return absl::UnavailableError("the departure was not committed");
     }
     return absl::OkStatus();
--- a/libs/control/src/HeartbeatService.cpp
+++ b/libs/control/src/HeartbeatService.cpp
@@ -26,6 +26,13 @@
 }
 
 auto HeartbeatService::answer(const Heartbeat &heartbeat) -> HeartbeatAnswer
+{
+    auto answer = this->compose(heartbeat);
+    this->tables.metrics.countHeartbeat(answer.lease.status);
+    return answer;
+}
+
+auto HeartbeatService::compose(const Heartbeat &heartbeat) -> HeartbeatAnswer
 {
     auto answer = HeartbeatAnswer();
     answer.leader = this->tables.hooks.leader();
--- a/libs/entry/include/entry/EntryNode.h
+++ b/libs/entry/include/entry/EntryNode.h
@@ -8,6 +8,7 @@
 #include <entry/ProbeLoop.h>
 #include <entry/SessionCodecs.h>
 #include <entry/StatementLog.h>
+#include <http/MetricsServer.h>
 
 #include <proxy/ProxyServer.h>
 
@@ -54,6 +55,7 @@
     std::unique_ptr<EntryServer> callers;  ///< Null without an address for requests.
     HeartbeatLoop heartbeats;
     EntryOperators operators;
+    MetricsServer metricsServer;
 };
 
 } // namespace auburnrail
--- a/libs/entry/src/EntryNode.cpp
+++ b/libs/entry/src/EntryNode.cpp
@@ -80,6 +80,7 @@
                                               : std::make_unique<EntryServer>(settings, tables))
     , heartbeats(tables, settings.controlMembers, makeHeartbeatHooks(settings))
     , operators(settings, tables)
+    , metricsServer(settings.metricsAddress, [this] { return this->tables.metricsText(); })
 {
 }
 
@@ -124,6 +125,8 @@
 {
     if (auto status = this->operators.start(); !status.ok())
         return status;
+    if (auto status = this->metricsServer.start(); !status.ok())
+        return status;
     if (this->callers != nullptr) {
         if (auto status = this->callers->start(); !status.ok())
             return status;
@@ -164,6 +167,7 @@
         this->sessions->stop();
     this->workers.stop();
     this->operators.stop();
+    this->metricsServer.stop();
 }
 
 auto EntryNode::drainSessions(TimePoint shutDownAt) -> void
--- a/libs/settings/include/settings/ControlSettings.h
+++ b/libs/settings/include/settings/ControlSettings.h
@@ -23,6 +23,7 @@
     std::vector<MemberAddress> members; ///< Where this member reaches every member; own included.
     std::string entriesAddress;         ///< IP:port for the heartbeats of entries.
     std::string operatorsAddress;       ///< IP:port for operators, metrics and health.
+    std::string metricsAddress;         ///< IP:port for metrics alone; empty: none.
     std::vector<MemberAddress> memberOperators; ///< Operators' address of every member.
     std::string dataDirectory;
     std::string clusterSecretFile; ///< File with the secret shared by the cluster's instances.
--- a/libs/settings/include/settings/EntrySettings.h
+++ b/libs/settings/include/settings/EntrySettings.h
@@ -21,6 +21,7 @@
     std::string zone;                ///< Availability zone this instance stands in.
     std::string callersAddress;      ///< IP:port for callers and endpoint announcements.
     std::string operatorsAddress;    ///< IP:port for operators, metrics and health.
+    std::string metricsAddress;      ///< IP:port for metrics alone; empty: none.
     std::string sessionsAddress;     ///< IP:port for callers' sessions; may be empty.
     std::int64_t sessionThreads = 0; ///< Threads that handle sessions.
     std::int64_t maxSessions = 0;    ///< Sessions open at one time.
