Build the list of registered entries before taking the lock

Ruled out: an annotation on the callback; the list needs no lock at all. Change: the map is filled first and moved in under the lock.

--- a/libs/control/src/EntryRegistrar.cpp
+++ b/libs/control/src/EntryRegistrar.cpp
@@ -2,15 +2,18 @@
 
 #include <core/RankedLock.h>
 
+#include <utility>
+
 namespace auburnrail {
 
 auto EntryRegistrar::beginLeadership(const FleetObjects &state, TimePoint now) -> void
 {
+    auto registered = std::map<std::string, TimePoint>();
+    state.table<Entry>().forEach([&](const Entry &entry) { registered[entry.name] = now; });
     const RankedLock lock(this->mutex);
-    this->heardAt.clear();
+    this->heardAt = std::move(registered);
     this->orderedAt.clear();
     this->leaving.clear();
-    state.table<Entry>().forEach([&](const Entry &entry) { this->heardAt[entry.name] = now; });
 }
 
 auto EntryRegistrar::admits(const std::string &instance, const FleetObjects &state, TimePoint now,
