Trial: give out what idle time would have filled with the first shares

Ruled out: full buckets at the start, which could exceed the burst when a former process has just spent it.

Change: holders report for how long they have had no share; when every earlier holder was heard, the leader gives out, with the first shares and once, what the organisation's bucket would have filled in the shortest idle time, less what buckets have filled since.

--- a/libs/quota/include/quota/detail/HeldShare.h
+++ b/libs/quota/include/quota/detail/HeldShare.h
@@ -19,7 +19,8 @@
     double arrivedPerSecond = 0;  ///< Moving average.
     double reportedPerSecond = 0; ///< Last value given to the ledger.
     TimePoint lastArrival;
-    bool reported = false; ///< The last report named the organisation.
+    std::int64_t creditedTokens = 0; ///< Millitokens by answers to the last report.
+    bool reported = false;           ///< The last report named the organisation.
 };
 
 } // namespace auburnrail::detail
