--- a/idl/Control.thrift
+++ b/idl/Control.thrift
@@ -12,7 +12,6 @@
   1: string organisation
   2: i64 rate
   3: i64 burst
-  4: i64 tokens
 }
 
 struct AnnouncementMessage {
@@ -62,7 +61,6 @@
   11: string operatorsAddress
   12: list<BurnContributionMessage> burn
   13: i64 shareLeadership
-  14: i64 shareIdleMillis
 }
 
 struct HeartbeatAnswerMessage {
--- a/libs/core/include/core/TokenBucket.h
+++ b/libs/core/include/core/TokenBucket.h
@@ -23,9 +23,6 @@
     /// smaller one drops what exceeds it.
     auto setLimits(double newRate, double newBurst, TimePoint now) -> void;
 
-    /// Adds tokens up to the capacity.
-    auto add(double count, TimePoint now) -> void;
-
     /// Drops all tokens.
     auto clear(TimePoint now) -> void;
 
--- a/libs/core/src/TokenBucket.cpp
+++ b/libs/core/src/TokenBucket.cpp
@@ -34,12 +34,6 @@
     this->tokens = std::min(this->tokens, newBurst);
 }
 
-auto TokenBucket::add(double count, TimePoint now) -> void
-{
-    this->refill(now);
-    this->tokens = std::min(this->burst, this->tokens + count);
-}
-
 auto TokenBucket::clear(TimePoint now) -> void
 {
     this->refill(now);
--- a/libs/quota/include/quota/Share.h
+++ b/libs/quota/include/quota/Share.h
@@ -13,9 +13,6 @@
     std::int64_t rate = 0;  ///< Millitokens per second; one request takes 1000 millitokens.
     std::int64_t burst = 0; ///< Capacity in millitokens.
 
-    /// In an answer: millitokens that go into the bucket with it, once a report. 0 in reports.
-    std::int64_t tokens = 0;
-
     auto operator==(const Share &) const -> bool = default;
 };
 
--- a/libs/quota/include/quota/ShareHolder.h
+++ b/libs/quota/include/quota/ShareHolder.h
@@ -70,8 +70,6 @@
     std::uint64_t leadership ABSL_GUARDED_BY(mutex) = 0; ///< Newest one that answered.
     std::optional<TimePoint> leaseEnd ABSL_GUARDED_BY(mutex);
     std::optional<TimePoint> reportedAt ABSL_GUARDED_BY(mutex);
-    /// Since when there is no share; nothing before the first report and while there is one.
-    std::optional<TimePoint> idleSince ABSL_GUARDED_BY(mutex);
     bool wanted ABSL_GUARDED_BY(mutex) = false;
 };
 
--- a/libs/quota/include/quota/ShareLedger.h
+++ b/libs/quota/include/quota/ShareLedger.h
@@ -75,15 +75,9 @@
     ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
     auto removeClaim(const HolderId &holder, const std::string &organisation) -> void;
     ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
-    auto answer(const HolderId &holder, const detail::HolderRecord &record, TimePoint now)
-        -> ShareGrant;
+    auto answer(const HolderId &holder, const detail::HolderRecord &record) -> ShareGrant;
     ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex) auto expireLocked(TimePoint now) -> void;
-    /// What has passed on any clock when this one measured `measured`.
-    [[nodiscard]] auto surely(Duration measured) const -> Duration;
     ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex) auto startLendingWhenSafe(TimePoint now) -> void;
-    ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
-    auto creditTokens(detail::OrganisationShares &shares, detail::ShareClaim &claim, TimePoint now)
-        -> void;
     ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex) auto allocateChanged(TimePoint now) -> void;
     ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
     auto findReady(const detail::OrganisationShares &shares) -> void;
@@ -101,9 +95,6 @@
     ShareLeadership current ABSL_GUARDED_BY(mutex); ///< With the holders not heard under it yet.
     std::optional<TimePoint> lendingFrom ABSL_GUARDED_BY(mutex); ///< At the latest.
     bool lending ABSL_GUARDED_BY(mutex) = false;
-    std::optional<TimePoint> idleSince ABSL_GUARDED_BY(mutex); ///< Of the last holder to be idle.
-    Duration idleTime ABSL_GUARDED_BY(mutex){}; ///< No holder admitted anything, before lending.
-    TimePoint lendingSince ABSL_GUARDED_BY(mutex);
 };
 
 } // namespace auburnrail
--- a/libs/quota/include/quota/ShareReport.h
+++ b/libs/quota/include/quota/ShareReport.h
@@ -5,8 +5,6 @@
 #include <quota/HolderId.h>
 #include <quota/Share.h>
 
-#include <core/Time.h>
-
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -25,8 +23,7 @@
     std::uint64_t sequence = 0; ///< Grows with each report of the holder; starts at 1.
     std::vector<Demand> demands;
     std::vector<Share> heldShares; ///< Every share in use when the report was made.
-    Duration idle{}; ///< For this long the holder has had no share, and admitted nothing.
-    std::uint64_t leadership = 0; ///< Newest one that answered the holder; 0 before any did.
+    std::uint64_t leadership = 0;  ///< Newest one that answered the holder; 0 before any did.
 };
 
 } // namespace auburnrail
--- a/libs/quota/include/quota/detail/HeldShare.h
+++ b/libs/quota/include/quota/detail/HeldShare.h
@@ -19,8 +19,7 @@
     double arrivedPerSecond = 0;  ///< Moving average.
     double reportedPerSecond = 0; ///< Last value given to the ledger.
     TimePoint lastArrival;
-    std::int64_t creditedTokens = 0; ///< Millitokens by answers to the last report.
-    bool reported = false;           ///< The last report named the organisation.
+    bool reported = false; ///< The last report named the organisation.
 };
 
 } // namespace auburnrail::detail
--- a/libs/quota/include/quota/detail/OrganisationShares.h
+++ b/libs/quota/include/quota/detail/OrganisationShares.h
@@ -18,10 +18,8 @@
 {
     ShareLimits limits;
     std::map<HolderId, ShareClaim> claims;
-    std::int64_t countedRate = 0;    ///< Sum over the claims.
-    std::int64_t countedBurst = 0;   ///< Sum over the claims.
-    bool knownBeforeLending = false; ///< Has part in the idle credit.
-    std::int64_t tokensGiven = 0;    ///< Of the leadership's idle credit.
+    std::int64_t countedRate = 0;  ///< Sum over the claims.
+    std::int64_t countedBurst = 0; ///< Sum over the claims.
     std::optional<TimePoint> allocatedAt;
 };
 
--- a/libs/quota/include/quota/detail/ShareClaim.h
+++ b/libs/quota/include/quota/detail/ShareClaim.h
@@ -20,7 +20,6 @@
     std::int64_t usedBurst = 0;
     std::int64_t grantedRate = 0; ///< Greatest in the answers to the last report.
     std::int64_t grantedBurst = 0;
-    std::int64_t grantedTokens = 0; ///< In the answers to the last report; repeated, not added.
     std::int64_t targetRate = 0;
     std::int64_t targetBurst = 0;
     double wantedRate = 0;
--- a/libs/quota/src/ShareHolder.cpp
+++ b/libs/quota/src/ShareHolder.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <utility>
 
 namespace auburnrail {
 
@@ -130,15 +129,10 @@
         share.reported = active;
         share.arrivals = 0;
         share.refused = 0;
-        share.creditedTokens = 0;
         const auto gone = !active && share.rate == 0 && share.burst == 0;
         entry = gone ? this->organisations.erase(entry) : std::next(entry);
     }
     report.heldShares = this->listShares();
-    if (report.heldShares.empty()) {
-        this->idleSince = this->idleSince.value_or(now);
-        report.idle = now - *this->idleSince;
-    }
     return report;
 }
 
@@ -157,13 +151,7 @@
         held.bucket.setLimits(static_cast<double>(share.rate) * TOKENS_PER_MILLITOKEN
                                   / (1.0 + this->timing.clockRateMargin),
                               static_cast<double>(share.burst) * TOKENS_PER_MILLITOKEN, now);
-        // An answer that comes twice adds nothing.
-        const auto credit = std::max<std::int64_t>(share.tokens - held.creditedTokens, 0);
-        held.creditedTokens += credit;
-        held.bucket.add(static_cast<double>(credit) * TOKENS_PER_MILLITOKEN, now);
     }
-    if (!this->listShares().empty())
-        this->idleSince = std::nullopt;
     return true;
 }
 
@@ -190,9 +178,7 @@
 {
     if (!this->leaseEnd || now < *this->leaseEnd)
         return;
-    const auto end = *std::exchange(this->leaseEnd, std::nullopt);
-    if (!this->listShares().empty())
-        this->idleSince = end;
+    this->leaseEnd = std::nullopt;
     for (auto &[organisation, share] : this->organisations) {
         share.rate = 0;
         share.burst = 0;
--- a/libs/quota/src/ShareLedger.cpp
+++ b/libs/quota/src/ShareLedger.cpp
@@ -48,8 +48,6 @@
     for (auto &[organisation, shares] : this->organisations)
         shares = detail::OrganisationShares{.limits = shares.limits};
     this->lending = false;
-    this->idleSince = std::nullopt;
-    this->idleTime = Duration();
     this->lendingFrom = now + this->timing.leaseWait();
 }
 
@@ -112,14 +110,11 @@
             this->takeReport(report, record, trusted);
         }
         // A report that was made under this leadership is later than all that an earlier one lent.
-        if (report.leadership == this->current.number
-            && this->current.earlierHolders.erase(report.holder.instance) > 0) {
-            const auto since = now - this->surely(report.idle);
-            this->idleSince = std::max(since, this->idleSince.value_or(since));
-        }
+        if (report.leadership == this->current.number)
+            this->current.earlierHolders.erase(report.holder.instance);
         this->startLendingWhenSafe(now);
         this->allocateChanged(now);
-        grant = this->answer(report.holder, record, now);
+        grant = this->answer(report.holder, record);
         this->ready.erase(report.holder);
         holdersReady.swap(this->ready);
     }
@@ -137,7 +132,7 @@
         this->allocateChanged(now);
         const auto found = this->holders.find(holder);
         if (found != this->holders.end())
-            grant = this->answer(holder, found->second, now);
+            grant = this->answer(holder, found->second);
         this->ready.erase(holder);
         holdersReady.swap(this->ready);
     }
@@ -268,43 +263,7 @@
     this->changed.insert(organisation);
 }
 
-auto ShareLedger::surely(Duration measured) const -> Duration
-{
-    return Duration(static_cast<Duration::rep>(static_cast<double>(measured.count())
-                                               / (1.0 + this->timing.clockRateMargin)));
-}
-
-/// While no holder admitted anything, the organisation's bucket would have filled. What it would
-/// hold is given out with the first shares, in proportion to their bursts. It is used up by
-/// whichever is greater, what was given or what the holders' buckets have filled by since, so that
-/// no more than one burst is ever there.
-auto ShareLedger::creditTokens(detail::OrganisationShares &shares, detail::ShareClaim &claim,
-                               TimePoint now) -> void
-{
-    const auto limits = shares.limits;
-    if (!shares.knownBeforeLending || this->idleTime <= Duration::zero() || limits.burst <= 0)
-        return;
-    const auto seconds = [](Duration length) {
-        return std::chrono::duration<double>(length).count();
-    };
-    const auto rate = static_cast<double>(limits.rate);
-    const auto burst = static_cast<double>(limits.burst);
-    const auto filledSince =
-        rate * seconds(now - this->lendingSince) * (1.0 + this->timing.clockRateMargin);
-    const auto credit = std::min(rate * seconds(this->idleTime), burst - filledSince);
-    if (credit <= 0)
-        return;
-    const auto growth = std::max<std::int64_t>(claim.grantedBurst - claim.reportedBurst, 0);
-    const auto due = static_cast<std::int64_t>(static_cast<double>(growth) * credit / burst);
-    const auto left = static_cast<std::int64_t>(credit) - shares.tokensGiven;
-    const auto given =
-        std::clamp<std::int64_t>(due - claim.grantedTokens, 0, std::max<std::int64_t>(left, 0));
-    claim.grantedTokens += given;
-    shares.tokensGiven += given;
-}
-
-auto ShareLedger::answer(const HolderId &holder, const detail::HolderRecord &record, TimePoint now)
-    -> ShareGrant
+auto ShareLedger::answer(const HolderId &holder, const detail::HolderRecord &record) -> ShareGrant
 {
     auto grant = ShareGrant{.sequence = record.sequence, .leadership = this->current.number};
     for (const auto &organisation : record.organisations) {
@@ -323,8 +282,7 @@
         shares.countedBurst += claim.countedBurst() - countedBurst;
         if (rate == claim.reportedRate && burst == claim.reportedBurst)
             continue;
-        this->creditTokens(shares, claim, now);
-        grant.shares.push_back({organisation, rate, burst, claim.grantedTokens});
+        grant.shares.push_back({organisation, rate, burst});
         grant.urgent = grant.urgent || detail::isUrgent(claim.reportedRate, rate)
                        || detail::isUrgent(claim.reportedBurst, burst);
     }
@@ -350,15 +308,8 @@
     if (now < *this->lendingFrom && !this->current.earlierHolders.empty())
         return;
     this->lending = true;
-    this->lendingSince = now;
-    // After the lease wait, holders that were not heard may have admitted until just now.
-    const auto allHeard = this->current.earlierHolders.empty();
-    if (allHeard && this->idleSince)
-        this->idleTime = this->surely(now - *this->idleSince);
-    for (auto &[organisation, shares] : this->organisations) {
-        shares.knownBeforeLending = true;
+    for (const auto &[organisation, shares] : this->organisations)
         this->changed.insert(organisation);
-    }
 }
 
 auto ShareLedger::allocateChanged(TimePoint now) -> void
--- a/libs/wire/src/HeartbeatCodec.cpp
+++ b/libs/wire/src/HeartbeatCodec.cpp
@@ -19,7 +19,6 @@
         message.organisation = share.organisation;
         message.rate = share.rate;
         message.burst = share.burst;
-        message.tokens = share.tokens;
     }
     return messages;
 }
@@ -28,7 +27,7 @@
 {
     auto shares = std::vector<Share>();
     for (const auto &message : messages)
-        shares.push_back(Share{message.organisation, message.rate, message.burst, message.tokens});
+        shares.push_back(Share{message.organisation, message.rate, message.burst});
     return shares;
 }
 
@@ -138,7 +137,6 @@
     message.appliedRevision = static_cast<std::int64_t>(heartbeat.appliedRevision);
     message.shareSequence = static_cast<std::int64_t>(heartbeat.shares.sequence);
     message.shareLeadership = static_cast<std::int64_t>(heartbeat.shares.leadership);
-    message.shareIdleMillis = toMillis(heartbeat.shares.idle);
     message.demands = toDemandMessages(heartbeat.shares.demands);
     message.heldShares = toShareMessages(heartbeat.shares.heldShares);
     for (const auto &announcement : heartbeat.endpoints)
@@ -163,8 +161,6 @@
     heartbeat.shares.zone = heartbeat.zone;
     heartbeat.shares.sequence = static_cast<std::uint64_t>(message.shareSequence);
     heartbeat.shares.leadership = static_cast<std::uint64_t>(message.shareLeadership);
-    heartbeat.shares.idle =
-        std::chrono::milliseconds(std::max<std::int64_t>(message.shareIdleMillis, 0));
     heartbeat.shares.demands = fromDemandMessages(message.demands);
     heartbeat.shares.heldShares = fromShareMessages(message.heldShares);
     for (const auto &announcement : message.endpoints)
--- a/libs/wire/src/gen/Control_types.cpp
+++ b/libs/wire/src/gen/Control_types.cpp
@@ -196,10 +196,6 @@
 void ShareMessage::__set_burst(const int64_t val) {
   this->burst = val;
 }
-
-void ShareMessage::__set_tokens(const int64_t val) {
-  this->tokens = val;
-}
 std::ostream& operator<<(std::ostream& out, const ShareMessage& obj)
 {
   obj.printTo(out);
@@ -252,14 +248,6 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 4:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->tokens);
-          this->__isset.tokens = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -289,10 +277,6 @@
   xfer += oprot->writeI64(this->burst);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("tokens", ::apache::thrift::protocol::T_I64, 4);
-  xfer += oprot->writeI64(this->tokens);
-  xfer += oprot->writeFieldEnd();
-
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -303,7 +287,6 @@
   swap(a.organisation, b.organisation);
   swap(a.rate, b.rate);
   swap(a.burst, b.burst);
-  swap(a.tokens, b.tokens);
   swap(a.__isset, b.__isset);
 }
 
@@ -311,21 +294,18 @@
   organisation = other4.organisation;
   rate = other4.rate;
   burst = other4.burst;
-  tokens = other4.tokens;
   __isset = other4.__isset;
 }
 ShareMessage::ShareMessage(ShareMessage&& other5) noexcept {
   organisation = std::move(other5.organisation);
   rate = other5.rate;
   burst = other5.burst;
-  tokens = other5.tokens;
   __isset = other5.__isset;
 }
 ShareMessage& ShareMessage::operator=(const ShareMessage& other6) {
   organisation = other6.organisation;
   rate = other6.rate;
   burst = other6.burst;
-  tokens = other6.tokens;
   __isset = other6.__isset;
   return *this;
 }
@@ -333,7 +313,6 @@
   organisation = std::move(other7.organisation);
   rate = other7.rate;
   burst = other7.burst;
-  tokens = other7.tokens;
   __isset = other7.__isset;
   return *this;
 }
@@ -343,7 +322,6 @@
   out << "organisation=" << to_string(organisation);
   out << ", " << "rate=" << to_string(rate);
   out << ", " << "burst=" << to_string(burst);
-  out << ", " << "tokens=" << to_string(tokens);
   out << ")";
 }
 
@@ -1227,10 +1205,6 @@
 void HeartbeatMessage::__set_shareLeadership(const int64_t val) {
   this->shareLeadership = val;
 }
-
-void HeartbeatMessage::__set_shareIdleMillis(const int64_t val) {
-  this->shareIdleMillis = val;
-}
 std::ostream& operator<<(std::ostream& out, const HeartbeatMessage& obj)
 {
   obj.printTo(out);
@@ -1423,14 +1397,6 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 14:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->shareIdleMillis);
-          this->__isset.shareIdleMillis = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1540,10 +1506,6 @@
   xfer += oprot->writeI64(this->shareLeadership);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("shareIdleMillis", ::apache::thrift::protocol::T_I64, 14);
-  xfer += oprot->writeI64(this->shareIdleMillis);
-  xfer += oprot->writeFieldEnd();
-
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1564,7 +1526,6 @@
   swap(a.operatorsAddress, b.operatorsAddress);
   swap(a.burn, b.burn);
   swap(a.shareLeadership, b.shareLeadership);
-  swap(a.shareIdleMillis, b.shareIdleMillis);
   swap(a.__isset, b.__isset);
 }
 
@@ -1582,7 +1543,6 @@
   operatorsAddress = other68.operatorsAddress;
   burn = other68.burn;
   shareLeadership = other68.shareLeadership;
-  shareIdleMillis = other68.shareIdleMillis;
   __isset = other68.__isset;
 }
 HeartbeatMessage::HeartbeatMessage(HeartbeatMessage&& other69) noexcept {
@@ -1599,7 +1559,6 @@
   operatorsAddress = std::move(other69.operatorsAddress);
   burn = std::move(other69.burn);
   shareLeadership = other69.shareLeadership;
-  shareIdleMillis = other69.shareIdleMillis;
   __isset = other69.__isset;
 }
 HeartbeatMessage& HeartbeatMessage::operator=(const HeartbeatMessage& other70) {
@@ -1616,7 +1575,6 @@
   operatorsAddress = other70.operatorsAddress;
   burn = other70.burn;
   shareLeadership = other70.shareLeadership;
-  shareIdleMillis = other70.shareIdleMillis;
   __isset = other70.__isset;
   return *this;
 }
@@ -1634,7 +1592,6 @@
   operatorsAddress = std::move(other71.operatorsAddress);
   burn = std::move(other71.burn);
   shareLeadership = other71.shareLeadership;
-  shareIdleMillis = other71.shareIdleMillis;
   __isset = other71.__isset;
   return *this;
 }
@@ -1654,7 +1611,6 @@
   out << ", " << "operatorsAddress=" << to_string(operatorsAddress);
   out << ", " << "burn=" << to_string(burn);
   out << ", " << "shareLeadership=" << to_string(shareLeadership);
-  out << ", " << "shareIdleMillis=" << to_string(shareIdleMillis);
   out << ")";
 }
 
