Name the server of statements in transactions, and what took the time

Ruled out: a second field; both facts are known where the line is made. Change: a statement that continues a transaction takes endpoint, role and term from its connection; a run starts with the reason that the admission took too long. Conclusion: every failed statement leads to a server or to the admission.

--- a/libs/proxy/include/proxy/StatementRun.h
+++ b/libs/proxy/include/proxy/StatementRun.h
@@ -90,7 +90,8 @@
     bool transactionOpen = false;
     bool statementSent = false; ///< The statement is with a server that has not answered.
     bool needsPrimary = false;  ///< A replica refused; only the primary is certain to serve.
-    std::string lastProblem;    ///< Why the last attempt failed.
+    /// Why the last attempt failed; before the first one, only the admission can have taken time.
+    std::string lastProblem = "the admission took too long";
 };
 
 } // namespace auburnrail
--- a/libs/proxy/src/StatementRun.cpp
+++ b/libs/proxy/src/StatementRun.cpp
@@ -25,6 +25,10 @@
 auto StatementRun::startInTransaction(ServerLinkPointer transactionLink) -> void
 {
     this->link = std::move(transactionLink);
+    this->placement = Placement{.endpoint = this->link->handle.endpoint,
+                                .isPrimary = this->link->isPrimary,
+                                .term = this->link->term};
+    this->attempts = 1;
     this->continuesTransaction = true;
     this->transactionOpen = true;
     const auto requests =
--- a/libs/proxy/tests/StatementRunTest.cpp
+++ b/libs/proxy/tests/StatementRunTest.cpp
@@ -172,6 +172,17 @@
     CHECK(servers.sent[2].id == "s1");
 }
 
+// Guards against a refusal that can't be explained: nothing was tried.
+TEST_CASE("a statement that was admitted too late says so")
+{
+    auto servers = FakeServers();
+    auto order = orderFor(StatementKind::Read, servers);
+    order.arrivedAt -= order.policy.statementTimeout;
+    const auto result = runToEnd(servers, order);
+    REQUIRE(errorOf(result) == StatementError::Busy);
+    CHECK(result->answer.failure->detail == "not run in time: the admission took too long");
+}
+
 TEST_CASE("a transaction keeps its connection until it ends")
 {
     auto servers = FakeServers();
@@ -183,6 +194,9 @@
     CHECK(servers.released.empty());
     const auto ended = runToEnd(servers, orderFor(StatementKind::Commit, servers), opened->link);
     CHECK_FALSE(errorOf(ended));
+    // Logs have to name the server of each statement of a transaction.
+    CHECK(ended->endpoint == "primary");
+    CHECK(ended->attempts == 1);
     CHECK(ended->link == nullptr);
     CHECK(servers.released.size() == 1);
 }
