--- a/libs/daemon/include/daemon/LogBudget.h
+++ b/libs/daemon/include/daemon/LogBudget.h
@@ -19,7 +19,7 @@
 class LogBudget
 {
 public:
-    /// A line takes about 50 us, so this is half a percent of a core.
+    /// A line takes about 20 us, so this is 0.2 % of a core.
     static constexpr auto LINES_PER_SECOND = 100.0;
     static constexpr auto LINES_AT_ONCE = 300.0;
     /// Lines at once that only failures may use.
