Read-through: trailing return type, names of a wait, the port of a test

Cause: reading the change as a newcomer: one function without a trailing return type, an enumeration without its table, a test that chose a port and could lose it to another process, a class comment that told of the former order. Ruled out: a fixed port in the test. Change: those four; MetricsServer tells its port. Before and after: behaviour stays; http, control, entry and proxy tests pass.

--- a/libs/control/include/control/CommandWait.h
+++ b/libs/control/include/control/CommandWait.h
@@ -1,6 +1,8 @@
 #ifndef AUBURNRAIL_CONTROL_COMMANDWAIT_H
 #define AUBURNRAIL_CONTROL_COMMANDWAIT_H
 
+#include <core/EnumTable.h>
+
 #include <cstdint>
 
 namespace auburnrail {
@@ -11,6 +13,12 @@
     InForce, ///< At every entry that may serve.
 };
 
+template <>
+inline constexpr auto ENUM_NAMES<CommandWait> = std::to_array<EnumName<CommandWait>>({
+    {CommandWait::Committed, "committed"},
+    {CommandWait::InForce, "in-force"},
+});
+
 } // namespace auburnrail
 
 #endif
--- a/libs/entry/src/StatementLog.cpp
+++ b/libs/entry/src/StatementLog.cpp
@@ -17,7 +17,7 @@
                           {{"outcome", std::string(outcome)}});
 }
 
-auto countsOfErrors(Metrics &metrics)
+auto countsOfErrors(Metrics &metrics) -> std::array<MetricId, ENUM_NAMES<StatementError>.size()>
 {
     auto counts = std::array<MetricId, ENUM_NAMES<StatementError>.size()>();
     for (const auto &row : ENUM_NAMES<StatementError>)
--- a/libs/http/include/http/MetricsServer.h
+++ b/libs/http/include/http/MetricsServer.h
@@ -5,6 +5,7 @@
 
 #include <absl/status/status.h>
 
+#include <cstdint>
 #include <functional>
 #include <optional>
 #include <string>
@@ -23,6 +24,9 @@
     [[nodiscard]] auto start() -> absl::Status;
     auto stop() -> void;
 
+    /// Port in use after start(); 0 without an address.
+    [[nodiscard]] auto port() const -> std::uint16_t;
+
 private:
     std::optional<HttpServer> server;
 };
--- a/libs/http/src/MetricsServer.cpp
+++ b/libs/http/src/MetricsServer.cpp
@@ -36,4 +36,9 @@
         this->server->stop();
 }
 
+auto MetricsServer::port() const -> std::uint16_t
+{
+    return this->server ? this->server->port() : std::uint16_t(0);
+}
+
 } // namespace auburnrail
--- a/libs/http/tests/MetricsServerTest.cpp
+++ b/libs/http/tests/MetricsServerTest.cpp
@@ -5,7 +5,6 @@
 #include <Poco/Net/HTTPClientSession.h>
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
-#include <Poco/Net/ServerSocket.h>
 #include <Poco/StreamCopier.h>
 
 namespace auburnrail {
@@ -29,12 +28,10 @@
 // Guards against a metrics port that shows anything but metrics.
 TEST_CASE("the metrics server serves metrics and nothing else")
 {
-    const auto port =
-        Poco::Net::ServerSocket(Poco::Net::SocketAddress("127.0.0.1", 0)).address().port();
-    auto server = MetricsServer("127.0.0.1:" + std::to_string(port), [] { return "up 1\n"; });
+    auto server = MetricsServer("127.0.0.1:0", [] { return "up 1\n"; });
     REQUIRE(server.start().ok());
-    CHECK(get(port, "/metrics") == std::pair<int, std::string>{200, "up 1\n"});
-    CHECK(get(port, "/v1/state").first == 404);
+    CHECK(get(server.port(), "/metrics") == std::pair<int, std::string>{200, "up 1\n"});
+    CHECK(get(server.port(), "/v1/state").first == 404);
     server.stop();
 }
 
@@ -42,6 +39,7 @@
 {
     auto server = MetricsServer("", [] { return std::string(); });
     CHECK(server.start().ok());
+    CHECK(server.port() == 0);
     server.stop();
 }
 
--- a/libs/proxy/include/proxy/LinkPool.h
+++ b/libs/proxy/include/proxy/LinkPool.h
@@ -21,7 +21,8 @@
 
 /// Bookkeeping of the connections to each server, which belong to one organisation each. Load
 /// pattern: fewer connections than organisations times entries, where opening one takes a slot of
-/// the server for as long as a statement does. A waiter gets an idle connection of its
+/// the server for as long as a statement does. Waiters are served by priority, those that can meet
+/// their latency objective first. A waiter gets an idle connection of its
 /// organisation; else one is opened while the entry is below its limit; else the connection that
 /// was idle for longest is given up for it. It does no I/O. Safe from any thread.
 class LinkPool
