Rename a member that a parameter shadows

Ruled out: renaming the parameter; the member says more as awaitsLease. Change: the name. Before and after: the Clang build of all targets failed on this file; it runs.

--- a/libs/proxy/include/proxy/ProxySession.h
+++ b/libs/proxy/include/proxy/ProxySession.h
@@ -111,7 +111,7 @@
     /// Set when the opening had to wait, which the caller counts as part of its first operation.
     std::optional<TimePoint> openingSince;
     TimerId idleTimer = 0;
-    bool opening = false; ///< The opening waits for the entry's lease.
+    bool awaitsLease = false; ///< The opening waits for the entry's lease.
     bool opened = false;
     bool running = false;
     bool draining = false;
--- a/libs/proxy/src/ProxySession.cpp
+++ b/libs/proxy/src/ProxySession.cpp
@@ -28,7 +28,7 @@
 
 auto ProxySession::open(const SessionOpening &opening) -> void
 {
-    if (this->opened || this->opening) {
+    if (this->opened || this->awaitsLease) {
         this->refuseInput("the session is open already");
         return;
     }
@@ -49,7 +49,7 @@
             return;
         }
         // Without a lease this entry may not have heard of the route or the key.
-        this->opening = true;
+        this->awaitsLease = true;
         if (!this->openingSince)
             this->openingSince = statements.executor.now();
         statements.awaitLease(
@@ -65,7 +65,7 @@
             });
         return;
     }
-    this->opening = false;
+    this->awaitsLease = false;
     this->opened = true;
     this->hooks.sendOpened();
     if (this->draining)
@@ -85,7 +85,7 @@
 {
     if (this->ended)
         return;
-    if (!this->opened && !this->opening) {
+    if (!this->opened && !this->awaitsLease) {
         this->refuseInput("a statement came before the session was opened");
         return;
     }
