Split two large files, register counters once, compose lines only when written

Ruled out: one template for all counters of control; the others count status codes of a library and are rare. One function for release and opened of LinkPool: they move rows of different tables under different conditions.

Change: failover's part of ControlTables and the claims' part of ShareLedger go into files of their own, word for word; EnumCounters registers a counter for each value and serves both; logComposedLine composes fields only for a line that is written, and logLine calls it.

Behaviour stays, but that heartbeat counters show 0 before their first event.

Conclusion: nothing else was found that is worth a change now.

--- a/libs/control/include/control/ControlMetrics.h
+++ b/libs/control/include/control/ControlMetrics.h
@@ -4,7 +4,7 @@
 #include <control/ControlGauges.h>
 
 #include <lease/LeaseStatus.h>
-#include <observe/Metrics.h>
+#include <observe/EnumCounters.h>
 
 #include <core/Time.h>
 
@@ -38,6 +38,7 @@
     auto set(std::string_view name, std::string_view help, double value) -> void;
 
     Metrics metrics;
+    EnumCounters<LeaseStatus> heartbeats; ///< The most frequent event, so registered once.
 };
 
 } // namespace auburnrail
--- a/libs/control/src/ControlMetrics.cpp
+++ b/libs/control/src/ControlMetrics.cpp
@@ -13,6 +13,8 @@
 
 ControlMetrics::ControlMetrics()
     : metrics(SERIES_LIMIT)
+    , heartbeats(metrics, "auburnrail_heartbeats_total",
+                 "Heartbeats of entries answered, by lease status.")
 {
 }
 
@@ -36,8 +38,7 @@
 
 auto ControlMetrics::countHeartbeat(LeaseStatus status) -> void
 {
-    this->count("auburnrail_heartbeats_total", "Heartbeats of entries answered, by lease status.",
-                nameOf(status));
+    this->heartbeats.add(status);
 }
 
 auto ControlMetrics::countCommand(const absl::Status &outcome, Duration took) -> void
--- a/libs/control/src/ControlTables.cpp
+++ b/libs/control/src/ControlTables.cpp
@@ -1,7 +1,5 @@
 #include <control/ControlTables.h>
 
-#include "FailoverGap.h"
-
 #include <daemon/Logging.h>
 #include <observe/BurnObjectives.h>
 
@@ -16,8 +14,6 @@
 namespace {
 
 constexpr auto MILLI = 1000.0;
-/// Between two questions whether a promoted endpoint leads; a promotion takes some hundred ms.
-constexpr auto PRIMARY_CHECK_INTERVAL = std::chrono::milliseconds(60);
 /// An endpoint's announcement waits for about a second for its answer.
 constexpr auto DEPARTURE_TIME_LIMIT = std::chrono::milliseconds(700);
 constexpr auto TENDING_INTERVAL = std::chrono::milliseconds(100);
@@ -123,85 +119,6 @@
         });
 }
 
-auto ControlTables::makeFailoverHooks() -> FailoverHooks
-{
-    auto failoverHooks = FailoverHooks();
-    failoverHooks.grantTerm = [this](const std::string &group, std::uint64_t term, auto done) {
-        this->pipeline.submit(this->makeCommand(GrantTerm{group, term}),
-                              [this, done](const absl::StatusOr<CommandResult> &result) {
-                                  const auto isApplied =
-                                      result.ok() && result->status == CommandStatus::Applied;
-                                  done(isApplied ? std::optional(result->revision) : std::nullopt,
-                                       this->executor.now());
-                              });
-    };
-    failoverHooks.fence = [this](const GroupEndpoint &endpoint, const std::string &group,
-                                 std::uint64_t term, auto done) {
-        this->executor.post([this, endpoint, group, term, done] {
-            done(this->orders.fence(endpoint, group, term), this->executor.now());
-        });
-    };
-    failoverHooks.isInForce = [this](Revision revision, TimePoint now) {
-        return this->leases.isInForce(revision, now);
-    };
-    failoverHooks.promote = [this](const GroupEndpoint &endpoint, const std::string &group,
-                                   std::uint64_t term, const std::vector<GroupEndpoint> &members,
-                                   auto done) {
-        this->executor.post([this, endpoint, group, term, members, done] {
-            this->promoteAndAwait(endpoint, group, term, members, done);
-        });
-    };
-    failoverHooks.publish = [this](const std::string &group, std::uint64_t term,
-                                   const std::string &primary, auto done) {
-        this->pipeline.submit(this->makeCommand(PublishPrimary{group, term, primary}),
-                              [this, done](const absl::StatusOr<CommandResult> &result) {
-                                  done(result.ok() && result->status == CommandStatus::Applied,
-                                       this->executor.now());
-                              });
-    };
-    failoverHooks.follow = [this](const GroupEndpoint &endpoint, const std::string &group,
-                                  std::uint64_t term, const GroupEndpoint &primary) {
-        this->executor.post([this, endpoint, group, term, primary] {
-            std::ignore = this->orders.follow(endpoint, group, term, primary);
-        });
-    };
-    failoverHooks.explain = [this](const FailoverRecord &record) {
-        this->failovers.add(record);
-        this->countFailover(record);
-    };
-    return failoverHooks;
-}
-
-auto ControlTables::promoteAndAwait(const GroupEndpoint &endpoint, const std::string &group,
-                                    std::uint64_t term, const std::vector<GroupEndpoint> &members,
-                                    const std::function<auto(bool, TimePoint)->void> &done) -> void
-{
-    if (!this->orders.promote(endpoint, group, term, members)) {
-        done(false, this->executor.now());
-        return;
-    }
-    if (!this->orders.isPrimary) {
-        done(true, this->executor.now());
-        return;
-    }
-    const auto deadline = this->executor.now() + this->settings.failover.callTimeout;
-    this->awaitPrimary(endpoint, group, deadline, done);
-}
-
-auto ControlTables::awaitPrimary(const GroupEndpoint &endpoint, const std::string &group,
-                                 TimePoint deadline,
-                                 const std::function<auto(bool, TimePoint)->void> &done) -> void
-{
-    this->executor.postAfter(PRIMARY_CHECK_INTERVAL, [this, endpoint, group, deadline, done] {
-        const auto leads = this->orders.isPrimary(endpoint, group);
-        const auto now = this->executor.now();
-        if (leads || now >= deadline)
-            done(leads, now);
-        else
-            this->awaitPrimary(endpoint, group, deadline, done);
-    });
-}
-
 auto ControlTables::announce(const Announcement &announcement) -> absl::Status
 {
     const auto state = this->store.objects();
@@ -254,18 +171,6 @@
         this->submitInternal(std::move(body));
 }
 
-auto ControlTables::countFailover(const FailoverRecord &record) -> void
-{
-    const auto gap = detail::failoverGap(record, this->settings.failover);
-    if (!gap)
-        return;
-    const auto now = this->hooks.wallClock();
-    this->store.objects().table<Service>().forEach([&](const Service &service) {
-        if (service.group == record.group)
-            this->burn.recordFailover(service.name, *gap, ReasonCode::NoPrimary, now);
-    });
-}
-
 auto ControlTables::committed(Revision index, const std::string &payload) -> void
 {
     const auto result = this->store.apply(index, payload);
--- a/libs/daemon/include/daemon/Logging.h
+++ b/libs/daemon/include/daemon/Logging.h
@@ -3,6 +3,7 @@
 
 #include <daemon/LogLevel.h>
 
+#include <functional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -26,6 +27,10 @@
 auto logLine(LogLevel level, std::string_view logger, std::string_view message,
              const LogFields &fields = {}) -> void;
 
+/// As logLine, for lines that are often omitted: `compose` is called only when the line is written.
+auto logComposedLine(LogLevel level, std::string_view logger, std::string_view message,
+                     const std::function<auto()->LogFields> &compose) -> void;
+
 } // namespace auburnrail
 
 #endif
--- a/libs/daemon/src/Logging.cpp
+++ b/libs/daemon/src/Logging.cpp
@@ -63,6 +63,12 @@
 
 auto logLine(LogLevel level, std::string_view logger, std::string_view message,
              const LogFields &fields) -> void
+{
+    logComposedLine(level, logger, message, [&fields] { return fields; });
+}
+
+auto logComposedLine(LogLevel level, std::string_view logger, std::string_view message,
+                     const std::function<auto()->LogFields> &compose) -> void
 {
     const auto target = log4cxx::Logger::getLogger(std::string(logger));
     const auto severity = toLog4cxx(level);
@@ -71,15 +77,15 @@
     const auto omitted = processBudget().admit(level, monotonicNow());
     if (!omitted)
         return;
-    auto complete = fields;
+    auto fields = compose();
     if (omitted->routine > 0)
-        complete.emplace_back("omitted_routine", std::to_string(omitted->routine));
+        fields.emplace_back("omitted_routine", std::to_string(omitted->routine));
     if (omitted->failures > 0)
-        complete.emplace_back("omitted_failures", std::to_string(omitted->failures));
-    for (const auto &[name, value] : complete)
+        fields.emplace_back("omitted_failures", std::to_string(omitted->failures));
+    for (const auto &[name, value] : fields)
         log4cxx::MDC::put(std::string(name), value);
     target->forcedLog(severity, std::string(message));
-    for (const auto &field : complete)
+    for (const auto &field : fields)
         log4cxx::MDC::remove(std::string(field.first));
 }
 
--- a/libs/entry/include/entry/StatementLog.h
+++ b/libs/entry/include/entry/StatementLog.h
@@ -1,13 +1,9 @@
 #ifndef AUBURNRAIL_ENTRY_STATEMENTLOG_H
 #define AUBURNRAIL_ENTRY_STATEMENTLOG_H
 
-#include <observe/Metrics.h>
+#include <observe/EnumCounters.h>
 #include <proxy/StatementReport.h>
 
-#include <core/EnumTable.h>
-
-#include <array>
-
 namespace auburnrail {
 
 /// Log lines and metrics of the statements of sessions. Safe from any thread.
@@ -22,7 +18,7 @@
 private:
     Metrics &metrics;
     const MetricId served;
-    const std::array<MetricId, ENUM_NAMES<StatementError>.size()> failed; ///< By error.
+    EnumCounters<StatementError> failed;
     const MetricId seconds;
 };
 
--- a/libs/quota/include/quota/detail/ShareClaim.h
+++ b/libs/quota/include/quota/detail/ShareClaim.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <utility>
 
 namespace auburnrail::detail {
 
@@ -27,6 +28,12 @@
     bool chosen = false; ///< Gets part of a burst too small for all.
     std::optional<TimePoint> chosenAt;
 
+    /// Rate and burst.
+    [[nodiscard]] auto counted() const -> std::pair<std::int64_t, std::int64_t>
+    {
+        return {this->countedRate(), this->countedBurst()};
+    }
+
     [[nodiscard]] auto countedRate() const -> std::int64_t
     {
         return std::max(this->usedRate, this->grantedRate);
--- a/libs/quota/src/ShareLedger.cpp
+++ b/libs/quota/src/ShareLedger.cpp
@@ -6,30 +6,16 @@
 #include <core/RankedLock.h>
 
 #include <algorithm>
-#include <tuple>
 #include <utility>
 
 namespace auburnrail {
 
 namespace {
 
-constexpr auto MILLITOKENS_PER_TOKEN = 1000.0;
-
-// A holder gets this much more than it needs, so that an even load finds a token at once.
-constexpr auto HEADROOM_FACTOR = 1.25;
-
-// A backlog is to be served in half a second on top of the arrivals.
-constexpr auto BACKLOG_PER_S = 2.0;
-
 // Targets of one organisation are worked out at most once in this time for each of its claims,
 // which keeps the cost of an organisation independent of how often its holders report.
 constexpr auto ALLOCATION_INTERVAL_PER_CLAIM = std::chrono::microseconds(50);
 
-auto counted(const detail::ShareClaim &claim) -> std::pair<std::int64_t, std::int64_t>
-{
-    return {claim.countedRate(), claim.countedBurst()};
-}
-
 } // namespace
 
 ShareLedger::ShareLedger(QuotaTiming timing, ShareLedgerHooks hooks)
@@ -183,93 +169,13 @@
     return sum;
 }
 
-auto ShareLedger::takeReport(const ShareReport &report, detail::HolderRecord &record, bool trusted)
-    -> void
-{
-    auto claims = std::map<std::string, detail::ShareClaim, std::less<>>();
-    for (const auto &share : report.heldShares) {
-        auto &claim = claims[share.organisation];
-        claim.reportedRate = share.rate;
-        claim.reportedBurst = share.burst;
-        claim.usedRate = trusted ? share.rate : 0;
-        claim.usedBurst = trusted ? share.burst : 0;
-    }
-    for (const auto &demand : report.demands) {
-        auto &claim = claims[demand.organisation];
-        claim.active = true;
-        claim.wantedRate = MILLITOKENS_PER_TOKEN
-                           * (demand.arrivedPerSecond * HEADROOM_FACTOR
-                              + BACKLOG_PER_S * static_cast<double>(demand.backlog));
-    }
-    const auto before = std::exchange(record.organisations, {});
-    for (auto &[organisation, claim] : claims) {
-        if (this->replaceClaim(report, organisation, std::move(claim)))
-            record.organisations.insert(organisation);
-    }
-    for (const auto &organisation : before) {
-        if (!record.organisations.contains(organisation))
-            this->removeClaim(report.holder, organisation);
-    }
-}
-
-/// Returns false when the claim concerns an organisation that has no limits and no share.
-auto ShareLedger::replaceClaim(const ShareReport &report, const std::string &organisation,
-                               detail::ShareClaim claim) -> bool
-{
-    auto found = this->organisations.find(organisation);
-    if (found == this->organisations.end()) {
-        if (claim.reportedRate == 0 && claim.reportedBurst == 0)
-            return false;
-        found = this->organisations.try_emplace(organisation).first;
-    }
-    auto &shares = found->second;
-    auto &row = shares.claims[report.holder];
-    const auto view = [](const detail::ShareClaim &value) {
-        return std::tuple(counted(value), value.active, value.wantedRate);
-    };
-    const auto before = view(row);
-    claim.zone = report.zone;
-    claim.targetRate = row.targetRate;
-    claim.targetBurst = row.targetBurst;
-    claim.chosen = row.chosen;
-    claim.chosenAt = row.chosenAt;
-    shares.countedRate += claim.countedRate() - row.countedRate();
-    shares.countedBurst += claim.countedBurst() - row.countedBurst();
-    row = std::move(claim);
-    const auto inTurns = static_cast<double>(shares.claims.size()) * MILLITOKENS_PER_TOKEN
-                         > static_cast<double>(shares.limits.burst);
-    if (inTurns || before != view(row))
-        this->changed.insert(organisation);
-    return true;
-}
-
-auto ShareLedger::removeClaim(const HolderId &holder, const std::string &organisation) -> void
-{
-    const auto found = this->organisations.find(organisation);
-    if (found == this->organisations.end())
-        return;
-    auto &shares = found->second;
-    const auto claim = shares.claims.find(holder);
-    if (claim == shares.claims.end())
-        return;
-    shares.countedRate -= claim->second.countedRate();
-    shares.countedBurst -= claim->second.countedBurst();
-    shares.claims.erase(claim);
-    if (shares.claims.empty() && shares.limits == ShareLimits()) {
-        this->organisations.erase(found);
-        this->changed.erase(organisation);
-        return;
-    }
-    this->changed.insert(organisation);
-}
-
 auto ShareLedger::answer(const HolderId &holder, const detail::HolderRecord &record) -> ShareGrant
 {
     auto grant = ShareGrant{.sequence = record.sequence, .leadership = this->current.number};
     for (const auto &organisation : record.organisations) {
         auto &shares = this->organisations[organisation];
         auto &claim = shares.claims[holder];
-        const auto [countedRate, countedBurst] = counted(claim);
+        const auto [countedRate, countedBurst] = claim.counted();
         const auto rate =
             detail::nextAmount(claim.usedRate, claim.targetRate, shares.countedRate - countedRate,
                                shares.limits.rate, this->lending);
