Run an exchange of the stand-in that a freeze held, even if its peer is cut next

Cause: StandInFaults::admit looked only at the present state. A thread of a frozen exchange that woke after the freeze had ended and its peer had been cut took the exchange for one that was cut, and dropped it when the cut ended. Ruled out: the test's own order. It ends the freeze before it cuts the peer, so the server had resumed. Change: admit counts resumptions; an exchange held by a freeze alone runs once the freeze has ended.

--- a/libs/standin/include/standin/StandInFaults.h
+++ b/libs/standin/include/standin/StandInFaults.h
@@ -28,7 +28,8 @@
     auto apply(const FaultCommand &command) -> void;
 
     /// Holds the exchange of `peer` while the server is frozen, and for its delay. False when the
-    /// peer is cut off, or the server stopped; the exchange must not run then.
+    /// peer is cut off, or the server stopped; the exchange must not run then. An exchange that was
+    /// held by a freeze alone runs when the freeze ends, whatever happens to its peer afterwards.
     [[nodiscard]] auto admit(const std::string &peer) -> bool;
 
     /// Holds an answer while the server is frozen.
@@ -65,6 +66,7 @@
     RankedCondition changed;
     bool stopping ABSL_GUARDED_BY(mutex) = false;
     bool frozen ABSL_GUARDED_BY(mutex) = false;
+    std::uint64_t resumptions ABSL_GUARDED_BY(mutex) = 0; ///< Freezes that have ended.
     bool recording ABSL_GUARDED_BY(mutex) = false;
     std::set<std::string> cutPeers ABSL_GUARDED_BY(mutex);
     std::int64_t lateAnswers ABSL_GUARDED_BY(mutex) = 0;
--- a/libs/standin/src/StandInFaults.cpp
+++ b/libs/standin/src/StandInFaults.cpp
@@ -31,6 +31,7 @@
         switch (command.kind) {
         case FaultKind::Freeze:
             this->frozen = command.on;
+            this->resumptions += command.on ? 0 : 1;
             break;
         case FaultKind::Cut:
             for (const auto &peer : command.peers) {
@@ -76,9 +77,14 @@
     while ((this->frozen || this->isCut(peer)) && !this->stopping) {
         // A cut exchange is held too, because a lost packet gives its sender no answer.
         const auto wasCut = this->isCut(peer);
+        const auto resumptionsBefore = this->resumptions;
         this->changed.wait(this->mutex);
         if (wasCut && !this->isCut(peer))
             return false;
+        // The exchange ran when the server resumed, even if its peer was cut off before this thread
+        // woke up.
+        if (!wasCut && this->resumptions != resumptionsBefore)
+            break;
     }
     return !this->stopping;
 }
