Log the work of the leader and the use of server connections

Cause: the logs of the incident show that the leader stops answering, and that servers reset connections, but not what the leader's processor time goes into nor how many connections and probes an entry uses. Change: a line each 5 s at the leader (heartbeats, divisions of limits, claims visited, early responses, processor time) and at entries (connections opened, full, failed, probes), the latter also as a counter on the metrics address. No decision changes.

--- a/libs/control/include/control/ControlMetrics.h
+++ b/libs/control/include/control/ControlMetrics.h
@@ -10,6 +10,8 @@
 
 #include <absl/status/status.h>
 
+#include <atomic>
+#include <cstdint>
 #include <string>
 
 namespace auburnrail {
@@ -23,6 +25,9 @@
     /// Counts a heartbeat that was responded to.
     auto countHeartbeat(LeaseStatus status) -> void;
 
+    /// Heartbeats responded to so far.
+    [[nodiscard]] auto heartbeatCount() const -> std::uint64_t;
+
     /// Counts a command of an operator or of the system whose outcome is known; `took` is the time
     /// since its proposal.
     auto countCommand(const absl::Status &outcome, Duration took) -> void;
@@ -41,6 +46,7 @@
     Metrics metrics;
     EnumCounters<LeaseStatus>
         heartbeats; ///< Registered once, since heartbeats are the most frequent event.
+    std::atomic<std::uint64_t> heartbeatsResponded{0};
 };
 
 } // namespace auburnrail
--- a/libs/control/include/control/ControlNode.h
+++ b/libs/control/include/control/ControlNode.h
@@ -4,6 +4,7 @@
 #include <control/ConfigurationService.h>
 #include <control/ConsensusRunner.h>
 #include <control/ControlFrontEndHooks.h>
+#include <control/ControlLoadLog.h>
 #include <control/ControlOperators.h>
 #include <control/ControlTables.h>
 #include <control/HeartbeatService.h>
@@ -78,6 +79,7 @@
     MetricsServer metricsServer;
 
     // Used by the tick only; ticks don't overlap.
+    ControlLoadLog loadLog;
     TimePoint nextMembershipCheck;
     std::string loggedMembership;
 };
--- /dev/null
+++ b/libs/control/src/ControlLoadLog.cpp
@@ -0,0 +1,55 @@
+#include <control/ControlLoadLog.h>
+
+#include <control/ControlTables.h>
+
+#include <daemon/Logging.h>
+
+#include <absl/strings/str_cat.h>
+
+#include <ctime>
+
+namespace auburnrail {
+
+namespace {
+
+/// Processor time of this process.
+auto processorTime() -> Duration
+{
+    auto time = timespec();
+    if (clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &time) != 0)
+        return Duration();
+    return std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec);
+}
+
+} // namespace
+
+ControlLoadLog::ControlLoadLog(ControlTables &controlTables)
+    : tables(controlTables)
+{
+}
+
+auto ControlLoadLog::tick(TimePoint now) -> void
+{
+    if (now < this->nextLine)
+        return;
+    this->nextLine = now + INTERVAL_S;
+    const auto activity = this->tables.ledger.activity();
+    const auto heartbeats = this->tables.metrics.heartbeatCount();
+    const auto processor = processorTime();
+    if (this->tables.isLeading(now)) {
+        logLine(
+            LogLevel::Info, "load", "work of the leader in the last interval",
+            {{"heartbeats", absl::StrCat(heartbeats - this->previousHeartbeats)},
+             {"leases", absl::StrCat(this->tables.leases.size())},
+             {"share_allocations", absl::StrCat(activity.allocations - this->previous.allocations)},
+             {"share_claims", absl::StrCat(activity.claims - this->previous.claims)},
+             {"early_responses",
+              absl::StrCat(activity.notifications - this->previous.notifications)},
+             {"processor_ms", absl::StrCat(toMillis(processor - this->previousProcessorTime))}});
+    }
+    this->previous = activity;
+    this->previousHeartbeats = heartbeats;
+    this->previousProcessorTime = processor;
+}
+
+} // namespace auburnrail
--- a/libs/control/src/ControlMetrics.cpp
+++ b/libs/control/src/ControlMetrics.cpp
@@ -39,6 +39,12 @@
 auto ControlMetrics::countHeartbeat(LeaseStatus status) -> void
 {
     this->heartbeats.add(status);
+    ++this->heartbeatsResponded;
+}
+
+auto ControlMetrics::heartbeatCount() const -> std::uint64_t
+{
+    return this->heartbeatsResponded;
 }
 
 auto ControlMetrics::countCommand(const absl::Status &outcome, Duration took) -> void
--- a/libs/control/src/ControlNode.cpp
+++ b/libs/control/src/ControlNode.cpp
@@ -72,6 +72,7 @@
                                           }})
     , metricsServer(settings.metricsAddress,
                     [this] { return this->tables.metrics.toText(this->gauges()); })
+    , loadLog(tables)
 {
 }
 
@@ -244,6 +245,7 @@
     this->tables.executor.postAfter(TICK_INTERVAL, [this] {
         this->tables.tick(this->tables.executor.now());
         this->logMembershipChange(this->tables.executor.now());
+        this->loadLog.tick(this->tables.executor.now());
         this->scheduleTick();
     });
 }
--- a/libs/entry/include/entry/EntryNode.h
+++ b/libs/entry/include/entry/EntryNode.h
@@ -6,6 +6,7 @@
 #include <entry/EntryTables.h>
 #include <entry/HeartbeatLoop.h>
 #include <entry/ProbeLoop.h>
+#include <entry/ServerConnectionLog.h>
 #include <entry/SessionCodecs.h>
 #include <entry/StatementLog.h>
 #include <http/MetricsServer.h>
@@ -49,6 +50,7 @@
     WorkerPool workers;
     EntryTables tables;
     StatementLog statements;
+    ServerConnectionLog connectionLog;
     std::unique_ptr<ProxyServer> sessions;     ///< Null without an address for sessions.
     std::unique_ptr<ProbeLoop> probes;         ///< Null without an address for requests.
     std::unique_ptr<EntryServer> callerServer; ///< Null without an address for requests.
--- a/libs/entry/src/EntryNode.cpp
+++ b/libs/entry/src/EntryNode.cpp
@@ -74,6 +74,7 @@
     , tables(makeIdentity(settings, clusterSecret, makeSecureRandom()), workers.executor(),
              makeSecureRandom(), !settings.sessionsAddress.empty())
     , statements(tables.metrics)
+    , connectionLog(tables.metrics)
     , sessions(makeSessions(sessionCodecs))
     , probes(settings.callersAddress.empty() ? nullptr : std::make_unique<ProbeLoop>(tables))
     , callerServer(settings.callersAddress.empty()
@@ -104,6 +105,8 @@
                 this->tables.admission.admit(request, this->tables.executor.now(), std::move(done));
             },
         .report = [this](const StatementReport &report) { this->statements.add(report); },
+        .countConnection =
+            [this](ServerConnectionEvent event) { this->connectionLog.count(event); },
         .random = makeSecureRandom()};
     auto server = std::make_unique<ProxyServer>(
         ProxyServerSettings{.zone = this->settings.zone,
@@ -146,6 +149,7 @@
 {
     this->tables.executor.postAfter(EXPIRY_INTERVAL, [this] {
         this->tables.expire(this->tables.executor.now());
+        this->connectionLog.tick(this->tables.executor.now());
         this->scheduleExpiry();
     });
 }
--- a/libs/proxy/include/proxy/ProxyServerHooks.h
+++ b/libs/proxy/include/proxy/ProxyServerHooks.h
@@ -5,6 +5,7 @@
 #include <proxy/ClientCodec.h>
 #include <proxy/OperationAdmission.h>
 #include <proxy/ServerCodec.h>
+#include <proxy/ServerConnectionEvent.h>
 #include <proxy/StatementReport.h>
 #include <request/AdmissionRequest.h>
 
@@ -34,6 +35,9 @@
     std::function<auto(const AdmissionRequest &request, OperationAdmitted done)->void> admit;
 
     std::function<auto(const StatementReport &report)->void> report;
+
+    /// Counts what happens to connections to servers; may be empty.
+    std::function<auto(ServerConnectionEvent event)->void> countConnection;
     RandomSource random;
 };
 
--- a/libs/proxy/include/proxy/ServerConnections.h
+++ b/libs/proxy/include/proxy/ServerConnections.h
@@ -61,6 +61,7 @@
                 const ServerOutcome &outcome) -> void;
     auto close(const ConnectionHandle &handle) -> void;
     auto probe(const EndpointView &view) -> void;
+    auto count(ServerConnectionEvent event) const -> void;
     [[nodiscard]] auto find(const ConnectionHandle &handle) -> PooledConnectionPointer;
     [[nodiscard]] auto extract(const ConnectionHandle &handle) -> PooledConnectionPointer;
 
--- a/libs/proxy/include/proxy/ServerConnectionsHooks.h
+++ b/libs/proxy/include/proxy/ServerConnectionsHooks.h
@@ -2,6 +2,7 @@
 #define AUBURNRAIL_PROXY_SERVERCONNECTIONSHOOKS_H
 
 #include <proxy/ServerCodec.h>
+#include <proxy/ServerConnectionEvent.h>
 
 #include <request/GroupView.h>
 
@@ -26,6 +27,9 @@
     std::function<auto(const std::string &endpoint)->std::string> groupOf;
 
     std::function<auto(const std::string &group)->GroupView> groupView;
+
+    /// Counts an event; may be empty.
+    std::function<auto(ServerConnectionEvent event)->void> count;
 };
 
 } // namespace auburnrail
--- a/libs/proxy/src/ProxyServer.cpp
+++ b/libs/proxy/src/ProxyServer.cpp
@@ -104,10 +104,8 @@
             const auto *known = objects->find<Endpoint>(endpoint);
             return known == nullptr ? std::string() : known->group;
         },
-        .groupView =
-            [this](const std::string &group) {
-                return this->groupView(group);
-            }};
+        .groupView = [this](const std::string &group) { return this->groupView(group); },
+        .count = this->hooks.countConnection};
 }
 
 auto ProxyServer::makeSessionHooks(const StreamConnection::Pointer &connection) -> ProxySessionHooks
--- a/libs/proxy/src/ServerConnections.cpp
+++ b/libs/proxy/src/ServerConnections.cpp
@@ -165,6 +165,7 @@
         [this, handle, opening](absl::StatusOr<StreamConnection::Pointer> stream) {
             const auto now = this->hooks.executor.now();
             if (!stream.ok()) {
+                this->count(ServerConnectionEvent::Failed);
                 this->endpoints.recordFailure(handle.endpoint, EndpointFailure::Unreachable, now);
                 this->connectionPool.openFailed(
                     handle, absl::UnavailableError(stream.status().message()), now);
@@ -197,6 +198,8 @@
     if (absl::IsUnavailable(status))
         this->endpoints.recordFailure(handle.endpoint, EndpointFailure::Unreachable, now);
     if (!status.ok()) {
+        this->count(absl::IsResourceExhausted(status) ? ServerConnectionEvent::Full
+                                                      : ServerConnectionEvent::Failed);
         connection->close();
         this->connectionPool.openFailed(handle, status, now);
         return;
@@ -205,6 +208,7 @@
         const RankedLock lock(this->mutex);
         this->connections.emplace(handle, connection);
     }
+    this->count(ServerConnectionEvent::Opened);
     this->connectionPool.opened(handle, now);
 }
 
@@ -232,6 +236,7 @@
         if (!leased.ok())
             return; // A failure to open is recorded already; a full server is alive.
         const auto connection = *leased;
+        this->count(ServerConnectionEvent::Probe);
         connection->exchange(ServerRequest{.operation = ServerOperation::Status},
                              PROBE_TIME_LIMIT_MS, [this, connection](const ServerOutcome &outcome) {
                                  this->observe(*connection, outcome);
@@ -240,6 +245,12 @@
     });
 }
 
+auto ServerConnections::count(ServerConnectionEvent event) const -> void
+{
+    if (this->hooks.count)
+        this->hooks.count(event);
+}
+
 auto ServerConnections::advance(TimePoint now) -> void
 {
     this->connectionPool.advance(now, IDLE_LIMIT_MS);
--- a/libs/quota/include/quota/ShareLedger.h
+++ b/libs/quota/include/quota/ShareLedger.h
@@ -4,6 +4,7 @@
 #include <quota/QuotaTiming.h>
 #include <quota/ShareGrant.h>
 #include <quota/ShareLeadership.h>
+#include <quota/ShareLedgerActivity.h>
 #include <quota/ShareLedgerHooks.h>
 #include <quota/ShareLimits.h>
 #include <quota/ShareReport.h>
@@ -68,6 +69,9 @@
     /// Sum of the shares of `organisation` that holders may be using.
     [[nodiscard]] auto allocated(std::string_view organisation) -> Share;
 
+    /// Counts of the work done so far.
+    [[nodiscard]] auto activity() -> ShareLedgerActivity;
+
 private:
     ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
     auto applyReport(const ShareReport &report, detail::HolderRecord &record, bool trusted) -> void;
@@ -83,7 +87,8 @@
     ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex) auto allocateChanged(TimePoint now) -> void;
     ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
     auto findReady(const detail::OrganisationShares &shares) -> void;
-    auto notify(const std::set<HolderId> &holders) -> void;
+    ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex) auto takeReady() -> std::set<HolderId>;
+    auto notify(const std::set<HolderId> &holdersReady) -> void;
 
     const QuotaTiming timing;
     const ShareLedgerHooks hooks;
@@ -94,6 +99,7 @@
     std::set<std::pair<TimePoint, HolderId>> expiries ABSL_GUARDED_BY(mutex);
     std::set<std::string, std::less<>> changed ABSL_GUARDED_BY(mutex);
     std::set<HolderId> ready ABSL_GUARDED_BY(mutex);
+    ShareLedgerActivity work ABSL_GUARDED_BY(mutex);
     ShareLeadership current
         ABSL_GUARDED_BY(mutex); ///< With the earlier holders that have not reported under it yet.
     std::optional<TimePoint> grantingFrom ABSL_GUARDED_BY(mutex); ///< Latest start.
--- a/libs/quota/src/ShareLedger.cpp
+++ b/libs/quota/src/ShareLedger.cpp
@@ -57,7 +57,7 @@
         found->second.limits = limits;
         this->changed.emplace(organisation);
         this->allocateChanged(now);
-        holdersReady.swap(this->ready);
+        holdersReady = this->takeReady();
     }
     this->notify(holdersReady);
 }
@@ -86,6 +86,7 @@
             return grant;
         auto &record = this->holders[report.holder];
         if (report.sequence > record.sequence) {
+            ++this->work.reports;
             // Once granting has started, the lease of an unknown holder has ended, so it no longer
             // uses the shares that it reports.
             const auto trusted = known != this->holders.end() || !this->granting;
@@ -103,7 +104,7 @@
         this->allocateChanged(now);
         grant = this->makeGrant(report.holder, record);
         this->ready.erase(report.holder);
-        holdersReady.swap(this->ready);
+        holdersReady = this->takeReady();
     }
     this->notify(holdersReady);
     return grant;
@@ -121,7 +122,7 @@
         if (found != this->holders.end())
             grant = this->makeGrant(holder, found->second);
         this->ready.erase(holder);
-        holdersReady.swap(this->ready);
+        holdersReady = this->takeReady();
     }
     this->notify(holdersReady);
     return grant;
@@ -134,7 +135,7 @@
         const RankedLock lock(this->mutex);
         this->expireLocked(now);
         this->allocateChanged(now);
-        holdersReady.swap(this->ready);
+        holdersReady = this->takeReady();
     }
     this->notify(holdersReady);
 }
@@ -170,6 +171,12 @@
     return sum;
 }
 
+auto ShareLedger::activity() -> ShareLedgerActivity
+{
+    const RankedLock lock(this->mutex);
+    return this->work;
+}
+
 auto ShareLedger::makeGrant(const HolderId &holder, const detail::HolderRecord &record)
     -> ShareGrant
 {
@@ -232,6 +239,8 @@
         if (!shares.claims.empty()) {
             shares.allocatedAt = now;
             detail::allocateShares(shares, now);
+            ++this->work.allocations;
+            this->work.claims += shares.claims.size();
             this->findReady(shares);
         }
         name = this->changed.erase(name);
@@ -251,6 +260,12 @@
     }
 }
 
+auto ShareLedger::takeReady() -> std::set<HolderId>
+{
+    this->work.notifications += this->ready.size();
+    return std::exchange(this->ready, {});
+}
+
 auto ShareLedger::notify(const std::set<HolderId> &holdersReady) -> void
 {
     if (!this->hooks.grantReady)
