--- a/idl/Control.thrift
+++ b/idl/Control.thrift
@@ -77,6 +77,30 @@
   11: i64 shareLeadership
 }
 
+struct TokenDemandMessage {
+  1: string organisation
+  2: i32 tokens
+}
+
+struct TokenRequestMessage {
+  1: string instance
+  2: i64 incarnation
+  3: list<TokenDemandMessage> demands
+}
+
+struct TokenGrantMessage {
+  1: string organisation
+  2: i32 tokens
+  3: optional i64 waitMicros
+  4: i64 intervalMicros
+}
+
+struct TokenResponseMessage {
+  1: bool granting
+  2: list<TokenGrantMessage> grants
+}
+
 service Control {
   HeartbeatAnswerMessage heartbeat(1: HeartbeatMessage message)
+  TokenResponseMessage takeTokens(1: TokenRequestMessage request)
 }
--- a/libs/control/include/control/ControlNode.h
+++ b/libs/control/include/control/ControlNode.h
@@ -8,6 +8,7 @@
 #include <control/ControlOperators.h>
 #include <control/ControlTables.h>
 #include <control/HeartbeatService.h>
+#include <control/TokenService.h>
 #include <http/MetricsServer.h>
 
 #include <settings/ControlSettings.h>
@@ -73,6 +74,7 @@
     ConsensusTransport transport;
     ConsensusRunner runner;
     HeartbeatService heartbeats;
+    TokenService tokens;
     ConfigurationService configurations;
     ControlServer entries;
     ControlOperators operators;
--- a/libs/control/src/ControlNode.cpp
+++ b/libs/control/src/ControlNode.cpp
@@ -62,9 +62,17 @@
     , runner(toConsensusSettings(settings), makeRunnerHooks(), workers.executor(),
              makeSecureRandom())
     , heartbeats(tables)
+    , tokens(tables)
     , configurations(tables)
     , entries(settings.entriesAddress,
-              [this](const Heartbeat &heartbeat) { return this->heartbeats.respond(heartbeat); })
+              ControlServerHooks{.heartbeat =
+                                     [this](const Heartbeat &heartbeat) {
+                                         return this->heartbeats.respond(heartbeat);
+                                     },
+                                 .takeTokens =
+                                     [this](const TokenRequest &request) {
+                                         return this->tokens.respond(request);
+                                     }})
     , operators(settings, tables,
                 ControlOperatorsHooks{.nodeStatus =
                                           [this] {
--- a/libs/entry/include/entry/EntryNode.h
+++ b/libs/entry/include/entry/EntryNode.h
@@ -9,6 +9,7 @@
 #include <entry/ServerConnectionLog.h>
 #include <entry/SessionCodecs.h>
 #include <entry/StatementLog.h>
+#include <entry/TokenLoop.h>
 #include <http/MetricsServer.h>
 
 #include <proxy/ProxyServer.h>
@@ -55,6 +56,7 @@
     std::unique_ptr<ProbeLoop> probes;         ///< Null without an address for requests.
     std::unique_ptr<EntryServer> callerServer; ///< Null without an address for requests.
     HeartbeatLoop heartbeats;
+    TokenLoop tokens;
     EntryOperatorServer operatorServer;
     MetricsServer metricsServer;
 };
--- a/libs/entry/include/entry/EntryTables.h
+++ b/libs/entry/include/entry/EntryTables.h
@@ -13,6 +13,7 @@
 #include <observe/Metrics.h>
 #include <proxy/FleetSize.h>
 #include <quota/ShareHolder.h>
+#include <quota/TokenRequester.h>
 #include <request/CallerResponse.h>
 #include <request/ConnectionPool.h>
 #include <request/ReplicationTracker.h>
@@ -55,6 +56,10 @@
     /// To be set before the first heartbeat.
     auto setStateListener(std::function<auto()->void> listener) -> void;
 
+    /// `listener` is called when waiting requests may need tokens of the leader. To be set before
+    /// the first request.
+    auto setTokenListener(std::function<auto()->void> listener) -> void;
+
     /// From the control leader's last response.
     [[nodiscard]] auto fleetSize() const -> FleetSize;
     auto setFleetSize(FleetSize size) -> void;
@@ -76,6 +81,7 @@
     LeaseHolder lease;
     LeaseGate leaseGate;
     ShareHolder shares;
+    TokenRequester tokens;
     RateAdmission admission;
     EndpointTable endpoints;
     EndpointSockets connections;
@@ -91,6 +97,7 @@
 
 private:
     std::function<auto()->void> stateListener;
+    std::function<auto()->void> tokenListener;
     std::atomic<FleetSize> lastFleetSize{FleetSize()};
 
     auto openConnection(const ConnectionHandle &handle) -> void;
--- a/libs/entry/include/entry/HeartbeatLoop.h
+++ b/libs/entry/include/entry/HeartbeatLoop.h
@@ -36,6 +36,10 @@
     /// Stops the loop after the current heartbeat.
     auto stop() -> void;
 
+    /// Name of the member that granted the lease last; empty before the first grant. Safe from any
+    /// thread.
+    [[nodiscard]] auto leader() -> std::string;
+
 private:
     auto run() -> void;
 
@@ -48,6 +52,7 @@
     auto logLeaseChange(bool renewed, const std::string &member, const std::string &outcome)
         -> void;
     auto chooseMember(const std::string &leaderHint, bool granted) -> void;
+    auto setLeader(const std::string &member) -> void;
     [[nodiscard]] auto pauseUnlessStopped(Duration length) -> bool;
 
     EntryTables &tables;
@@ -59,6 +64,7 @@
     RankedMutex mutex{LockRank::WorkerQueue};
     RankedCondition stopped;
     bool stopping ABSL_GUARDED_BY(mutex) = false;
+    std::string lastGrantor ABSL_GUARDED_BY(mutex);
     std::thread thread;
 };
 
--- a/libs/entry/include/entry/RateAdmission.h
+++ b/libs/entry/include/entry/RateAdmission.h
@@ -33,7 +33,12 @@
     /// refusal.
     auto admit(const AdmissionRequest &request, TimePoint now, AdmissionDone done) -> void;
 
-    /// Admits the waiters for which there are tokens and refuses those whose deadline has passed.
+    /// Admits up to `tokens` waiters with tokens that the leader granted. Tokens that no request
+    /// waits for are dropped.
+    auto offer(const std::string &organisation, std::size_t tokens, TimePoint now) -> void;
+
+    /// Admits the waiters for which there are tokens and refuses those whose deadline has passed or
+    /// certainly passes before there is a token.
     /// Returns when to call again, or nothing if no request waits.
     auto advance(TimePoint now) -> std::optional<TimePoint>;
 
@@ -56,16 +61,23 @@
     [[nodiscard]] auto refusal(ReasonCode reason, const std::string &organisation, TimePoint now)
         -> RequestRefusal;
 
+    [[nodiscard]] auto retryAfter(const std::string &organisation, TimePoint now) const
+        -> std::optional<Duration>;
+
     /// Why a request without a token is refused immediately; nothing if it may wait.
     [[nodiscard]] auto refusalReason(const AdmissionRequest &request, const Queue &queue,
                                      TimePoint now) -> std::optional<ReasonCode>;
 
+    /// Whether a request behind `ahead` others certainly gets no token before its deadline.
+    [[nodiscard]] auto missesDeadline(const std::string &organisation, TimePoint deadline,
+                                      std::ptrdiff_t ahead, TimePoint now) const -> bool;
+
     /// The waiter that gets the next token. The queue must not be empty.
     [[nodiscard]] static auto nextWaiter(Queue &queue, TimePoint now) -> Queue::iterator;
 
     ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
-    auto refuseExpired(const std::string &organisation, Queue &queue, TimePoint now,
-                       std::vector<Ended> &ended) -> void;
+    auto refuseHopeless(const std::string &organisation, Queue &queue, TimePoint now,
+                        std::vector<Ended> &ended) -> void;
 
     ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
     auto advanceQueue(const std::string &organisation, Queue &queue, TimePoint now,
--- a/libs/entry/include/entry/RateAdmissionHooks.h
+++ b/libs/entry/include/entry/RateAdmissionHooks.h
@@ -6,6 +6,8 @@
 #include <core/Time.h>
 
 #include <cstddef>
+#include <quota/TokenForecast.h>
+
 #include <functional>
 #include <optional>
 #include <string>
@@ -30,6 +32,11 @@
     std::function<auto(const std::string &organisation, TimePoint now)->std::optional<Duration>>
         timeToToken;
 
+    /// When the leader expects tokens for waiting requests; nothing when none are to be had there.
+    std::function<
+        auto(const std::string &organisation, TimePoint now)->std::optional<TokenForecast>>
+        forecast;
+
     /// Reports the number of waiting requests.
     std::function<auto(const std::string &organisation, std::size_t waiting, TimePoint now)->void>
         setBacklog;
--- a/libs/entry/src/EntryNode.cpp
+++ b/libs/entry/src/EntryNode.cpp
@@ -24,7 +24,7 @@
                          .clusterSecret = clusterSecret};
 }
 
-/// Clients of control members, created on first use. Used by the heartbeat thread only.
+/// Clients of control members, created on first use. Used by one thread only.
 class ControlClients
 {
 public:
@@ -36,15 +36,14 @@
         this->anyAddress = settings.controlMembers.front().address;
     }
 
-    auto heartbeat(const std::string &name, const Heartbeat &message, Duration timeLimit)
-        -> absl::StatusOr<HeartbeatAnswer>
+    auto find(const std::string &name) -> absl::StatusOr<ControlClient *>
     {
         auto found = this->clients.find(name);
         if (found == this->clients.end() && this->membersByIp)
             found = this->clients.try_emplace(name, withPortOf(name, this->anyAddress)).first;
         if (found == this->clients.end())
             return absl::NotFoundError("control member " + name + " is not known");
-        return found->second.heartbeat(message, timeLimit);
+        return &found->second;
     }
 
 private:
@@ -57,14 +56,27 @@
 {
     const auto clients = std::make_shared<ControlClients>(settings);
     return HeartbeatLoopHooks{
-        .send =
-            [clients](const std::string &name, const Heartbeat &heartbeat, Duration timeLimit) {
-                return clients->heartbeat(name, heartbeat, timeLimit);
-            },
+        .send = [clients](const std::string &name, const Heartbeat &heartbeat,
+                          Duration timeLimit) -> absl::StatusOr<HeartbeatAnswer> {
+            const auto client = clients->find(name);
+            return client.ok() ? (*client)->heartbeat(heartbeat, timeLimit) : client.status();
+        },
         .wallClock = systemWallClockMillis,
         .learnsMembers = settings.membersByIp};
 }
 
+auto makeTokenHooks(const EntrySettings &settings, HeartbeatLoop &heartbeats) -> TokenLoopHooks
+{
+    const auto clients = std::make_shared<ControlClients>(settings);
+    return TokenLoopHooks{.leader = [&heartbeats] { return heartbeats.leader(); },
+                          .send = [clients](const std::string &name, const TokenRequest &request,
+                                            Duration timeLimit) -> absl::StatusOr<TokenResponse> {
+                              const auto client = clients->find(name);
+                              return client.ok() ? (*client)->takeTokens(request, timeLimit)
+                                                 : client.status();
+                          }};
+}
+
 } // namespace
 
 EntryNode::EntryNode(EntrySettings entrySettings, const std::string &clusterSecret,
@@ -81,9 +93,11 @@
                        ? nullptr
                        : std::make_unique<EntryServer>(settings, tables))
     , heartbeats(tables, settings.controlMembers, makeHeartbeatHooks(settings))
+    , tokens(tables, makeTokenHooks(settings, heartbeats))
     , operatorServer(settings, tables)
     , metricsServer(settings.metricsAddress, [this] { return this->tables.metricsText(); })
 {
+    this->tables.setTokenListener([this] { this->tokens.wake(); });
 }
 
 auto EntryNode::makeSessions(const SessionCodecs &codecs) -> std::unique_ptr<ProxyServer>
@@ -141,6 +155,7 @@
             return status;
     }
     this->heartbeats.start();
+    this->tokens.start();
     this->scheduleExpiry();
     return absl::OkStatus();
 }
@@ -167,6 +182,7 @@
         this->tables.transactions.closeAll();
         this->callerServer->stop();
     }
+    this->tokens.stop();
     this->heartbeats.stop();
     if (this->sessions != nullptr)
         this->sessions->stop();
--- a/libs/entry/src/EntryTables.cpp
+++ b/libs/entry/src/EntryTables.cpp
@@ -51,6 +51,16 @@
     , random(std::move(entryRandom))
     , leaseGate(this->executor.now())
     , shares(HolderId{identity.instance, identity.incarnation}, identity.zone, QuotaTiming())
+    , tokens(HolderId{identity.instance, identity.incarnation}, QuotaTiming(),
+             TokenRequesterHooks{.timeToOwnToken =
+                                     [this](const std::string &organisation, TimePoint now) {
+                                         return this->shares.timeToToken(organisation, now);
+                                     },
+                                 .requestWanted =
+                                     [this] {
+                                         if (this->tokenListener)
+                                             this->tokenListener();
+                                     }})
     , admission(RateAdmissionHooks{
           .tryAcquire =
               [this](const std::string &organisation, TimePoint now) {
@@ -64,9 +74,12 @@
               [this](const std::string &organisation, TimePoint now) {
                   return this->shares.timeToToken(organisation, now);
               },
+          .forecast = [this](const std::string &organisation,
+                             TimePoint now) { return this->tokens.forecast(organisation, now); },
           .setBacklog =
               [this](const std::string &organisation, std::size_t waiting, TimePoint now) {
                   this->shares.setBacklog(organisation, waiting, now);
+                  this->tokens.setBacklog(organisation, waiting, now);
               }})
     , endpoints(identity.zone, nearestFirst ? makeNearestFirst() : EndpointChoice(),
                 nearestFirst ? REMOTE_PROBE_INTERVAL_MS : EndpointTable::PROBE_INTERVAL_MS)
@@ -153,6 +166,11 @@
     this->stateListener = std::move(listener);
 }
 
+auto EntryTables::setTokenListener(std::function<auto()->void> listener) -> void
+{
+    this->tokenListener = std::move(listener);
+}
+
 auto EntryTables::fleetSize() const -> FleetSize
 {
     return this->lastFleetSize;
--- a/libs/entry/src/HeartbeatLoop.cpp
+++ b/libs/entry/src/HeartbeatLoop.cpp
@@ -56,6 +56,18 @@
         this->thread.join();
 }
 
+auto HeartbeatLoop::leader() -> std::string
+{
+    const RankedLock lock(this->mutex);
+    return this->lastGrantor;
+}
+
+auto HeartbeatLoop::setLeader(const std::string &member) -> void
+{
+    const RankedLock lock(this->mutex);
+    this->lastGrantor = member;
+}
+
 auto HeartbeatLoop::pauseUnlessStopped(Duration length) -> bool
 {
     const auto end = this->tables.executor.now() + length;
@@ -92,6 +104,7 @@
                            && this->tables.lease.completeHeartbeat(ticket, response->lease,
                                                                    this->tables.executor.now());
     if (isGranted) {
+        this->setLeader(member);
         this->tables.leaseGate.granted();
         std::ignore =
             this->tables.shares.adopt(response->shares, ticket.sentAt + response->lease.duration,
--- a/libs/entry/src/RateAdmission.cpp
+++ b/libs/entry/src/RateAdmission.cpp
@@ -27,9 +27,18 @@
     const auto message = reason == ReasonCode::QueueFull
                              ? "too many requests of the organisation wait for its rate"
                              : "the organisation is over its rate";
-    return RequestRefusal{.reason = reason,
-                          .message = message,
-                          .retryAfter = this->hooks.timeToToken(organisation, now)};
+    return RequestRefusal{
+        .reason = reason, .message = message, .retryAfter = this->retryAfter(organisation, now)};
+}
+
+auto RateAdmission::retryAfter(const std::string &organisation, TimePoint now) const
+    -> std::optional<Duration>
+{
+    const auto wait = this->hooks.timeToToken(organisation, now);
+    const auto forecast = this->hooks.forecast(organisation, now);
+    if (!forecast || forecast->first <= Duration::zero())
+        return wait;
+    return std::min(wait.value_or(forecast->first), forecast->first);
 }
 
 auto RateAdmission::refusalReason(const AdmissionRequest &request, const Queue &queue,
@@ -43,10 +52,22 @@
     const auto ahead = std::count_if(queue.begin(), queue.end(), [&](const auto &waiter) {
         return isLate || !missesObjective(waiter.objectiveEnd, now);
     });
+    return this->missesDeadline(request.organisation, request.deadline, ahead, now)
+               ? std::optional(ReasonCode::RateLimited)
+               : std::nullopt;
+}
+
+auto RateAdmission::missesDeadline(const std::string &organisation, TimePoint deadline,
+                                   std::ptrdiff_t ahead, TimePoint now) const -> bool
+{
+    const auto wait = this->hooks.timeToToken(organisation, now);
+    const auto forecast = this->hooks.forecast(organisation, now);
+    if (forecast) {
+        const auto grantedAt = now + forecast->first + forecast->interval * ahead;
+        return grantedAt > deadline && (!wait || now + *wait * (ahead + 1) > deadline);
+    }
     // With no request ahead, a new share may still yield a token in time.
-    const auto wait = this->hooks.timeToToken(request.organisation, now);
-    const auto missesDeadline = ahead > 0 && wait && now + *wait * (ahead + 1) > request.deadline;
-    return missesDeadline ? std::optional(ReasonCode::RateLimited) : std::nullopt;
+    return ahead > 0 && wait && now + *wait * (ahead + 1) > deadline;
 }
 
 auto RateAdmission::nextWaiter(Queue &queue, TimePoint now) -> Queue::iterator
@@ -83,12 +104,41 @@
     done(std::move(refused));
 }
 
-auto RateAdmission::refuseExpired(const std::string &organisation, Queue &queue, TimePoint now,
-                                  std::vector<Ended> &ended) -> void
+auto RateAdmission::offer(const std::string &organisation, std::size_t tokens, TimePoint now)
+    -> void
+{
+    auto admitted = std::vector<AdmissionDone>();
+    {
+        const RankedLock lock(this->mutex);
+        const auto found = this->queues.find(organisation);
+        if (found == this->queues.end())
+            return;
+        auto &queue = found->second;
+        while (tokens > 0 && !queue.empty()) {
+            const auto next = nextWaiter(queue, now);
+            admitted.push_back(std::move(next->done));
+            queue.erase(next);
+            --tokens;
+        }
+        this->hooks.setBacklog(organisation, queue.size(), now);
+    }
+    for (const auto &done : admitted)
+        done(std::nullopt);
+}
+
+auto RateAdmission::refuseHopeless(const std::string &organisation, Queue &queue, TimePoint now,
+                                   std::vector<Ended> &ended) -> void
 {
+    // What the leader expects may have become known after a request began to wait.
+    const auto isForecast = this->hooks.forecast(organisation, now).has_value();
+    auto ahead = std::ptrdiff_t(0);
     for (auto waiter = queue.begin(); waiter != queue.end();) {
-        if (waiter->deadline > now) {
+        const auto isHopeless =
+            waiter->deadline <= now
+            || (isForecast && this->missesDeadline(organisation, waiter->deadline, ahead, now));
+        if (!isHopeless) {
             ++waiter;
+            ++ahead;
             continue;
         }
         ended.push_back(Ended{std::move(waiter->done),
@@ -100,7 +150,7 @@
 auto RateAdmission::advanceQueue(const std::string &organisation, Queue &queue, TimePoint now,
                                  std::vector<Ended> &ended) -> std::optional<TimePoint>
 {
-    this->refuseExpired(organisation, queue, now, ended);
+    this->refuseHopeless(organisation, queue, now, ended);
     while (!queue.empty() && this->hooks.tryAcquireQueued(organisation, now)) {
         const auto next = nextWaiter(queue, now);
         ended.push_back(Ended{std::move(next->done), std::nullopt});
--- /dev/null
+++ b/libs/entry/tests/AdmissionFleet.cpp
@@ -0,0 +1,198 @@
+#include <AdmissionFleet.h>
+
+#include <random>
+
+namespace auburnrail {
+
+namespace {
+
+constexpr auto MILLI = 1000.0;
+constexpr auto ADVANCE_INTERVAL = std::chrono::milliseconds(10);
+constexpr auto ZONES = std::size_t(6);
+
+} // namespace
+
+AdmissionFleet::AdmissionFleet(std::size_t entryCount,
+                               std::map<std::string, ShareLimits> organisationLimits)
+    : ledger(QuotaTiming(),
+             ShareLedgerHooks{.grantReady =
+                                  [this](const HolderId &holder) {
+                                      const auto index = std::stoul(holder.instance);
+                                      this->executor.post([this, index] { this->respond(index); });
+                                  }})
+    , executor(scheduler.executor())
+    , limits(std::move(organisationLimits))
+    , entries(entryCount)
+{
+    this->scheduler.runFor(std::chrono::hours(1));
+    this->ledger.beginLeadership({.number = 1}, this->scheduler.now());
+    for (const auto &[organisation, limit] : this->limits) {
+        this->ledger.setLimits(organisation, limit, this->scheduler.now());
+        this->ideal.emplace(organisation,
+                            TokenBucket::full(static_cast<double>(limit.rate) / MILLI,
+                                              static_cast<double>(limit.burst) / MILLI,
+                                              this->scheduler.now()));
+    }
+    for (auto index = std::size_t(0); index < entryCount; ++index) {
+        auto &entry = this->entries[index];
+        entry.holder = std::make_unique<ShareHolder>(HolderId{std::to_string(index), 1},
+                                                     std::to_string(index % ZONES), QuotaTiming());
+        entry.tokens = std::make_unique<TokenRequester>(
+            HolderId{std::to_string(index), 1}, QuotaTiming(),
+            TokenRequesterHooks{.timeToOwnToken =
+                                    [&entry](const std::string &organisation, TimePoint now) {
+                                        return entry.holder->timeToToken(organisation, now);
+                                    },
+                                .requestWanted =
+                                    [this, index] {
+                                        this->executor.post(
+                                            [this, index] { this->requestTokens(index); });
+                                    }});
+        entry.admission = std::make_unique<RateAdmission>(RateAdmissionHooks{
+            .tryAcquire =
+                [&entry](const std::string &organisation, TimePoint now) {
+                    return entry.holder->tryAcquire(organisation, now);
+                },
+            .tryAcquireQueued =
+                [&entry](const std::string &organisation, TimePoint now) {
+                    return entry.holder->tryAcquireQueued(organisation, now);
+                },
+            .timeToToken =
+                [&entry](const std::string &organisation, TimePoint now) {
+                    return entry.holder->timeToToken(organisation, now);
+                },
+            .forecast =
+                [&entry](const std::string &organisation, TimePoint now) {
+                    return entry.tokens->forecast(organisation, now);
+                },
+            .setBacklog =
+                [&entry](const std::string &organisation, std::size_t waiting, TimePoint now) {
+                    entry.holder->setBacklog(organisation, waiting, now);
+                    entry.tokens->setBacklog(organisation, waiting, now);
+                }});
+        this->executor.post([this, index] { this->sendReport(index); });
+    }
+    this->advanceLater();
+}
+
+auto AdmissionFleet::sendReport(std::size_t index) -> void
+{
+    auto &entry = this->entries[index];
+    entry.sentAt = this->scheduler.now();
+    ++this->outcome.messages;
+    const auto exchange = ++entry.exchange;
+    this->executor.postAfter(
+        ONE_WAY_DELAY,
+        [this, index, exchange, report = entry.holder->beginReport(this->scheduler.now())] {
+            auto &sender = this->entries[index];
+            sender.held = true;
+            const auto grant = this->ledger.report(report, this->scheduler.now());
+            if (grant.urgent) {
+                this->respond(index);
+                return;
+            }
+            this->executor.postAfter(RESPONSE_HOLD, [this, index, exchange] {
+                if (this->entries[index].exchange == exchange)
+                    this->respond(index);
+            });
+        });
+}
+
+auto AdmissionFleet::respond(std::size_t index) -> void
+{
+    auto &entry = this->entries[index];
+    if (!entry.held)
+        return;
+    entry.held = false;
+    const auto grant =
+        this->ledger.grant(HolderId{std::to_string(index), 1}, this->scheduler.now());
+    this->executor.postAfter(ONE_WAY_DELAY, [this, index, grant] {
+        auto &receiver = this->entries[index];
+        receiver.holder->adopt(grant, receiver.sentAt + QuotaTiming().leaseDuration,
+                               this->scheduler.now());
+        this->sendReport(index);
+    });
+}
+
+auto AdmissionFleet::requestTokens(std::size_t index) -> void
+{
+    const auto request = this->entries[index].tokens->beginRequest(this->scheduler.now());
+    if (!request)
+        return;
+    ++this->outcome.messages;
+    this->executor.postAfter(ONE_WAY_DELAY, [this, index, request = *request] {
+        const auto response = this->ledger.takeTokens(request, this->scheduler.now());
+        this->executor.postAfter(ONE_WAY_DELAY, [this, index, response] {
+            auto &entry = this->entries[index];
+            const auto now = this->scheduler.now();
+            for (const auto &grant : entry.tokens->complete(response, now))
+                entry.admission->offer(grant.organisation, grant.tokens, now);
+            this->requestTokens(index);
+        });
+    });
+}
+
+auto AdmissionFleet::advanceLater() -> void
+{
+    this->executor.postAfter(ADVANCE_INTERVAL, [this] {
+        this->ledger.expire(this->scheduler.now());
+        for (auto index = std::size_t(0); index < this->entries.size(); ++index) {
+            std::ignore = this->entries[index].admission->advance(this->scheduler.now());
+            this->requestTokens(index);
+        }
+        this->advanceLater();
+    });
+}
+
+auto AdmissionFleet::request(const std::string &organisation, std::size_t index) -> void
+{
+    const auto at = this->scheduler.now();
+    const auto owed = this->ideal.at(organisation).tryTake(at);
+    this->entries[index].admission->admit(
+        AdmissionRequest{.organisation = organisation,
+                         .objectiveEnd = at + OBJECTIVE,
+                         .deadline = at + TIME_LIMIT},
+        at, [this, organisation, at, owed](const std::optional<RequestRefusal> &refusal) {
+            this->ended(organisation, at, owed, !refusal);
+        });
+}
+
+auto AdmissionFleet::ended(const std::string &organisation, TimePoint at, bool owed,
+                           bool isAdmitted) -> void
+{
+    const auto now = this->scheduler.now();
+    if (isAdmitted)
+        this->outcome.admittedAt[organisation].push_back(now);
+    else
+        this->outcome.waitSeconds += std::chrono::duration<double>(now - at).count();
+    this->outcome.refused += isAdmitted ? 0 : 1;
+    if (!owed)
+        return;
+    ++this->outcome.owed;
+    if (isAdmitted)
+        ++(now - at <= OBJECTIVE ? this->outcome.inTime : this->outcome.late);
+}
+
+auto AdmissionFleet::run(double load, Duration length, std::uint64_t seed) -> AdmissionOutcome
+{
+    // Granting begins after the lease wait, and buckets fill.
+    this->scheduler.runFor(2 * QuotaTiming().leaseWait());
+    this->outcome = AdmissionOutcome();
+    auto random = std::mt19937_64(seed);
+    auto entry = std::uniform_int_distribution<std::size_t>(0, this->entries.size() - 1);
+    for (const auto &[organisation, limit] : this->limits) {
+        auto gap =
+            std::exponential_distribution<double>(load * static_cast<double>(limit.rate) / MILLI);
+        auto at = std::chrono::duration<double>(gap(random));
+        while (at < length) {
+            this->executor.postAfter(
+                std::chrono::duration_cast<Duration>(at),
+                [this, name = organisation, index = entry(random)] { this->request(name, index); });
+            at += std::chrono::duration<double>(gap(random));
+        }
+    }
+    this->scheduler.runFor(length + 2 * TIME_LIMIT);
+    return this->outcome;
+}
+
+} // namespace auburnrail
--- /dev/null
+++ b/libs/entry/tests/FleetAdmissionTest.cpp
@@ -0,0 +1,62 @@
+#include <AdmissionFleet.h>
+
+#include <catch2/catch.hpp>
+
+namespace auburnrail {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr auto ENTRIES = std::size_t(89);
+
+/// 87 organisations with limits of 6 to 188 a second and as many tokens of burst; 70 of them have
+/// fewer tokens than there are entries by far.
+auto smallAndLargeLimits() -> std::map<std::string, ShareLimits>
+{
+    auto limits = std::map<std::string, ShareLimits>();
+    for (auto index = 0; index < 87; ++index) {
+        const auto tokens = index < 70 ? 6 + index / 6 : 20 + (index - 70) * (index - 70) * 3 / 5;
+        limits["organisation-" + std::to_string(index)] = {tokens * 1000, tokens * 1000};
+    }
+    return limits;
+}
+
+} // namespace
+
+// Guards against limits that are cut into shares too small to use: requests at half of their limits
+// waited a second for a share or were refused, while the leader did nothing but divide limits.
+TEST_CASE("a fleet with more entries than tokens admits requests that are within the limits")
+{
+    auto fleet = AdmissionFleet(ENTRIES, smallAndLargeLimits());
+    const auto before = fleet.ledger.activity();
+    const auto outcome = fleet.run(0.55, 10s, 1);
+    const auto after = fleet.ledger.activity();
+    const auto owed = static_cast<double>(outcome.owed);
+    INFO("owed " << outcome.owed << ", in time " << outcome.inTime << ", late " << outcome.late
+                 << ", refused " << outcome.refused << ", messages " << outcome.messages
+                 << ", claims visited " << after.claims - before.claims);
+    CHECK(static_cast<double>(outcome.inTime) >= 0.99 * owed);
+    // About a message for each request, and four reports a second.
+    CHECK(static_cast<double>(outcome.messages) <= 1.1 * owed + 12.0 * 4.0 * ENTRIES);
+    // The leader's work follows the requests, not entries times organisations.
+    CHECK(static_cast<double>(after.claims - before.claims) <= 10.0 * owed);
+}
+
+// Guards against requests that wait for their whole time limit at an organisation over its rate:
+// the leader says when it will have a token, so the others are refused at once.
+TEST_CASE("requests beyond the limits of an organisation are refused without waiting")
+{
+    auto fleet = AdmissionFleet(ENTRIES, {{"organisation", {20'000, 20'000}}});
+    const auto outcome = fleet.run(5.0, 10s, 1);
+    INFO("owed " << outcome.owed << ", refused " << outcome.refused << ", waited "
+                 << outcome.waitSeconds << " s, messages " << outcome.messages);
+    const auto &admitted = outcome.admittedAt.at("organisation");
+    CHECK(admitted.size() >= 180);
+    CHECK(admitted.size() <= 20 + 20 * 12);
+    // A quarter of the time limit on average.
+    CHECK(outcome.waitSeconds <= 0.25 * static_cast<double>(outcome.refused));
+    CHECK(outcome.messages <= 12U * 9U * ENTRIES);
+}
+
+} // namespace auburnrail
--- a/libs/entry/tests/RateAdmissionTest.cpp
+++ b/libs/entry/tests/RateAdmissionTest.cpp
@@ -27,6 +27,7 @@
             .timeToToken = [](const std::string &, TimePoint) -> std::optional<Duration> {
                 return 100ms;
             },
+            .forecast = [this](const std::string &, TimePoint) { return this->expected; },
             .setBacklog =
                 [this](const std::string &, std::size_t waiting, TimePoint) {
                     this->backlog = waiting;
@@ -35,6 +36,7 @@
 
     int tokens = 0;
     std::size_t backlog = 0;
+    std::optional<TokenForecast> expected;
 };
 
 auto record(std::string &trace, std::string name) -> AdmissionDone
--- a/libs/quota/include/quota/ShareLedger.h
+++ b/libs/quota/include/quota/ShareLedger.h
@@ -8,6 +8,8 @@
 #include <quota/ShareLedgerHooks.h>
 #include <quota/ShareLimits.h>
 #include <quota/ShareReport.h>
+#include <quota/TokenRequest.h>
+#include <quota/TokenResponse.h>
 #include <quota/detail/HolderRecord.h>
 #include <quota/detail/OrganisationShares.h>
 
@@ -25,7 +27,8 @@
 /// Leader side of the distributed rate limit: grants shares of each organisation's limits to the
 /// holders. At any time the shares that holders can use sum to at most the limits, because each
 /// holder counts with the greater of what it reported and what was granted in response, until its
-/// next report or until its lease has ended on any clock.
+/// next report or until its lease has ended on any clock. What no holder has a share of is a token
+/// bucket here, from which `takeTokens` grants.
 ///
 /// Call `beginLeadership` when elected, `setLimits` for each organisation, `report` for each
 /// heartbeat, and `expire` from a timer. Call `report` and `grant` only while the leader may grant
@@ -59,6 +62,10 @@
     /// Empty when the holder is unknown.
     [[nodiscard]] auto grant(const HolderId &holder, TimePoint now) -> ShareGrant;
 
+    /// Grants single tokens from what no holder has a share of. They may be used until the token
+    /// lifetime has passed since the request was sent. A repeated request gets further tokens.
+    [[nodiscard]] auto takeTokens(const TokenRequest &request, TimePoint now) -> TokenResponse;
+
     /// Reclaims the shares of holders whose lease has ended on any clock.
     auto expire(TimePoint now) -> void;
 
@@ -73,15 +80,30 @@
     [[nodiscard]] auto activity() -> ShareLedgerActivity;
 
 private:
+    using Organisations = std::map<std::string, detail::OrganisationShares, std::less<>>;
+
     ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
-    auto applyReport(const ShareReport &report, detail::HolderRecord &record, bool trusted) -> void;
+    auto applyReport(const ShareReport &report, detail::HolderRecord &record, bool trusted,
+                     TimePoint now) -> void;
     ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
     auto replaceClaim(const ShareReport &report, const std::string &organisation,
-                      detail::ShareClaim claim) -> bool;
+                      detail::ShareClaim claim, TimePoint now) -> bool;
     ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
     auto removeClaim(const HolderId &holder, const std::string &organisation) -> void;
     ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
-    auto makeGrant(const HolderId &holder, const detail::HolderRecord &record) -> ShareGrant;
+    auto makeGrant(const HolderId &holder, const detail::HolderRecord &record, TimePoint now)
+        -> ShareGrant;
+    ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
+    auto takeFrom(detail::OrganisationShares &shares, const HolderId &holder,
+                  const TokenDemand &demand, TimePoint now) -> TokenGrant;
+    /// Sets the reserve's limits to what the claims leave.
+    ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
+    auto updateReserve(detail::OrganisationShares &shares, TimePoint now) -> void;
+    ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
+    auto addOrganisation(std::string_view organisation, ShareLimits limits, TimePoint now)
+        -> Organisations::iterator;
+    /// Forgets removed organisations of which nothing is in use any more.
+    ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex) auto eraseRemoved(TimePoint now) -> void;
     ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex) auto expireLocked(TimePoint now) -> void;
     ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex) auto startGrantingWhenSafe(TimePoint now) -> void;
     ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex) auto allocateChanged(TimePoint now) -> void;
@@ -93,11 +115,11 @@
     const QuotaTiming timing;
     const ShareLedgerHooks hooks;
     RankedMutex mutex{LockRank::ShareLedger};
-    std::map<std::string, detail::OrganisationShares, std::less<>>
-        organisations ABSL_GUARDED_BY(mutex);
+    Organisations organisations ABSL_GUARDED_BY(mutex);
     std::map<HolderId, detail::HolderRecord> holders ABSL_GUARDED_BY(mutex);
     std::set<std::pair<TimePoint, HolderId>> expiries ABSL_GUARDED_BY(mutex);
     std::set<std::string, std::less<>> changed ABSL_GUARDED_BY(mutex);
+    std::set<std::string, std::less<>> removed ABSL_GUARDED_BY(mutex);
     std::set<HolderId> ready ABSL_GUARDED_BY(mutex);
     ShareLedgerActivity work ABSL_GUARDED_BY(mutex);
     ShareLeadership current
--- a/libs/quota/include/quota/detail/OrganisationShares.h
+++ b/libs/quota/include/quota/detail/OrganisationShares.h
@@ -3,7 +3,9 @@
 
 #include <quota/HolderId.h>
 #include <quota/ShareLimits.h>
+#include <quota/detail/LimitUser.h>
 #include <quota/detail/ShareClaim.h>
+#include <quota/detail/TokenReserve.h>
 
 #include <core/Time.h>
 
@@ -21,6 +23,9 @@
     std::int64_t countedRate = 0;  ///< Sum over the claims.
     std::int64_t countedBurst = 0; ///< Sum over the claims.
     std::optional<TimePoint> allocatedAt;
+    TokenReserve reserve;                ///< What no claim counts.
+    std::map<HolderId, LimitUser> users; ///< Holders whose requests use the limits.
+    bool divided = true; ///< Whether holders get shares; else every token comes from the reserve.
 };
 
 } // namespace auburnrail::detail
--- a/libs/quota/include/quota/detail/ShareClaim.h
+++ b/libs/quota/include/quota/detail/ShareClaim.h
@@ -27,8 +27,6 @@
     std::int64_t targetBurst = 0;
     double demandRate = 0;
     bool active = false; ///< The last report included a demand.
-    bool chosen = false; ///< Selected for a share when the burst is too small for all holders.
-    std::optional<TimePoint> chosenAt;
 
     /// Counted rate and burst.
     [[nodiscard]] auto counted() const -> std::pair<std::int64_t, std::int64_t>
--- a/libs/quota/src/ShareAllocation.cpp
+++ b/libs/quota/src/ShareAllocation.cpp
@@ -4,7 +4,6 @@
 #include <cmath>
 #include <map>
 #include <string_view>
-#include <tuple>
 #include <vector>
 
 namespace auburnrail::detail {
@@ -19,15 +18,12 @@
 // of this fraction of the limit, so that the bucket of an idle holder fills for its next request.
 constexpr auto IDLE_WEIGHT_FRACTION = 0.1;
 
-// Fraction of the burst that holders without demand may keep, one token each.
-constexpr auto IDLE_BURST_FRACTION = 0.25;
+// Limits are divided into shares only if the burst has this many tokens for each holder; smaller
+// shares are empty when a request arrives, while tokens are left at other holders.
+constexpr auto MIN_TOKENS_PER_SHARE = std::int64_t(10);
 
-// Minimum time that a holder keeps a share in rotation. It must exceed the transfer of a share to
-// another holder, which takes about two heartbeats.
-constexpr auto MIN_TURN = Duration(std::chrono::seconds(1));
-
-// A turn lasts long enough for the rate to yield this many tokens to each holder with a share.
-constexpr auto TOKENS_PER_TURN = 2.0;
+// Once divided, limits stay so down to this number, since every change moves all shares.
+constexpr auto MIN_TOKENS_TO_STAY_DIVIDED = std::int64_t(8);
 
 /// Divides `amount` evenly, giving no one more than its need (max-min fairness).
 auto allocateMaxMin(const std::vector<double> &needs, double amount) -> std::vector<double>
@@ -60,40 +56,6 @@
     return parts;
 }
 
-/// Selects the claims that get a share: those with demand, in rotation when there are more than
-/// `places`, and idle ones up to IDLE_BURST_FRACTION of the places.
-auto choose(const std::vector<ShareClaim *> &active, std::size_t places, const ShareLimits &limits,
-            TimePoint now) -> std::vector<ShareClaim *>
-{
-    auto chosen = active;
-    const auto wanting = static_cast<std::size_t>(std::count_if(
-        active.begin(), active.end(), [](const auto *claim) { return claim->demandRate > 0; }));
-    const auto count = std::min(
-        {active.size(), places,
-         wanting + static_cast<std::size_t>(IDLE_BURST_FRACTION * static_cast<double>(places))});
-    if (active.size() > count) {
-        const auto rate = static_cast<double>(std::max<std::int64_t>(limits.rate, 1));
-        const auto turnS = std::min(
-            3600.0, TOKENS_PER_TURN * static_cast<double>(places * TOKEN_MILLITOKENS) / rate);
-        const auto turn = std::max(MIN_TURN, Duration(static_cast<Duration::rep>(turnS * 1e9)));
-        const auto rank = [&](const ShareClaim *claim) {
-            const auto inTurn = claim->chosen && claim->chosenAt && now - *claim->chosenAt < turn;
-            return std::tuple(claim->demandRate <= 0, !inTurn, claim->chosenAt.has_value(),
-                              claim->chosenAt.value_or(TimePoint()));
-        };
-        std::stable_sort(chosen.begin(), chosen.end(), [&](const auto *left, const auto *right) {
-            return rank(left) < rank(right);
-        });
-    }
-    for (auto i = std::size_t(0); i < chosen.size(); ++i) {
-        if (i < count && !chosen[i]->chosen)
-            chosen[i]->chosenAt = now;
-        chosen[i]->chosen = i < count;
-    }
-    chosen.resize(count);
-    return chosen;
-}
-
 /// Sets the target rates. Returns the fraction of `total` that stays unallocated.
 auto setRates(const std::vector<ShareClaim *> &chosen, const std::vector<double> &spread,
               double total) -> double
@@ -147,9 +109,16 @@
     }
 }
 
+auto isWorthDividing(const OrganisationShares &shares) -> bool
+{
+    const auto users = static_cast<std::int64_t>(shares.users.size());
+    const auto tokensEach = shares.divided ? MIN_TOKENS_TO_STAY_DIVIDED : MIN_TOKENS_PER_SHARE;
+    return shares.limits.burst >= tokensEach * TOKEN_MILLITOKENS * users;
+}
+
 } // namespace
 
-auto allocateShares(OrganisationShares &shares, TimePoint now) -> void
+auto allocateShares(OrganisationShares &shares) -> void
 {
     auto active = std::vector<ShareClaim *>();
     for (auto &[holder, claim] : shares.claims) {
@@ -157,17 +126,13 @@
         claim.targetBurst = 0;
         if (claim.active)
             active.push_back(&claim);
-        else
-            claim.chosen = false;
     }
-    const auto places = static_cast<std::size_t>(std::max<std::int64_t>(0, shares.limits.burst))
-                        / static_cast<std::size_t>(TOKEN_MILLITOKENS);
-    const auto chosen = choose(active, places, shares.limits, now);
-    if (chosen.empty())
+    shares.divided = isWorthDividing(shares);
+    if (!shares.divided || active.empty())
         return;
-    const auto spread = spreadOverZones(chosen);
-    const auto unallocated = setRates(chosen, spread, static_cast<double>(shares.limits.rate));
-    setBursts(chosen, spread, static_cast<double>(shares.limits.burst), unallocated);
+    const auto spread = spreadOverZones(active);
+    const auto unallocated = setRates(active, spread, static_cast<double>(shares.limits.rate));
+    setBursts(active, spread, static_cast<double>(shares.limits.burst), unallocated);
 }
 
 } // namespace auburnrail::detail
--- a/libs/quota/src/ShareAllocation.h
+++ b/libs/quota/src/ShareAllocation.h
@@ -13,10 +13,10 @@
 /// others meanwhile. A fraction of the rate without demand stays unallocated, so that a holder that
 /// becomes active gets a share immediately.
 ///
-/// A bucket below one token never admits a request. Each share's burst is therefore at least one
-/// token, and when there are more active holders than whole tokens of burst, only as many holders
-/// as there are tokens get a share: holders with demand first, in rotation.
-auto allocateShares(OrganisationShares &shares, TimePoint now) -> void;
+/// A bucket below one token never admits a request, and one of a few tokens is often empty while
+/// others are full. Limits whose burst is too small for the holders that use them are therefore not
+/// divided: all targets are 0, and requests get single tokens from the reserve.
+auto allocateShares(OrganisationShares &shares) -> void;
 
 } // namespace auburnrail::detail
 
--- a/libs/quota/src/ShareHolder.cpp
+++ b/libs/quota/src/ShareHolder.cpp
@@ -11,9 +11,9 @@
 
 constexpr auto TOKENS_PER_MILLITOKEN = 1e-3;
 
-// An organisation stays in the reports for this long after its last request, so that a returning
-// caller finds a token bucket filled from the guaranteed part of the rate.
-constexpr auto ACTIVE_DURATION = std::chrono::seconds(60);
+// An organisation stays in the reports for this long after its last request. A caller that returns
+// later gets its first token from the ledger.
+constexpr auto ACTIVE_DURATION = std::chrono::seconds(2);
 
 // Time constant of the moving average of arrivals: short compared with the time in which load moves
 // between entries, long compared with the interval between reports.
--- a/libs/quota/src/ShareLedger.cpp
+++ b/libs/quota/src/ShareLedger.cpp
@@ -1,5 +1,6 @@
 #include <quota/ShareLedger.h>
 
+#include <LimitUsers.h>
 #include <ShareAllocation.h>
 #include <ShareAmounts.h>
 
@@ -16,6 +17,22 @@
 // organisation independent of how often its holders report.
 constexpr auto ALLOCATION_INTERVAL_PER_CLAIM = std::chrono::microseconds(50);
 
+// A holder counts as a user of the limits for this long after its last demand.
+constexpr auto USER_RETENTION = std::chrono::seconds(60);
+
+constexpr auto TOKENS_PER_MILLITOKEN = 1e-3;
+
+// Limits that are not divided are looked at again in this interval, because fewer holders may use
+// them by then.
+constexpr auto UNDIVIDED_CHECK_INTERVAL = Duration(std::chrono::seconds(1));
+
+/// Minimum interval between two allocations of an organisation.
+auto allocationInterval(const detail::OrganisationShares &shares) -> Duration
+{
+    return shares.divided ? ALLOCATION_INTERVAL_PER_CLAIM * shares.claims.size()
+                          : UNDIVIDED_CHECK_INTERVAL;
+}
+
 } // namespace
 
 ShareLedger::ShareLedger(QuotaTiming timing, ShareLedgerHooks hooks)
@@ -31,8 +48,10 @@
     this->holders.clear();
     this->expiries.clear();
     this->ready.clear();
-    for (auto &[organisation, shares] : this->organisations)
+    for (auto &[organisation, shares] : this->organisations) {
         shares = detail::OrganisationShares{.limits = shares.limits};
+        shares.reserve.begin(shares.limits.burst, now);
+    }
     this->granting = false;
     this->grantingFrom = now + this->timing.leaseWait();
 }
@@ -49,12 +68,14 @@
     auto holdersReady = std::set<HolderId>();
     {
         const RankedLock lock(this->mutex);
+        this->startGrantingWhenSafe(now);
         auto found = this->organisations.find(organisation);
         if (found == this->organisations.end())
-            found = this->organisations.try_emplace(std::string(organisation)).first;
+            found = this->addOrganisation(organisation, limits, now);
         if (found->second.limits == limits)
             return;
         found->second.limits = limits;
+        this->updateReserve(found->second, now);
         this->changed.emplace(organisation);
         this->allocateChanged(now);
         holdersReady = this->takeReady();
@@ -66,9 +87,24 @@
 {
     this->setLimits(organisation, {}, now);
     const RankedLock lock(this->mutex);
-    const auto found = this->organisations.find(organisation);
-    if (found != this->organisations.end() && found->second.claims.empty())
+    this->removed.emplace(organisation);
+    this->eraseRemoved(now);
+}
+
+auto ShareLedger::eraseRemoved(TimePoint now) -> void
+{
+    std::erase_if(this->removed, [&](const std::string &name) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex) {
+        const auto found = this->organisations.find(name);
+        if (found == this->organisations.end() || found->second.limits != ShareLimits())
+            return true;
+        this->updateReserve(found->second, now);
+        // Shares and tokens that are in use count if the organisation is added again.
+        if (!found->second.claims.empty() || found->second.reserve.inFlight() > 0)
+            return false;
+        this->changed.erase(name);
         this->organisations.erase(found);
+        return true;
+    });
 }
 
 auto ShareLedger::report(const ShareReport &report, TimePoint now) -> ShareGrant
@@ -95,14 +131,14 @@
             this->expiries.emplace(record.expiresAt, report.holder);
             record.sequence = report.sequence;
             record.zone = report.zone;
-            this->applyReport(report, record, trusted);
+            this->applyReport(report, record, trusted, now);
         }
         // A report made under this leadership is later than every grant of an earlier one.
         if (report.leadership == this->current.number)
             this->current.earlierHolders.erase(report.holder.instance);
         this->startGrantingWhenSafe(now);
         this->allocateChanged(now);
-        grant = this->makeGrant(report.holder, record);
+        grant = this->makeGrant(report.holder, record, now);
         this->ready.erase(report.holder);
         holdersReady = this->takeReady();
     }
@@ -120,7 +156,7 @@
         this->allocateChanged(now);
         const auto found = this->holders.find(holder);
         if (found != this->holders.end())
-            grant = this->makeGrant(holder, found->second);
+            grant = this->makeGrant(holder, found->second, now);
         this->ready.erase(holder);
         holdersReady = this->takeReady();
     }
@@ -128,6 +164,69 @@
     return grant;
 }
 
+auto ShareLedger::takeTokens(const TokenRequest &request, TimePoint now) -> TokenResponse
+{
+    auto response = TokenResponse();
+    auto holdersReady = std::set<HolderId>();
+    {
+        const RankedLock lock(this->mutex);
+        this->expireLocked(now);
+        response.granting = this->granting;
+        if (!this->granting)
+            return response;
+        for (const auto &demand : request.demands) {
+            const auto found = this->organisations.find(demand.organisation);
+            if (found == this->organisations.end())
+                continue;
+            auto &shares = found->second;
+            if (!shares.users.contains(request.holder) && shares.divided)
+                this->changed.insert(demand.organisation);
+            response.grants.push_back(this->takeFrom(shares, request.holder, demand, now));
+        }
+        this->allocateChanged(now);
+        holdersReady = this->takeReady();
+    }
+    this->notify(holdersReady);
+    return response;
+}
+
+auto ShareLedger::takeFrom(detail::OrganisationShares &shares, const HolderId &holder,
+                           const TokenDemand &demand, TimePoint now) -> TokenGrant
+{
+    this->updateReserve(shares, now);
+    auto grant = TokenGrant{.organisation = demand.organisation, .wait = {}};
+    grant.tokens = shares.reserve.take(demand.tokens, now);
+    this->work.tokens += grant.tokens;
+    grant.interval = shares.reserve.interval();
+    const auto unmet = demand.tokens - grant.tokens;
+    if (unmet > 0) {
+        // The tokens that others wait for come first.
+        const auto ahead = detail::tokensAwaitedByOthers(shares.users, holder, now);
+        if (const auto first = shares.reserve.timeToToken(now))
+            grant.wait = *first + grant.interval * ahead;
+    }
+    shares.users[holder] = detail::LimitUser{.seenAt = now, .askedAt = now, .unmet = unmet};
+    return grant;
+}
+
+auto ShareLedger::updateReserve(detail::OrganisationShares &shares, TimePoint now) -> void
+{
+    const auto rate = static_cast<double>(shares.limits.rate - shares.countedRate);
+    const auto burst = static_cast<double>(shares.limits.burst - shares.countedBurst);
+    shares.reserve.setLimits(rate * TOKENS_PER_MILLITOKEN / (1.0 + this->timing.clockRateMargin),
+                             burst * TOKENS_PER_MILLITOKEN, this->timing.tokenWait(), now);
+}
+
+auto ShareLedger::addOrganisation(std::string_view organisation, ShareLimits limits, TimePoint now)
+    -> Organisations::iterator
+{
+    const auto added = this->organisations.try_emplace(std::string(organisation)).first;
+    // An earlier leader may have granted tokens of limits that this one has just learned of.
+    if (!this->granting)
+        added->second.reserve.begin(limits.burst, now);
+    return added;
+}
+
 auto ShareLedger::expire(TimePoint now) -> void
 {
     auto holdersReady = std::set<HolderId>();
@@ -153,8 +252,7 @@
         consider(*this->grantingFrom);
     for (const auto &organisation : this->changed) {
         const auto &shares = this->organisations[organisation];
-        consider(shares.allocatedAt.value_or(TimePoint())
-                 + ALLOCATION_INTERVAL_PER_CLAIM * shares.claims.size());
+        consider(shares.allocatedAt.value_or(TimePoint()) + allocationInterval(shares));
     }
     return next;
 }
@@ -177,24 +275,29 @@
     return this->work;
 }
 
-auto ShareLedger::makeGrant(const HolderId &holder, const detail::HolderRecord &record)
-    -> ShareGrant
+auto ShareLedger::makeGrant(const HolderId &holder, const detail::HolderRecord &record,
+                            TimePoint now) -> ShareGrant
 {
     auto grant = ShareGrant{.sequence = record.sequence, .leadership = this->current.number};
     for (const auto &organisation : record.organisations) {
         auto &shares = this->organisations[organisation];
         auto &claim = shares.claims[holder];
+        this->updateReserve(shares, now);
         const auto [countedRate, countedBurst] = claim.counted();
+        // Before granting starts, no share grows, and shares are reduced only where they exceed the
+        // limits by themselves.
+        const auto tokensInFlight = this->granting ? shares.reserve.inFlight() : 0;
         const auto rate =
             detail::nextAmount(claim.usedRate, claim.targetRate, shares.countedRate - countedRate,
                                shares.limits.rate, this->granting);
         const auto burst = detail::nextAmount(claim.usedBurst, claim.targetBurst,
-                                              shares.countedBurst - countedBurst,
+                                              shares.countedBurst - countedBurst + tokensInFlight,
                                               shares.limits.burst, this->granting);
         claim.grantedRate = std::max(claim.grantedRate, rate);
         claim.grantedBurst = std::max(claim.grantedBurst, burst);
         shares.countedRate += claim.countedRate() - countedRate;
         shares.countedBurst += claim.countedBurst() - countedBurst;
+        this->updateReserve(shares, now);
         if (rate == claim.reportedRate && burst == claim.reportedBurst)
             continue;
         grant.shares.push_back({organisation, rate, burst});
@@ -207,6 +310,7 @@
 auto ShareLedger::expireLocked(TimePoint now) -> void
 {
     this->startGrantingWhenSafe(now);
+    this->eraseRemoved(now);
     while (!this->expiries.empty() && this->expiries.begin()->first <= now) {
         const auto holder = this->expiries.begin()->second;
         this->expiries.erase(this->expiries.begin());
@@ -231,14 +335,16 @@
 {
     for (auto name = this->changed.begin(); name != this->changed.end();) {
         auto &shares = this->organisations[*name];
-        const auto interval = ALLOCATION_INTERVAL_PER_CLAIM * shares.claims.size();
-        if (shares.allocatedAt && now - *shares.allocatedAt < interval) {
+        if (shares.allocatedAt && now - *shares.allocatedAt < allocationInterval(shares)) {
             ++name;
             continue;
         }
         if (!shares.claims.empty()) {
             shares.allocatedAt = now;
-            detail::allocateShares(shares, now);
+            std::erase_if(shares.users, [now](const auto &row) {
+                return now - row.second.seenAt > USER_RETENTION;
+            });
+            detail::allocateShares(shares);
             ++this->work.allocations;
             this->work.claims += shares.claims.size();
             this->findReady(shares);
--- a/libs/quota/src/ShareLedgerClaims.cpp
+++ b/libs/quota/src/ShareLedgerClaims.cpp
@@ -17,8 +17,8 @@
 
 } // namespace
 
-auto ShareLedger::applyReport(const ShareReport &report, detail::HolderRecord &record, bool trusted)
-    -> void
+auto ShareLedger::applyReport(const ShareReport &report, detail::HolderRecord &record, bool trusted,
+                              TimePoint now) -> void
 {
     auto claims = std::map<std::string, detail::ShareClaim, std::less<>>();
     for (const auto &share : report.heldShares) {
@@ -37,7 +37,7 @@
     }
     const auto before = std::exchange(record.organisations, {});
     for (auto &[organisation, claim] : claims) {
-        if (this->replaceClaim(report, organisation, std::move(claim)))
+        if (this->replaceClaim(report, organisation, std::move(claim), now))
             record.organisations.insert(organisation);
     }
     for (const auto &organisation : before) {
@@ -48,13 +48,13 @@
 
 /// Returns false when the claim is for an organisation that has neither limits nor a share.
 auto ShareLedger::replaceClaim(const ShareReport &report, const std::string &organisation,
-                               detail::ShareClaim claim) -> bool
+                               detail::ShareClaim claim, TimePoint now) -> bool
 {
     auto found = this->organisations.find(organisation);
     if (found == this->organisations.end()) {
         if (claim.reportedRate == 0 && claim.reportedBurst == 0)
             return false;
-        found = this->organisations.try_emplace(organisation).first;
+        found = this->addOrganisation(organisation, {}, now);
     }
     auto &shares = found->second;
     auto &row = shares.claims[report.holder];
@@ -62,17 +62,16 @@
         return std::tuple(value.counted(), value.active, value.demandRate);
     };
     const auto before = view(row);
+    if (claim.active)
+        shares.users[report.holder].seenAt = now;
     claim.zone = report.zone;
     claim.targetRate = row.targetRate;
     claim.targetBurst = row.targetBurst;
-    claim.chosen = row.chosen;
-    claim.chosenAt = row.chosenAt;
     shares.countedRate += claim.countedRate() - row.countedRate();
     shares.countedBurst += claim.countedBurst() - row.countedBurst();
     row = std::move(claim);
-    const auto inTurns = static_cast<double>(shares.claims.size()) * MILLITOKENS_PER_TOKEN
-                         > static_cast<double>(shares.limits.burst);
-    if (inTurns || before != view(row))
+    this->updateReserve(shares, now);
+    if (before != view(row))
         this->changed.insert(organisation);
     return true;
 }
@@ -89,11 +88,8 @@
     shares.countedRate -= claim->second.countedRate();
     shares.countedBurst -= claim->second.countedBurst();
     shares.claims.erase(claim);
-    if (shares.claims.empty() && shares.limits == ShareLimits()) {
-        this->organisations.erase(found);
-        this->changed.erase(organisation);
-        return;
-    }
+    if (shares.claims.empty() && shares.limits == ShareLimits())
+        this->removed.insert(organisation);
     this->changed.insert(organisation);
 }
 
--- a/libs/wire/include/wire/ControlClient.h
+++ b/libs/wire/include/wire/ControlClient.h
@@ -3,6 +3,8 @@
 
 #include <heartbeat/Heartbeat.h>
 #include <heartbeat/HeartbeatAnswer.h>
+#include <quota/TokenRequest.h>
+#include <quota/TokenResponse.h>
 
 #include <core/Time.h>
 
@@ -29,6 +31,10 @@
     [[nodiscard]] auto heartbeat(const Heartbeat &message, Duration timeout)
         -> absl::StatusOr<HeartbeatAnswer>;
 
+    /// Asks for single tokens; the same time limit and errors as heartbeat().
+    [[nodiscard]] auto takeTokens(const TokenRequest &request, Duration timeout)
+        -> absl::StatusOr<TokenResponse>;
+
 private:
     struct Impl;
 
--- a/libs/wire/include/wire/ControlServer.h
+++ b/libs/wire/include/wire/ControlServer.h
@@ -1,26 +1,22 @@
 #ifndef AUBURNRAIL_WIRE_CONTROLSERVER_H
 #define AUBURNRAIL_WIRE_CONTROLSERVER_H
 
-#include <heartbeat/Heartbeat.h>
-#include <heartbeat/HeartbeatAnswer.h>
+#include <wire/ControlServerHooks.h>
 
 #include <absl/status/status.h>
 
-#include <functional>
 #include <memory>
 #include <string>
 
 namespace auburnrail {
 
-/// Receives the heartbeats of entries. Each connected entry has a thread, on which the hook may
-/// wait.
+/// Receives the heartbeats of entries and their requests for tokens. Each connection has a thread,
+/// on which the hook may wait.
 class ControlServer
 {
 public:
-    using Handler = std::function<auto(const Heartbeat &)->HeartbeatAnswer>;
-
     /// `address` is IP:port to listen on.
-    ControlServer(std::string address, Handler handler);
+    ControlServer(std::string address, ControlServerHooks serverHooks);
     ControlServer(const ControlServer &) = delete;
     auto operator=(const ControlServer &) -> ControlServer & = delete;
 
--- a/libs/wire/src/ControlClient.cpp
+++ b/libs/wire/src/ControlClient.cpp
@@ -1,6 +1,7 @@
 #include <wire/ControlClient.h>
 
 #include "HeartbeatCodec.h"
+#include "TokenCodec.h"
 #include "WireLimits.h"
 
 #include <Control.h>
@@ -10,6 +11,8 @@
 #include <thrift/transport/TBufferTransports.h>
 #include <thrift/transport/TSocket.h>
 
+#include <functional>
+
 namespace auburnrail {
 
 struct ControlClient::Impl
@@ -26,6 +29,27 @@
                 this->transport, detail::NO_STRING_LIMIT, detail::MAX_CONTAINER_ITEMS));
     }
 
+    /// Connects when needed and runs `exchange`, with `timeout` for each step.
+    auto call(Duration timeout,
+              const std::function<auto(thriftgen::ControlClient &client)->void> &exchange)
+        -> absl::Status
+    {
+        try {
+            const auto millis = static_cast<int>(toMillis(timeout));
+            this->socket->setConnTimeout(millis);
+            this->socket->setRecvTimeout(millis);
+            this->socket->setSendTimeout(millis);
+            if (!this->transport->isOpen())
+                this->transport->open();
+            exchange(*this->client);
+            return absl::OkStatus();
+        } catch (const apache::thrift::TException &error) {
+            // A late response must not be taken for the response to the next call.
+            this->transport->close();
+            return absl::UnavailableError(error.what());
+        }
+    }
+
     std::shared_ptr<apache::thrift::transport::TSocket> socket;
     std::shared_ptr<apache::thrift::transport::TTransport> transport;
     std::unique_ptr<thriftgen::ControlClient> client;
@@ -41,21 +65,27 @@
 auto ControlClient::heartbeat(const Heartbeat &message, Duration timeout)
     -> absl::StatusOr<HeartbeatAnswer>
 {
-    try {
-        const auto millis = static_cast<int>(toMillis(timeout));
-        this->impl->socket->setConnTimeout(millis);
-        this->impl->socket->setRecvTimeout(millis);
-        this->impl->socket->setSendTimeout(millis);
-        if (!this->impl->transport->isOpen())
-            this->impl->transport->open();
-        auto answer = thriftgen::HeartbeatAnswerMessage();
-        this->impl->client->heartbeat(answer, detail::toMessage(message));
-        return detail::fromMessage(answer);
-    } catch (const apache::thrift::TException &error) {
-        // A late answer must not be taken for the answer to the next heartbeat.
-        this->impl->transport->close();
-        return absl::UnavailableError(error.what());
-    }
+    auto answer = thriftgen::HeartbeatAnswerMessage();
+    const auto status =
+        this->impl->call(timeout, [&answer, &message](thriftgen::ControlClient &client) {
+            client.heartbeat(answer, detail::toMessage(message));
+        });
+    if (!status.ok())
+        return status;
+    return detail::fromMessage(answer);
+}
+
+auto ControlClient::takeTokens(const TokenRequest &request, Duration timeout)
+    -> absl::StatusOr<TokenResponse>
+{
+    auto response = thriftgen::TokenResponseMessage();
+    const auto status =
+        this->impl->call(timeout, [&response, &request](thriftgen::ControlClient &client) {
+            client.takeTokens(response, detail::toMessage(request));
+        });
+    if (!status.ok())
+        return status;
+    return detail::fromMessage(response);
 }
 
 } // namespace auburnrail
--- a/libs/wire/src/ControlServer.cpp
+++ b/libs/wire/src/ControlServer.cpp
@@ -1,6 +1,7 @@
 #include <wire/ControlServer.h>
 
 #include "HeartbeatCodec.h"
+#include "TokenCodec.h"
 #include "WireLimits.h"
 
 #include <Control.h>
@@ -25,19 +26,25 @@
 class ControlHandler : public thriftgen::ControlIf
 {
 public:
-    explicit ControlHandler(ControlServer::Handler heartbeatHandler)
-        : handler(std::move(heartbeatHandler))
+    explicit ControlHandler(ControlServerHooks serverHooks)
+        : hooks(std::move(serverHooks))
     {
     }
 
     auto heartbeat(thriftgen::HeartbeatAnswerMessage &answer,
                    const thriftgen::HeartbeatMessage &message) -> void override
     {
-        answer = detail::toMessage(this->handler(detail::fromMessage(message)));
+        answer = detail::toMessage(this->hooks.heartbeat(detail::fromMessage(message)));
+    }
+
+    auto takeTokens(thriftgen::TokenResponseMessage &response,
+                    const thriftgen::TokenRequestMessage &request) -> void override
+    {
+        response = detail::toMessage(this->hooks.takeTokens(detail::fromMessage(request)));
     }
 
 private:
-    ControlServer::Handler handler;
+    const ControlServerHooks hooks;
 };
 
 /// Tells the starting thread that the server listens.
@@ -57,16 +64,16 @@
 struct ControlServer::Impl
 {
     std::string address;
-    Handler handler;
+    ControlServerHooks hooks;
     std::shared_ptr<apache::thrift::server::TThreadedServer> server;
     std::thread thread;
 };
 
-ControlServer::ControlServer(std::string address, Handler handler)
+ControlServer::ControlServer(std::string address, ControlServerHooks serverHooks)
     : impl(std::make_unique<Impl>())
 {
     this->impl->address = std::move(address);
-    this->impl->handler = std::move(handler);
+    this->impl->hooks = std::move(serverHooks);
 }
 
 ControlServer::~ControlServer()
@@ -84,7 +91,7 @@
         socket->setSendTimeout(IDLE_CONNECTION_LIMIT_MS);
         this->impl->server = std::make_shared<apache::thrift::server::TThreadedServer>(
             std::make_shared<thriftgen::ControlProcessor>(
-                std::make_shared<ControlHandler>(this->impl->handler)),
+                std::make_shared<ControlHandler>(this->impl->hooks)),
             socket, std::make_shared<apache::thrift::transport::TFramedTransportFactory>(),
             std::make_shared<apache::thrift::protocol::TCompactProtocolFactory>(
                 detail::NO_STRING_LIMIT, detail::MAX_CONTAINER_ITEMS));
--- a/libs/wire/src/gen/Control.cpp
+++ b/libs/wire/src/gen/Control.cpp
@@ -195,6 +195,193 @@
   return xfer;
 }
 
+
+Control_takeTokens_args::~Control_takeTokens_args() noexcept {
+}
+
+
+uint32_t Control_takeTokens_args::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->request.read(iprot);
+          this->__isset.request = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Control_takeTokens_args::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Control_takeTokens_args");
+
+  xfer += oprot->writeFieldBegin("request", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->request.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+Control_takeTokens_pargs::~Control_takeTokens_pargs() noexcept {
+}
+
+
+uint32_t Control_takeTokens_pargs::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Control_takeTokens_pargs");
+
+  xfer += oprot->writeFieldBegin("request", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += (*(this->request)).write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+Control_takeTokens_result::~Control_takeTokens_result() noexcept {
+}
+
+
+uint32_t Control_takeTokens_result::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 0:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->success.read(iprot);
+          this->__isset.success = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Control_takeTokens_result::write(::apache::thrift::protocol::TProtocol* oprot) const {
+
+  uint32_t xfer = 0;
+
+  xfer += oprot->writeStructBegin("Control_takeTokens_result");
+
+  if (this->__isset.success) {
+    xfer += oprot->writeFieldBegin("success", ::apache::thrift::protocol::T_STRUCT, 0);
+    xfer += this->success.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+Control_takeTokens_presult::~Control_takeTokens_presult() noexcept {
+}
+
+
+uint32_t Control_takeTokens_presult::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 0:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += (*(this->success)).read(iprot);
+          this->__isset.success = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
 void ControlClient::heartbeat(HeartbeatAnswerMessage& _return, const HeartbeatMessage& message)
 {
   send_heartbeat(message);
@@ -253,6 +440,64 @@
   throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "heartbeat failed: unknown result");
 }
 
+void ControlClient::takeTokens(TokenResponseMessage& _return, const TokenRequestMessage& request)
+{
+  send_takeTokens(request);
+  recv_takeTokens(_return);
+}
+
+void ControlClient::send_takeTokens(const TokenRequestMessage& request)
+{
+  int32_t cseqid = 0;
+  oprot_->writeMessageBegin("takeTokens", ::apache::thrift::protocol::T_CALL, cseqid);
+
+  Control_takeTokens_pargs args;
+  args.request = &request;
+  args.write(oprot_);
+
+  oprot_->writeMessageEnd();
+  oprot_->getTransport()->writeEnd();
+  oprot_->getTransport()->flush();
+}
+
+void ControlClient::recv_takeTokens(TokenResponseMessage& _return)
+{
+
+  int32_t rseqid = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TMessageType mtype;
+
+  iprot_->readMessageBegin(fname, mtype, rseqid);
+  if (mtype == ::apache::thrift::protocol::T_EXCEPTION) {
+    ::apache::thrift::TApplicationException x;
+    x.read(iprot_);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+    throw x;
+  }
+  if (mtype != ::apache::thrift::protocol::T_REPLY) {
+    iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+  }
+  if (fname.compare("takeTokens") != 0) {
+    iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+  }
+  Control_takeTokens_presult result;
+  result.success = &_return;
+  result.read(iprot_);
+  iprot_->readMessageEnd();
+  iprot_->getTransport()->readEnd();
+
+  if (result.__isset.success) {
+    // _return pointer has now been filled
+    return;
+  }
+  throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "takeTokens failed: unknown result");
+}
+
 bool ControlProcessor::dispatchCall(::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, const std::string& fname, int32_t seqid, void* callContext) {
   ProcessMap::iterator pfn;
   pfn = processMap_.find(fname);
@@ -326,6 +571,60 @@
   }
 }
 
+void ControlProcessor::process_takeTokens(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext)
+{
+  void* ctx = nullptr;
+  if (this->eventHandler_.get() != nullptr) {
+    ctx = this->eventHandler_->getContext("Control.takeTokens", callContext);
+  }
+  ::apache::thrift::TProcessorContextFreer freer(this->eventHandler_.get(), ctx, "Control.takeTokens");
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->preRead(ctx, "Control.takeTokens");
+  }
+
+  Control_takeTokens_args args;
+  args.read(iprot);
+  iprot->readMessageEnd();
+  uint32_t bytes = iprot->getTransport()->readEnd();
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->postRead(ctx, "Control.takeTokens", bytes);
+  }
+
+  Control_takeTokens_result result;
+  try {
+    iface_->takeTokens(result.success, args.request);
+    result.__isset.success = true;
+  } catch (const std::exception& e) {
+    if (this->eventHandler_.get() != nullptr) {
+      this->eventHandler_->handlerError(ctx, "Control.takeTokens");
+    }
+
+    ::apache::thrift::TApplicationException x(e.what());
+    oprot->writeMessageBegin("takeTokens", ::apache::thrift::protocol::T_EXCEPTION, seqid);
+    x.write(oprot);
+    oprot->writeMessageEnd();
+    oprot->getTransport()->writeEnd();
+    oprot->getTransport()->flush();
+    return;
+  }
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->preWrite(ctx, "Control.takeTokens");
+  }
+
+  oprot->writeMessageBegin("takeTokens", ::apache::thrift::protocol::T_REPLY, seqid);
+  result.write(oprot);
+  oprot->writeMessageEnd();
+  bytes = oprot->getTransport()->writeEnd();
+  oprot->getTransport()->flush();
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->postWrite(ctx, "Control.takeTokens", bytes);
+  }
+}
+
 ::std::shared_ptr< ::apache::thrift::TProcessor > ControlProcessorFactory::getProcessor(const ::apache::thrift::TConnectionInfo& connInfo) {
   ::apache::thrift::ReleaseHandler< ControlIfFactory > cleanup(handlerFactory_);
   ::std::shared_ptr< ControlIf > handler(handlerFactory_->getHandler(connInfo), cleanup);
@@ -417,5 +716,89 @@
   } // end while(true)
 }
 
+void ControlConcurrentClient::takeTokens(TokenResponseMessage& _return, const TokenRequestMessage& request)
+{
+  int32_t seqid = send_takeTokens(request);
+  recv_takeTokens(_return, seqid);
+}
+
+int32_t ControlConcurrentClient::send_takeTokens(const TokenRequestMessage& request)
+{
+  int32_t cseqid = this->sync_->generateSeqId();
+  ::apache::thrift::async::TConcurrentSendSentry sentry(this->sync_.get());
+  oprot_->writeMessageBegin("takeTokens", ::apache::thrift::protocol::T_CALL, cseqid);
+
+  Control_takeTokens_pargs args;
+  args.request = &request;
+  args.write(oprot_);
+
+  oprot_->writeMessageEnd();
+  oprot_->getTransport()->writeEnd();
+  oprot_->getTransport()->flush();
+
+  sentry.commit();
+  return cseqid;
+}
+
+void ControlConcurrentClient::recv_takeTokens(TokenResponseMessage& _return, const int32_t seqid)
+{
+
+  int32_t rseqid = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TMessageType mtype;
+
+  // the read mutex gets dropped and reacquired as part of waitForWork()
+  // The destructor of this sentry wakes up other clients
+  ::apache::thrift::async::TConcurrentRecvSentry sentry(this->sync_.get(), seqid);
+
+  while(true) {
+    if(!this->sync_->getPending(fname, mtype, rseqid)) {
+      iprot_->readMessageBegin(fname, mtype, rseqid);
+    }
+    if(seqid == rseqid) {
+      if (mtype == ::apache::thrift::protocol::T_EXCEPTION) {
+        ::apache::thrift::TApplicationException x;
+        x.read(iprot_);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+        sentry.commit();
+        throw x;
+      }
+      if (mtype != ::apache::thrift::protocol::T_REPLY) {
+        iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+      }
+      if (fname.compare("takeTokens") != 0) {
+        iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+
+        // in a bad state, don't commit
+        using ::apache::thrift::protocol::TProtocolException;
+        throw TProtocolException(TProtocolException::INVALID_DATA);
+      }
+      Control_takeTokens_presult result;
+      result.success = &_return;
+      result.read(iprot_);
+      iprot_->readMessageEnd();
+      iprot_->getTransport()->readEnd();
+
+      if (result.__isset.success) {
+        // _return pointer has now been filled
+        sentry.commit();
+        return;
+      }
+      // in a bad state, don't commit
+      throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "takeTokens failed: unknown result");
+    }
+    // seqid != rseqid
+    this->sync_->updatePending(fname, mtype, rseqid);
+
+    // this will temporarily unlock the readMutex, and let other clients get work done
+    this->sync_->waitForWork(seqid);
+  } // end while(true)
+}
+
 }} // namespace
 
--- a/libs/wire/src/gen/Control.h
+++ b/libs/wire/src/gen/Control.h
@@ -23,6 +23,7 @@
  public:
   virtual ~ControlIf() {}
   virtual void heartbeat(HeartbeatAnswerMessage& _return, const HeartbeatMessage& message) = 0;
+  virtual void takeTokens(TokenResponseMessage& _return, const TokenRequestMessage& request) = 0;
 };
 
 class ControlIfFactory {
@@ -55,6 +56,9 @@
   void heartbeat(HeartbeatAnswerMessage& /* _return */, const HeartbeatMessage& /* message */) override {
     return;
   }
+  void takeTokens(TokenResponseMessage& /* _return */, const TokenRequestMessage& /* request */) override {
+    return;
+  }
 };
 
 typedef struct _Control_heartbeat_args__isset {
@@ -165,6 +169,114 @@
 
 };
 
+typedef struct _Control_takeTokens_args__isset {
+  _Control_takeTokens_args__isset() : request(false) {}
+  bool request :1;
+} _Control_takeTokens_args__isset;
+
+class Control_takeTokens_args {
+ public:
+
+  Control_takeTokens_args(const Control_takeTokens_args&);
+  Control_takeTokens_args(Control_takeTokens_args&&) noexcept;
+  Control_takeTokens_args& operator=(const Control_takeTokens_args&);
+  Control_takeTokens_args& operator=(Control_takeTokens_args&&) noexcept;
+  Control_takeTokens_args() noexcept {
+  }
+
+  virtual ~Control_takeTokens_args() noexcept;
+  TokenRequestMessage request;
+
+  _Control_takeTokens_args__isset __isset;
+
+  void __set_request(const TokenRequestMessage& val);
+
+  bool operator == (const Control_takeTokens_args & rhs) const
+  {
+    if (!(request == rhs.request))
+      return false;
+    return true;
+  }
+  bool operator != (const Control_takeTokens_args &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Control_takeTokens_args & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+
+class Control_takeTokens_pargs {
+ public:
+
+
+  virtual ~Control_takeTokens_pargs() noexcept;
+  const TokenRequestMessage* request;
+
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+typedef struct _Control_takeTokens_result__isset {
+  _Control_takeTokens_result__isset() : success(false) {}
+  bool success :1;
+} _Control_takeTokens_result__isset;
+
+class Control_takeTokens_result {
+ public:
+
+  Control_takeTokens_result(const Control_takeTokens_result&);
+  Control_takeTokens_result(Control_takeTokens_result&&) noexcept;
+  Control_takeTokens_result& operator=(const Control_takeTokens_result&);
+  Control_takeTokens_result& operator=(Control_takeTokens_result&&) noexcept;
+  Control_takeTokens_result() noexcept {
+  }
+
+  virtual ~Control_takeTokens_result() noexcept;
+  TokenResponseMessage success;
+
+  _Control_takeTokens_result__isset __isset;
+
+  void __set_success(const TokenResponseMessage& val);
+
+  bool operator == (const Control_takeTokens_result & rhs) const
+  {
+    if (!(success == rhs.success))
+      return false;
+    return true;
+  }
+  bool operator != (const Control_takeTokens_result &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Control_takeTokens_result & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+typedef struct _Control_takeTokens_presult__isset {
+  _Control_takeTokens_presult__isset() : success(false) {}
+  bool success :1;
+} _Control_takeTokens_presult__isset;
+
+class Control_takeTokens_presult {
+ public:
+
+
+  virtual ~Control_takeTokens_presult() noexcept;
+  TokenResponseMessage* success;
+
+  _Control_takeTokens_presult__isset __isset;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+
+};
+
 class ControlClient : virtual public ControlIf {
  public:
   ControlClient(std::shared_ptr< ::apache::thrift::protocol::TProtocol> prot) {
@@ -193,6 +305,9 @@
   void heartbeat(HeartbeatAnswerMessage& _return, const HeartbeatMessage& message) override;
   void send_heartbeat(const HeartbeatMessage& message);
   void recv_heartbeat(HeartbeatAnswerMessage& _return);
+  void takeTokens(TokenResponseMessage& _return, const TokenRequestMessage& request) override;
+  void send_takeTokens(const TokenRequestMessage& request);
+  void recv_takeTokens(TokenResponseMessage& _return);
  protected:
   std::shared_ptr< ::apache::thrift::protocol::TProtocol> piprot_;
   std::shared_ptr< ::apache::thrift::protocol::TProtocol> poprot_;
@@ -209,10 +324,12 @@
   typedef std::map<std::string, ProcessFunction> ProcessMap;
   ProcessMap processMap_;
   void process_heartbeat(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
+  void process_takeTokens(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
  public:
   ControlProcessor(::std::shared_ptr<ControlIf> iface) :
     iface_(iface) {
     processMap_["heartbeat"] = &ControlProcessor::process_heartbeat;
+    processMap_["takeTokens"] = &ControlProcessor::process_takeTokens;
   }
 
   virtual ~ControlProcessor() {}
@@ -251,6 +368,16 @@
     return;
   }
 
+  void takeTokens(TokenResponseMessage& _return, const TokenRequestMessage& request) override {
+    size_t sz = ifaces_.size();
+    size_t i = 0;
+    for (; i < (sz - 1); ++i) {
+      ifaces_[i]->takeTokens(_return, request);
+    }
+    ifaces_[i]->takeTokens(_return, request);
+    return;
+  }
+
 };
 
 // The 'concurrent' client is a thread safe client that correctly handles
@@ -286,6 +413,9 @@
   void heartbeat(HeartbeatAnswerMessage& _return, const HeartbeatMessage& message) override;
   int32_t send_heartbeat(const HeartbeatMessage& message);
   void recv_heartbeat(HeartbeatAnswerMessage& _return, const int32_t seqid);
+  void takeTokens(TokenResponseMessage& _return, const TokenRequestMessage& request) override;
+  int32_t send_takeTokens(const TokenRequestMessage& request);
+  void recv_takeTokens(TokenResponseMessage& _return, const int32_t seqid);
  protected:
   std::shared_ptr< ::apache::thrift::protocol::TProtocol> piprot_;
   std::shared_ptr< ::apache::thrift::protocol::TProtocol> poprot_;
--- a/libs/wire/src/gen/Control_types.cpp
+++ b/libs/wire/src/gen/Control_types.cpp
@@ -1959,4 +1959,604 @@
   out << ")";
 }
 
+
+TokenDemandMessage::~TokenDemandMessage() noexcept {
+}
+
+
+void TokenDemandMessage::__set_organisation(const std::string& val) {
+  this->organisation = val;
+}
+
+void TokenDemandMessage::__set_tokens(const int32_t val) {
+  this->tokens = val;
+}
+std::ostream& operator<<(std::ostream& out, const TokenDemandMessage& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t TokenDemandMessage::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->organisation);
+          this->__isset.organisation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->tokens);
+          this->__isset.tokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t TokenDemandMessage::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("TokenDemandMessage");
+
+  xfer += oprot->writeFieldBegin("organisation", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->organisation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("tokens", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->tokens);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(TokenDemandMessage &a, TokenDemandMessage &b) {
+  using ::std::swap;
+  swap(a.organisation, b.organisation);
+  swap(a.tokens, b.tokens);
+  swap(a.__isset, b.__isset);
+}
+
+TokenDemandMessage::TokenDemandMessage(const TokenDemandMessage& other82) {
+  organisation = other82.organisation;
+  tokens = other82.tokens;
+  __isset = other82.__isset;
+}
+TokenDemandMessage::TokenDemandMessage(TokenDemandMessage&& other83) noexcept {
+  organisation = std::move(other83.organisation);
+  tokens = other83.tokens;
+  __isset = other83.__isset;
+}
+TokenDemandMessage& TokenDemandMessage::operator=(const TokenDemandMessage& other84) {
+  organisation = other84.organisation;
+  tokens = other84.tokens;
+  __isset = other84.__isset;
+  return *this;
+}
+TokenDemandMessage& TokenDemandMessage::operator=(TokenDemandMessage&& other85) noexcept {
+  organisation = std::move(other85.organisation);
+  tokens = other85.tokens;
+  __isset = other85.__isset;
+  return *this;
+}
+void TokenDemandMessage::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "TokenDemandMessage(";
+  out << "organisation=" << to_string(organisation);
+  out << ", " << "tokens=" << to_string(tokens);
+  out << ")";
+}
+
+
+TokenRequestMessage::~TokenRequestMessage() noexcept {
+}
+
+
+void TokenRequestMessage::__set_instance(const std::string& val) {
+  this->instance = val;
+}
+
+void TokenRequestMessage::__set_incarnation(const int64_t val) {
+  this->incarnation = val;
+}
+
+void TokenRequestMessage::__set_demands(const std::vector<TokenDemandMessage> & val) {
+  this->demands = val;
+}
+std::ostream& operator<<(std::ostream& out, const TokenRequestMessage& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t TokenRequestMessage::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->instance);
+          this->__isset.instance = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->incarnation);
+          this->__isset.incarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->demands.clear();
+            uint32_t _size86;
+            ::apache::thrift::protocol::TType _etype89;
+            xfer += iprot->readListBegin(_etype89, _size86);
+            this->demands.resize(_size86);
+            uint32_t _i90;
+            for (_i90 = 0; _i90 < _size86; ++_i90)
+            {
+              xfer += this->demands[_i90].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.demands = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t TokenRequestMessage::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("TokenRequestMessage");
+
+  xfer += oprot->writeFieldBegin("instance", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->instance);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->incarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("demands", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->demands.size()));
+    std::vector<TokenDemandMessage> ::const_iterator _iter91;
+    for (_iter91 = this->demands.begin(); _iter91 != this->demands.end(); ++_iter91)
+    {
+      xfer += (*_iter91).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(TokenRequestMessage &a, TokenRequestMessage &b) {
+  using ::std::swap;
+  swap(a.instance, b.instance);
+  swap(a.incarnation, b.incarnation);
+  swap(a.demands, b.demands);
+  swap(a.__isset, b.__isset);
+}
+
+TokenRequestMessage::TokenRequestMessage(const TokenRequestMessage& other92) {
+  instance = other92.instance;
+  incarnation = other92.incarnation;
+  demands = other92.demands;
+  __isset = other92.__isset;
+}
+TokenRequestMessage::TokenRequestMessage(TokenRequestMessage&& other93) noexcept {
+  instance = std::move(other93.instance);
+  incarnation = other93.incarnation;
+  demands = std::move(other93.demands);
+  __isset = other93.__isset;
+}
+TokenRequestMessage& TokenRequestMessage::operator=(const TokenRequestMessage& other94) {
+  instance = other94.instance;
+  incarnation = other94.incarnation;
+  demands = other94.demands;
+  __isset = other94.__isset;
+  return *this;
+}
+TokenRequestMessage& TokenRequestMessage::operator=(TokenRequestMessage&& other95) noexcept {
+  instance = std::move(other95.instance);
+  incarnation = other95.incarnation;
+  demands = std::move(other95.demands);
+  __isset = other95.__isset;
+  return *this;
+}
+void TokenRequestMessage::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "TokenRequestMessage(";
+  out << "instance=" << to_string(instance);
+  out << ", " << "incarnation=" << to_string(incarnation);
+  out << ", " << "demands=" << to_string(demands);
+  out << ")";
+}
+
+
+TokenGrantMessage::~TokenGrantMessage() noexcept {
+}
+
+
+void TokenGrantMessage::__set_organisation(const std::string& val) {
+  this->organisation = val;
+}
+
+void TokenGrantMessage::__set_tokens(const int32_t val) {
+  this->tokens = val;
+}
+
+void TokenGrantMessage::__set_waitMicros(const int64_t val) {
+  this->waitMicros = val;
+__isset.waitMicros = true;
+}
+
+void TokenGrantMessage::__set_intervalMicros(const int64_t val) {
+  this->intervalMicros = val;
+}
+std::ostream& operator<<(std::ostream& out, const TokenGrantMessage& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t TokenGrantMessage::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->organisation);
+          this->__isset.organisation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->tokens);
+          this->__isset.tokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->waitMicros);
+          this->__isset.waitMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->intervalMicros);
+          this->__isset.intervalMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t TokenGrantMessage::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("TokenGrantMessage");
+
+  xfer += oprot->writeFieldBegin("organisation", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->organisation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("tokens", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->tokens);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.waitMicros) {
+    xfer += oprot->writeFieldBegin("waitMicros", ::apache::thrift::protocol::T_I64, 3);
+    xfer += oprot->writeI64(this->waitMicros);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("intervalMicros", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->intervalMicros);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(TokenGrantMessage &a, TokenGrantMessage &b) {
+  using ::std::swap;
+  swap(a.organisation, b.organisation);
+  swap(a.tokens, b.tokens);
+  swap(a.waitMicros, b.waitMicros);
+  swap(a.intervalMicros, b.intervalMicros);
+  swap(a.__isset, b.__isset);
+}
+
+TokenGrantMessage::TokenGrantMessage(const TokenGrantMessage& other96) {
+  organisation = other96.organisation;
+  tokens = other96.tokens;
+  waitMicros = other96.waitMicros;
+  intervalMicros = other96.intervalMicros;
+  __isset = other96.__isset;
+}
+TokenGrantMessage::TokenGrantMessage(TokenGrantMessage&& other97) noexcept {
+  organisation = std::move(other97.organisation);
+  tokens = other97.tokens;
+  waitMicros = other97.waitMicros;
+  intervalMicros = other97.intervalMicros;
+  __isset = other97.__isset;
+}
+TokenGrantMessage& TokenGrantMessage::operator=(const TokenGrantMessage& other98) {
+  organisation = other98.organisation;
+  tokens = other98.tokens;
+  waitMicros = other98.waitMicros;
+  intervalMicros = other98.intervalMicros;
+  __isset = other98.__isset;
+  return *this;
+}
+TokenGrantMessage& TokenGrantMessage::operator=(TokenGrantMessage&& other99) noexcept {
+  organisation = std::move(other99.organisation);
+  tokens = other99.tokens;
+  waitMicros = other99.waitMicros;
+  intervalMicros = other99.intervalMicros;
+  __isset = other99.__isset;
+  return *this;
+}
+void TokenGrantMessage::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "TokenGrantMessage(";
+  out << "organisation=" << to_string(organisation);
+  out << ", " << "tokens=" << to_string(tokens);
+  out << ", " << "waitMicros="; (__isset.waitMicros ? (out << to_string(waitMicros)) : (out << "<null>"));
+  out << ", " << "intervalMicros=" << to_string(intervalMicros);
+  out << ")";
+}
+
+
+TokenResponseMessage::~TokenResponseMessage() noexcept {
+}
+
+
+void TokenResponseMessage::__set_granting(const bool val) {
+  this->granting = val;
+}
+
+void TokenResponseMessage::__set_grants(const std::vector<TokenGrantMessage> & val) {
+  this->grants = val;
+}
+std::ostream& operator<<(std::ostream& out, const TokenResponseMessage& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t TokenResponseMessage::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->granting);
+          this->__isset.granting = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->grants.clear();
+            uint32_t _size100;
+            ::apache::thrift::protocol::TType _etype103;
+            xfer += iprot->readListBegin(_etype103, _size100);
+            this->grants.resize(_size100);
+            uint32_t _i104;
+            for (_i104 = 0; _i104 < _size100; ++_i104)
+            {
+              xfer += this->grants[_i104].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.grants = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t TokenResponseMessage::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("TokenResponseMessage");
+
+  xfer += oprot->writeFieldBegin("granting", ::apache::thrift::protocol::T_BOOL, 1);
+  xfer += oprot->writeBool(this->granting);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("grants", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->grants.size()));
+    std::vector<TokenGrantMessage> ::const_iterator _iter105;
+    for (_iter105 = this->grants.begin(); _iter105 != this->grants.end(); ++_iter105)
+    {
+      xfer += (*_iter105).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(TokenResponseMessage &a, TokenResponseMessage &b) {
+  using ::std::swap;
+  swap(a.granting, b.granting);
+  swap(a.grants, b.grants);
+  swap(a.__isset, b.__isset);
+}
+
+TokenResponseMessage::TokenResponseMessage(const TokenResponseMessage& other106) {
+  granting = other106.granting;
+  grants = other106.grants;
+  __isset = other106.__isset;
+}
+TokenResponseMessage::TokenResponseMessage(TokenResponseMessage&& other107) noexcept {
+  granting = other107.granting;
+  grants = std::move(other107.grants);
+  __isset = other107.__isset;
+}
+TokenResponseMessage& TokenResponseMessage::operator=(const TokenResponseMessage& other108) {
+  granting = other108.granting;
+  grants = other108.grants;
+  __isset = other108.__isset;
+  return *this;
+}
+TokenResponseMessage& TokenResponseMessage::operator=(TokenResponseMessage&& other109) noexcept {
+  granting = other109.granting;
+  grants = std::move(other109.grants);
+  __isset = other109.__isset;
+  return *this;
+}
+void TokenResponseMessage::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "TokenResponseMessage(";
+  out << "granting=" << to_string(granting);
+  out << ", " << "grants=" << to_string(grants);
+  out << ")";
+}
+
 }} // namespace
--- a/libs/wire/src/gen/Control_types.h
+++ b/libs/wire/src/gen/Control_types.h
@@ -37,6 +37,14 @@
 
 class HeartbeatAnswerMessage;
 
+class TokenDemandMessage;
+
+class TokenRequestMessage;
+
+class TokenGrantMessage;
+
+class TokenResponseMessage;
+
 typedef struct _DemandMessage__isset {
   _DemandMessage__isset() : organisation(false), arrivedPerSecond(false), refused(false), backlog(false) {}
   bool organisation :1;
@@ -703,6 +711,235 @@
 
 std::ostream& operator<<(std::ostream& out, const HeartbeatAnswerMessage& obj);
 
+typedef struct _TokenDemandMessage__isset {
+  _TokenDemandMessage__isset() : organisation(false), tokens(false) {}
+  bool organisation :1;
+  bool tokens :1;
+} _TokenDemandMessage__isset;
+
+class TokenDemandMessage : public virtual ::apache::thrift::TBase {
+ public:
+
+  TokenDemandMessage(const TokenDemandMessage&);
+  TokenDemandMessage(TokenDemandMessage&&) noexcept;
+  TokenDemandMessage& operator=(const TokenDemandMessage&);
+  TokenDemandMessage& operator=(TokenDemandMessage&&) noexcept;
+  TokenDemandMessage() noexcept
+                     : organisation(),
+                       tokens(0) {
+  }
+
+  virtual ~TokenDemandMessage() noexcept;
+  std::string organisation;
+  int32_t tokens;
+
+  _TokenDemandMessage__isset __isset;
+
+  void __set_organisation(const std::string& val);
+
+  void __set_tokens(const int32_t val);
+
+  bool operator == (const TokenDemandMessage & rhs) const
+  {
+    if (!(organisation == rhs.organisation))
+      return false;
+    if (!(tokens == rhs.tokens))
+      return false;
+    return true;
+  }
+  bool operator != (const TokenDemandMessage &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const TokenDemandMessage & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(TokenDemandMessage &a, TokenDemandMessage &b);
+
+std::ostream& operator<<(std::ostream& out, const TokenDemandMessage& obj);
+
+typedef struct _TokenRequestMessage__isset {
+  _TokenRequestMessage__isset() : instance(false), incarnation(false), demands(false) {}
+  bool instance :1;
+  bool incarnation :1;
+  bool demands :1;
+} _TokenRequestMessage__isset;
+
+class TokenRequestMessage : public virtual ::apache::thrift::TBase {
+ public:
+
+  TokenRequestMessage(const TokenRequestMessage&);
+  TokenRequestMessage(TokenRequestMessage&&) noexcept;
+  TokenRequestMessage& operator=(const TokenRequestMessage&);
+  TokenRequestMessage& operator=(TokenRequestMessage&&) noexcept;
+  TokenRequestMessage() noexcept
+                      : instance(),
+                        incarnation(0) {
+  }
+
+  virtual ~TokenRequestMessage() noexcept;
+  std::string instance;
+  int64_t incarnation;
+  std::vector<TokenDemandMessage>  demands;
+
+  _TokenRequestMessage__isset __isset;
+
+  void __set_instance(const std::string& val);
+
+  void __set_incarnation(const int64_t val);
+
+  void __set_demands(const std::vector<TokenDemandMessage> & val);
+
+  bool operator == (const TokenRequestMessage & rhs) const
+  {
+    if (!(instance == rhs.instance))
+      return false;
+    if (!(incarnation == rhs.incarnation))
+      return false;
+    if (!(demands == rhs.demands))
+      return false;
+    return true;
+  }
+  bool operator != (const TokenRequestMessage &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const TokenRequestMessage & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(TokenRequestMessage &a, TokenRequestMessage &b);
+
+std::ostream& operator<<(std::ostream& out, const TokenRequestMessage& obj);
+
+typedef struct _TokenGrantMessage__isset {
+  _TokenGrantMessage__isset() : organisation(false), tokens(false), waitMicros(false), intervalMicros(false) {}
+  bool organisation :1;
+  bool tokens :1;
+  bool waitMicros :1;
+  bool intervalMicros :1;
+} _TokenGrantMessage__isset;
+
+class TokenGrantMessage : public virtual ::apache::thrift::TBase {
+ public:
+
+  TokenGrantMessage(const TokenGrantMessage&);
+  TokenGrantMessage(TokenGrantMessage&&) noexcept;
+  TokenGrantMessage& operator=(const TokenGrantMessage&);
+  TokenGrantMessage& operator=(TokenGrantMessage&&) noexcept;
+  TokenGrantMessage() noexcept
+                    : organisation(),
+                      tokens(0),
+                      waitMicros(0),
+                      intervalMicros(0) {
+  }
+
+  virtual ~TokenGrantMessage() noexcept;
+  std::string organisation;
+  int32_t tokens;
+  int64_t waitMicros;
+  int64_t intervalMicros;
+
+  _TokenGrantMessage__isset __isset;
+
+  void __set_organisation(const std::string& val);
+
+  void __set_tokens(const int32_t val);
+
+  void __set_waitMicros(const int64_t val);
+
+  void __set_intervalMicros(const int64_t val);
+
+  bool operator == (const TokenGrantMessage & rhs) const
+  {
+    if (!(organisation == rhs.organisation))
+      return false;
+    if (!(tokens == rhs.tokens))
+      return false;
+    if (__isset.waitMicros != rhs.__isset.waitMicros)
+      return false;
+    else if (__isset.waitMicros && !(waitMicros == rhs.waitMicros))
+      return false;
+    if (!(intervalMicros == rhs.intervalMicros))
+      return false;
+    return true;
+  }
+  bool operator != (const TokenGrantMessage &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const TokenGrantMessage & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(TokenGrantMessage &a, TokenGrantMessage &b);
+
+std::ostream& operator<<(std::ostream& out, const TokenGrantMessage& obj);
+
+typedef struct _TokenResponseMessage__isset {
+  _TokenResponseMessage__isset() : granting(false), grants(false) {}
+  bool granting :1;
+  bool grants :1;
+} _TokenResponseMessage__isset;
+
+class TokenResponseMessage : public virtual ::apache::thrift::TBase {
+ public:
+
+  TokenResponseMessage(const TokenResponseMessage&);
+  TokenResponseMessage(TokenResponseMessage&&) noexcept;
+  TokenResponseMessage& operator=(const TokenResponseMessage&);
+  TokenResponseMessage& operator=(TokenResponseMessage&&) noexcept;
+  TokenResponseMessage() noexcept
+                       : granting(0) {
+  }
+
+  virtual ~TokenResponseMessage() noexcept;
+  bool granting;
+  std::vector<TokenGrantMessage>  grants;
+
+  _TokenResponseMessage__isset __isset;
+
+  void __set_granting(const bool val);
+
+  void __set_grants(const std::vector<TokenGrantMessage> & val);
+
+  bool operator == (const TokenResponseMessage & rhs) const
+  {
+    if (!(granting == rhs.granting))
+      return false;
+    if (!(grants == rhs.grants))
+      return false;
+    return true;
+  }
+  bool operator != (const TokenResponseMessage &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const TokenResponseMessage & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(TokenResponseMessage &a, TokenResponseMessage &b);
+
+std::ostream& operator<<(std::ostream& out, const TokenResponseMessage& obj);
+
 }} // namespace
 
 #endif
