Keep workers of the HTTP server free for new connections

Cause: a keep-alive connection holds its worker until it ends, for up to an hour. Control has 16 workers on the operators' port. 24 servers that keep their connections open take all of them; the other 8 servers and every operator wait for ever. Class: a bounded pool that idle clients can hold. Same cause elsewhere: the port of callers' HTTP requests (64 workers) and the metrics port use the same server and get the same fix. Control's port for entries has a thread for each connection and no limit. Change: when more than three quarters of the workers are taken, a response closes its connection, unless a transaction is open on it. A client that is silent within a request for 5 s loses its worker.

--- a/libs/http/include/http/HttpServer.h
+++ b/libs/http/include/http/HttpServer.h
@@ -35,7 +35,9 @@
     std::size_t maxBodyBytes = 1048576; ///< Longer bodies get status 413.
 };
 
-/// HTTP/1.1 server with a pool of workers; a keep-alive connection holds one worker.
+/// HTTP/1.1 server with a pool of workers; a keep-alive connection holds one worker. Three quarters
+/// of the workers may be held so; beyond that, responses close their connections, unless
+/// `HttpResponse::keepOpen` is set.
 /// Each request carries the header `x-connection` with the number given to `opened`.
 class HttpServer
 {
--- a/libs/http/src/HttpServer.cpp
+++ b/libs/http/src/HttpServer.cpp
@@ -18,6 +18,8 @@
 
 constexpr auto ACCEPT_BACKLOG = 256;
 constexpr auto MAX_QUEUED_CONNECTIONS = 1024;
+/// A client that sends nothing for this long within a request loses its worker.
+constexpr auto SILENCE_LIMIT_S = 5;
 
 } // namespace
 
@@ -25,7 +27,8 @@
 {
     Impl(HttpServerSettings serverSettings, HttpServerHooks hooks)
         : settings(std::move(serverSettings))
-        , state(std::make_shared<detail::ServerState>(std::move(hooks), settings.maxBodyBytes))
+        , state(std::make_shared<detail::ServerState>(std::move(hooks), settings.maxBodyBytes,
+                                                      settings.workerThreads))
         , threads(1, static_cast<int>(settings.workerThreads) + 1)
     {
     }
@@ -59,6 +62,7 @@
         auto params = Poco::AutoPtr<Poco::Net::HTTPServerParams>(new Poco::Net::HTTPServerParams);
         params->setMaxThreads(static_cast<int>(this->impl->settings.workerThreads));
         params->setMaxQueued(MAX_QUEUED_CONNECTIONS);
+        params->setTimeout(Poco::Timespan(SILENCE_LIMIT_S, 0));
         params->setKeepAlive(true);
         params->setMaxKeepAliveRequests(0);
         params->setKeepAliveTimeout(Poco::Timespan(3600, 0));
--- a/libs/http/src/detail/RequestFactory.cpp
+++ b/libs/http/src/detail/RequestFactory.cpp
@@ -109,7 +109,8 @@
         response.setContentType(content.contentType);
         for (const auto &[name, value] : content.headers)
             response.set(name, value);
-        if (content.closeConnection || (this->state->draining && !content.keepOpen))
+        const auto mayClose = this->state->draining || this->state->isCrowded();
+        if (content.closeConnection || (mayClose && !content.keepOpen))
             response.setKeepAlive(false);
         try {
             if (content.withheldBytes == 0) {
--- a/libs/http/src/detail/ServerState.cpp
+++ b/libs/http/src/detail/ServerState.cpp
@@ -6,12 +6,28 @@
 
 namespace auburnrail::detail {
 
-ServerState::ServerState(HttpServerHooks serverHooks, std::size_t maxBody)
+namespace {
+
+/// One worker of this many is kept for connections that send one request.
+constexpr auto WORKERS_PER_FREE_ONE = std::size_t(4);
+
+} // namespace
+
+ServerState::ServerState(HttpServerHooks serverHooks, std::size_t maxBody,
+                         std::size_t workerThreads)
     : hooks(std::move(serverHooks))
     , maxBodyBytes(maxBody)
+    , maxKeptConnections(workerThreads
+                         - (workerThreads + WORKERS_PER_FREE_ONE - 1) / WORKERS_PER_FREE_ONE)
 {
 }
 
+auto ServerState::isCrowded() -> bool
+{
+    const RankedLock lock(this->mutex);
+    return this->connections.size() > this->maxKeptConnections;
+}
+
 auto ServerState::open(const Poco::Net::StreamSocket &socket) -> std::optional<std::uint64_t>
 {
     auto number = std::uint64_t(0);
--- a/libs/http/src/detail/ServerState.h
+++ b/libs/http/src/detail/ServerState.h
@@ -19,7 +19,8 @@
 class ServerState
 {
 public:
-    ServerState(HttpServerHooks serverHooks, std::size_t maxBody);
+    /// `workerThreads` is the number of connections that are served at one time.
+    ServerState(HttpServerHooks serverHooks, std::size_t maxBody, std::size_t workerThreads);
 
     /// Registers an accepted connection. Empty when the `opened` hook refused it.
     auto open(const Poco::Net::StreamSocket &socket) -> std::optional<std::uint64_t>;
@@ -30,11 +31,16 @@
     /// Number of the open connection from `peer` (IP:port).
     auto connectionOf(const std::string &peer) -> std::uint64_t;
 
+    /// Whether so many connections hold a worker that one has to be closed after its response. An
+    /// idle connection holds its worker, and connections beyond the number of workers wait.
+    auto isCrowded() -> bool;
+
     /// Ends connections that wait for their next request. Requests under way are finished.
     auto closeIdleConnections() -> void;
 
     const HttpServerHooks hooks;
     const std::size_t maxBodyBytes;
+    const std::size_t maxKeptConnections;
     std::atomic<std::size_t> activeRequests{0};
     std::atomic<bool> draining{false};
 
--- a/libs/http/tests/HttpExchangeTest.cpp
+++ b/libs/http/tests/HttpExchangeTest.cpp
@@ -4,6 +4,8 @@
 #include <catch2/catch.hpp>
 
 #include <atomic>
+#include <memory>
+#include <vector>
 
 namespace auburnrail {
 
@@ -56,6 +58,24 @@
     CHECK(closed == 1);
 }
 
+// Guards against idle connections that hold every worker, so that a new client is never served.
+TEST_CASE("idle connections leave workers for new ones")
+{
+    auto server = HttpServer(echoSettings(), HttpServerHooks{.handle = echo});
+    REQUIRE(server.start().ok());
+    auto idle = std::vector<std::unique_ptr<HttpConnection>>();
+    for (auto client = 0; client < 12; ++client) {
+        INFO("client " << client);
+        idle.push_back(std::make_unique<HttpConnection>(addressOf(server)));
+        CHECK(idle.back()->exchange({.target = "/x"}, 1s).phase == ExchangePhase::Answered);
+    }
+    // Those that got a worker early keep their connection.
+    CHECK(idle.front()->isUsable());
+    CHECK_FALSE(idle.back()->isUsable());
+    idle.clear();
+    server.stop();
+}
+
 // Guards against unbounded memory: an oversized body must be refused and the connection ended.
 TEST_CASE("a body over the limit gets status 413")
 {
