Bound the rate at which all entries together probe a server

What callers saw: statements that found no connection (no connection was free before the deadline); servers reset connections over their limit. Class: a cost for each pair of entry and server, as with the shares of limits. Change: an endpoint gets a probe each 25 ms from all entries together, so 89 entries probe it each 2.2 s; it counts as responsive for 2 s longer than that. After a failure it is probed each 500 ms as before. Fleets of up to 20 entries are not affected. An entry reports a primary as reachable only with a response of the last second: one that has not asked lately would outvote those that see it fail.

--- a/libs/entry/include/entry/HeartbeatLoop.h
+++ b/libs/entry/include/entry/HeartbeatLoop.h
@@ -47,6 +47,7 @@
     [[nodiscard]] auto sendHeartbeat() -> bool;
     [[nodiscard]] auto compose(Revision revision) -> Heartbeat;
     [[nodiscard]] auto primaryReports(const FleetObjects &state) -> std::vector<PrimaryReport>;
+    [[nodiscard]] auto hasRecentResponse(const std::string &endpoint, TimePoint now) -> bool;
     [[nodiscard]] auto apply(const HeartbeatAnswer &response) -> bool;
     /// Logs when the lease is newly granted or lost.
     auto logLeaseChange(bool renewed, const std::string &member, const std::string &outcome)
--- a/libs/entry/src/HeartbeatLoop.cpp
+++ b/libs/entry/src/HeartbeatLoop.cpp
@@ -17,6 +17,8 @@
 constexpr auto RESPONSE_HOLD = std::chrono::milliseconds(250);
 /// Time-out of a response; leaves time to try another member within the lease.
 constexpr auto RESPONSE_TIME_LIMIT = std::chrono::milliseconds(900);
+/// How long a response of a primary shows that it is reachable. Two probes of a small fleet.
+constexpr auto EVIDENCE_LIFETIME = std::chrono::milliseconds(1000);
 constexpr auto RETRY_PAUSE = std::chrono::milliseconds(50);
 
 } // namespace
@@ -161,11 +163,19 @@
             });
         if (suspicion != suspicions.end())
             report.unreachableFor = now - suspicion->since;
+        else if (!this->hasRecentResponse(group.primary, now))
+            return; // Neither reachable nor suspected.
         reports.push_back(std::move(report));
     });
     return reports;
 }
 
+auto HeartbeatLoop::hasRecentResponse(const std::string &endpoint, TimePoint now) -> bool
+{
+    const auto view = this->tables.endpoints.find(endpoint, now);
+    return view && view->lastSeen && now - *view->lastSeen <= EVIDENCE_LIFETIME;
+}
+
 auto HeartbeatLoop::apply(const HeartbeatAnswer &response) -> bool
 {
     if (!response.update && !response.snapshot)
--- a/libs/proxy/src/ProxyServer.cpp
+++ b/libs/proxy/src/ProxyServer.cpp
@@ -191,6 +191,7 @@
 auto ProxyServer::stateChanged(const FleetSize &fleet) -> void
 {
     const auto objects = this->hooks.state();
+    this->endpoints.setEntryCount(fleet.entries);
     auto limits = std::map<std::string, std::size_t>();
     objects->table<Service>().forEach([&](const Service &service) {
         auto &limit = limits[service.group];
--- a/libs/routing/include/routing/EndpointTable.h
+++ b/libs/routing/include/routing/EndpointTable.h
@@ -53,6 +53,11 @@
     /// An endpoint that has not responded for this long gets no new requests.
     static constexpr auto UNRESPONSIVE_AFTER_MS = std::chrono::milliseconds(2500);
     static constexpr auto PROBE_INTERVAL_MS = std::chrono::milliseconds(500);
+    /// Interval between two probes that one endpoint gets from all entries together. Entries probe
+    /// less often the more of them there are.
+    static constexpr auto PROBE_SPACING_MS = std::chrono::milliseconds(25);
+    /// An endpoint counts as responsive for this long beyond its probe interval, if that is more.
+    static constexpr auto PROBE_GRACE_MS = std::chrono::milliseconds(2000);
     /// Half-life of a response time that is not measured again, so that an endpoint that was slow
     /// once is tried again.
     static constexpr auto RESPONSE_TIME_HALF_LIFE_MS = std::chrono::milliseconds(1000);
@@ -91,8 +96,11 @@
     [[nodiscard]] auto find(std::string_view endpoint, TimePoint now)
         -> std::optional<EndpointView>;
 
+    /// Sets how many entries probe the endpoints.
+    auto setEntryCount(std::size_t count) -> void;
+
     /// Endpoints to probe now, and marks them as probed. Each is returned at most once per
-    /// PROBE_INTERVAL_MS.
+    /// PROBE_INTERVAL_MS, and less often in a large fleet unless its last exchange failed.
     [[nodiscard]] auto probeDue(TimePoint now) -> std::vector<EndpointView>;
 
     /// Primaries with at least SUSPECT_AFTER_FAILURES failures since their last response.
@@ -103,7 +111,14 @@
     EndpointChoice choice;
     Duration crossZoneProbeInterval;
     RankedMutex mutex{LockRank::EndpointTable};
+    /// How often an endpoint without failures is probed.
+    ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
+    auto probeInterval(const detail::EndpointEntry &entry) const -> Duration;
+    ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
+    auto unresponsiveAfter(const detail::EndpointEntry &entry) const -> Duration;
+
     std::map<std::string, detail::EndpointEntry, std::less<>> entries ABSL_GUARDED_BY(mutex);
+    std::size_t entryCount ABSL_GUARDED_BY(mutex) = 1;
 };
 
 } // namespace auburnrail
--- a/libs/routing/src/EndpointTable.cpp
+++ b/libs/routing/src/EndpointTable.cpp
@@ -50,10 +50,10 @@
     return std::find(names.begin(), names.end(), name) != names.end();
 }
 
-auto acceptsWork(const EndpointView &view, bool ignoreLimit, TimePoint now) -> bool
+auto acceptsWork(const EndpointView &view, bool ignoreLimit, Duration unresponsiveAfter,
+                 TimePoint now) -> bool
 {
-    const auto unresponsive =
-        !view.lastSeen || now - *view.lastSeen >= EndpointTable::UNRESPONSIVE_AFTER_MS;
+    const auto unresponsive = !view.lastSeen || now - *view.lastSeen >= unresponsiveAfter;
     const auto queues = ignoreLimit && view.breaker == BreakerState::Closed;
     const auto limit = view.breaker == BreakerState::HalfOpen ? 1U : view.limit;
     return !unresponsive && !view.leaving && view.breaker != BreakerState::Open
@@ -120,7 +120,7 @@
     if (found == this->entries.end())
         return;
     auto &entry = found->second;
-    if (entry.lastSeen && now - *entry.lastSeen >= UNRESPONSIVE_AFTER_MS)
+    if (entry.lastSeen && now - *entry.lastSeen >= this->unresponsiveAfter(entry))
         entry.breaker.beginSlowStart(now);
     // Responses may be recorded out of order; an older one must not replace a newer one.
     const auto newer = !entry.lastObserved || observation.sentAt >= *entry.lastObserved;
@@ -195,7 +195,8 @@
     auto views = std::vector<EndpointView>();
     for (const auto &[name, entry] : this->entries) {
         auto view = viewOf(entry, now);
-        if (matches(view, criteria, now) && acceptsWork(view, criteria.ignoreLimit, now))
+        if (matches(view, criteria, now)
+            && acceptsWork(view, criteria.ignoreLimit, this->unresponsiveAfter(entry), now))
             views.push_back(std::move(view));
     }
     return views;
@@ -221,15 +222,32 @@
     return viewOf(found->second, now);
 }
 
+auto EndpointTable::setEntryCount(std::size_t count) -> void
+{
+    const RankedLock lock(this->mutex);
+    this->entryCount = count;
+}
+
+auto EndpointTable::probeInterval(const detail::EndpointEntry &entry) const -> Duration
+{
+    const auto isInOtherZone = !entry.description.primary && entry.description.zone != this->zone;
+    const auto interval =
+        isInOtherZone ? this->crossZoneProbeInterval : Duration(PROBE_INTERVAL_MS);
+    return std::max<Duration>(interval, PROBE_SPACING_MS * this->entryCount);
+}
+
+auto EndpointTable::unresponsiveAfter(const detail::EndpointEntry &entry) const -> Duration
+{
+    return std::max<Duration>(UNRESPONSIVE_AFTER_MS, this->probeInterval(entry) + PROBE_GRACE_MS);
+}
+
 auto EndpointTable::probeDue(TimePoint now) -> std::vector<EndpointView>
 {
     const RankedLock lock(this->mutex);
     auto due = std::vector<EndpointView>();
     for (auto &[name, entry] : this->entries) {
-        const auto isInOtherZone =
-            !entry.description.primary && entry.description.zone != this->zone;
         const auto interval =
-            isInOtherZone ? this->crossZoneProbeInterval : Duration(PROBE_INTERVAL_MS);
+            entry.failures > 0 ? Duration(PROBE_INTERVAL_MS) : this->probeInterval(entry);
         const auto recent = [now, interval](const std::optional<TimePoint> &time) {
             return time && now - *time < interval;
         };
--- a/libs/routing/tests/EndpointTableTest.cpp
+++ b/libs/routing/tests/EndpointTableTest.cpp
@@ -192,4 +192,29 @@
     CHECK(fixture.table.suspicions().empty());
 }
 
+// Guards against probes that grow with entries times endpoints: 89 entries sent a server 180 probes
+// a second, for which it had no connections left.
+TEST_CASE("the entries of a large fleet together probe an endpoint at a bounded rate")
+{
+    auto fixture = Fixture();
+    fixture.table.setEntryCount(89);
+    auto probes = 0;
+    for (auto now = START; now < START + 10s; now += 25ms) {
+        for (const auto &view : fixture.table.probeDue(now)) {
+            probes += view.name == "p" ? 1 : 0;
+            fixture.respond(view.name, now, {.term = 2, .index = 10});
+        }
+        // An endpoint that is probed less often counts as responsive for longer.
+        CHECK(fixture.eligible(now) == "p q r ");
+    }
+    CHECK(probes * 89 / 10 <= 45);
+    // After a failure the endpoint is probed as often as in a small fleet.
+    const auto failedAt = START + 10s;
+    fixture.table.recordFailure("p", EndpointFailure::Lost, failedAt);
+    auto probed = std::string();
+    for (auto now = failedAt; now <= failedAt + EndpointTable::PROBE_INTERVAL_MS; now += 25ms)
+        probed += names(fixture.table.probeDue(now));
+    CHECK(probed.find("p ") != std::string::npos);
+}
+
 } // namespace auburnrail
