Don't hold connections to servers that accept fewer than there are entries

Cause: a server accepts 82 connections, and each of 89 entries kept one to each server for 1.5 s after its use: idle connections alone reached the limit. A probe belonged to no organisation, so it closed an idle connection of one and opened another. Change: where a server accepts less than one connection for each entry, one is closed after its use unless its organisation waits. A probe uses an idle connection of any organisation, as STATUS runs for none, and gets none while all are in use.

--- a/libs/proxy/include/proxy/ConnectionRequest.h
+++ b/libs/proxy/include/proxy/ConnectionRequest.h
@@ -12,7 +12,10 @@
 struct ConnectionRequest
 {
     std::string endpoint;
-    std::string organisation;   ///< A connection belongs to one organisation until it is closed.
+    std::string organisation; ///< A connection belongs to one organisation until it is closed.
+    /// A status request may use an idle connection of any organisation. It gets none if that would
+    /// close another connection or exceed the limit: what is in use shows the server's state.
+    bool anyOrganisation = false;
     std::uint32_t priority = 0; ///< Lower values are served first.
     TimePoint objectiveEnd;     ///< A later response misses the latency objective.
     TimePoint deadline;
--- a/libs/proxy/include/proxy/ConnectionShare.h
+++ b/libs/proxy/include/proxy/ConnectionShare.h
@@ -1,6 +1,8 @@
 #ifndef AUBURNRAIL_PROXY_CONNECTIONSHARE_H
 #define AUBURNRAIL_PROXY_CONNECTIONSHARE_H
 
+#include <proxy/IdlePolicy.h>
+
 #include <cstddef>
 
 namespace auburnrail {
@@ -24,6 +26,10 @@
 /// elsewhere, entries are assumed to be spread evenly over the zones.
 [[nodiscard]] auto connectionShare(const ConnectionShareInputs &inputs) -> std::size_t;
 
+/// Whether the entry may keep connections to the server that it does not use: only if the server
+/// accepts at least one from each entry.
+[[nodiscard]] auto idlePolicyFor(const ConnectionShareInputs &inputs) -> IdlePolicy;
+
 } // namespace auburnrail
 
 #endif
--- a/libs/proxy/include/proxy/ServerConnectionPool.h
+++ b/libs/proxy/include/proxy/ServerConnectionPool.h
@@ -46,8 +46,10 @@
 
     explicit ServerConnectionPool(ServerConnectionPoolHooks poolHooks);
 
-    /// Sets the number of connections to the server that this entry may hold.
-    auto setLimit(std::string_view endpoint, std::size_t limit) -> void;
+    /// Sets the number of connections to the server that this entry may hold, and whether it keeps
+    /// them while they are not in use.
+    auto setLimit(std::string_view endpoint, std::size_t limit,
+                  IdlePolicy idlePolicy = IdlePolicy::Keep) -> void;
 
     /// Calls `done` with a connection for exclusive use, during this call or later. Errors:
     /// `kResourceExhausted` when the queue is full or the deadline passes, `kUnavailable` when
@@ -90,6 +92,10 @@
     ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
     auto openFor(const std::string &endpoint, const detail::ServerPoolState::Waiter &waiter,
                  detail::ServerPoolState &server, TimePoint now, Effects &effects) -> void;
+    /// Closes what the server's idle policy does not keep.
+    ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
+    auto closeUnneeded(const std::string &endpoint, detail::ServerPoolState &server,
+                       Effects &effects) -> void;
     static auto run(const Effects &effects) -> void;
 
     ServerConnectionPoolHooks hooks;
--- a/libs/proxy/include/proxy/ServerConnections.h
+++ b/libs/proxy/include/proxy/ServerConnections.h
@@ -56,6 +56,8 @@
     [[nodiscard]] auto pool() -> ServerConnectionPool &;
 
 private:
+    auto acquire(const Placement &placement, const ConnectionRequest &connectionRequest,
+                 std::function<auto(absl::StatusOr<PooledConnectionPointer>)->void> done) -> void;
     auto open(const ConnectionHandle &handle, const std::string &organisation) -> void;
     auto opened(const ConnectionHandle &handle, const PooledConnectionPointer &connection,
                 const ServerOutcome &outcome) -> void;
--- a/libs/proxy/include/proxy/detail/ServerPoolState.h
+++ b/libs/proxy/include/proxy/detail/ServerPoolState.h
@@ -1,6 +1,7 @@
 #ifndef AUBURNRAIL_PROXY_DETAIL_SERVERPOOLSTATE_H
 #define AUBURNRAIL_PROXY_DETAIL_SERVERPOOLSTATE_H
 
+#include <proxy/IdlePolicy.h>
 #include <request/ConnectionHandle.h>
 
 #include <core/Time.h>
@@ -32,6 +33,7 @@
     struct Waiter
     {
         std::string organisation;
+        bool anyOrganisation = false;
         std::uint32_t priority = 0;
         TimePoint since;
         TimePoint objectiveEnd;
@@ -40,6 +42,7 @@
     };
 
     std::size_t limit = 0;
+    IdlePolicy idlePolicy = IdlePolicy::Keep;
     bool removed = false;
     std::vector<Idle> idle;                       ///< Ordered by idle time, longest first.
     std::map<std::uint64_t, std::string> inUse;   ///< Organisation by connection.
--- a/libs/proxy/src/ConnectionShare.cpp
+++ b/libs/proxy/src/ConnectionShare.cpp
@@ -14,9 +14,8 @@
 /// known.
 constexpr auto ASSUMED_ZONES = std::size_t(3);
 
-} // namespace
-
-auto connectionShare(const ConnectionShareInputs &inputs) -> std::size_t
+/// Share of the connections, rounded down.
+auto wholeShare(const ConnectionShareInputs &inputs) -> std::size_t
 {
     const auto entries = std::max<std::size_t>(inputs.entries, 1);
     const auto localEntries = std::clamp<std::size_t>(
@@ -24,7 +23,19 @@
     const auto localWeight = inputs.isPrimary ? LOCAL_WEIGHT_AT_PRIMARY : LOCAL_WEIGHT_AT_REPLICA;
     const auto totalWeight = localEntries * localWeight + (entries - localEntries) * REMOTE_WEIGHT;
     const auto ownWeight = inputs.isLocal ? localWeight : REMOTE_WEIGHT;
-    return std::max<std::size_t>(inputs.connections * ownWeight / totalWeight, 1);
+    return inputs.connections * ownWeight / totalWeight;
+}
+
+} // namespace
+
+auto connectionShare(const ConnectionShareInputs &inputs) -> std::size_t
+{
+    return std::max<std::size_t>(wholeShare(inputs), 1);
+}
+
+auto idlePolicyFor(const ConnectionShareInputs &inputs) -> IdlePolicy
+{
+    return wholeShare(inputs) >= 1 ? IdlePolicy::Keep : IdlePolicy::Close;
 }
 
 } // namespace auburnrail
--- a/libs/proxy/src/ProxyServer.cpp
+++ b/libs/proxy/src/ProxyServer.cpp
@@ -203,12 +203,14 @@
             const auto *endpoint = objects->find<Endpoint>(name);
             if (endpoint == nullptr)
                 continue;
-            const auto share = connectionShare({.connections = limits[group.name],
-                                                .entries = fleet.entries,
-                                                .zoneEntries = fleet.zoneEntries,
-                                                .isLocal = endpoint->zone == this->settings.zone,
-                                                .isPrimary = group.primary == name});
-            this->serverConnections.pool().setLimit(name, share);
+            const auto inputs =
+                ConnectionShareInputs{.connections = limits[group.name],
+                                      .entries = fleet.entries,
+                                      .zoneEntries = fleet.zoneEntries,
+                                      .isLocal = endpoint->zone == this->settings.zone,
+                                      .isPrimary = group.primary == name};
+            this->serverConnections.pool().setLimit(name, connectionShare(inputs),
+                                                    idlePolicyFor(inputs));
         }
     });
 }
--- a/libs/proxy/src/ServerConnectionPool.cpp
+++ b/libs/proxy/src/ServerConnectionPool.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <tuple>
+#include <utility>
 
 namespace auburnrail {
 
@@ -46,10 +47,12 @@
         effect();
 }
 
-auto ServerConnectionPool::setLimit(std::string_view endpoint, std::size_t limit) -> void
+auto ServerConnectionPool::setLimit(std::string_view endpoint, std::size_t limit,
+                                    IdlePolicy idlePolicy) -> void
 {
     const RankedLock lock(this->mutex);
     auto &server = this->serverOf(endpoint);
+    server.idlePolicy = idlePolicy;
     server.limit = std::max<std::size_t>(limit, 1);
     server.removed = false;
 }
@@ -61,12 +64,19 @@
     {
         const RankedLock lock(this->mutex);
         auto &server = this->serverOf(request.endpoint);
-        if (server.waiters.size() >= MAX_WAITERS) {
+        const auto isRefusedProbe =
+            request.anyOrganisation && server.idle.empty() && server.used() >= server.limit;
+        if (isRefusedProbe) {
+            effects.emplace_back([done = std::move(done)] {
+                done(absl::ResourceExhaustedError("every connection is in use"));
+            });
+        } else if (server.waiters.size() >= MAX_WAITERS) {
             effects.emplace_back([done = std::move(done)] {
                 done(absl::ResourceExhaustedError("too many statements wait for a connection"));
             });
         } else {
             server.waiters.push_back({.organisation = request.organisation,
+                                      .anyOrganisation = request.anyOrganisation,
                                       .priority = request.priority,
                                       .since = now,
                                       .objectiveEnd = request.objectiveEnd,
@@ -93,10 +103,22 @@
         else
             effects.emplace_back([this, handle] { this->hooks.close(handle); });
         this->serveWaiters(handle.endpoint, server, now, effects);
+        this->closeUnneeded(handle.endpoint, server, effects);
     }
     run(effects);
 }
 
+auto ServerConnectionPool::closeUnneeded(const std::string &endpoint,
+                                         detail::ServerPoolState &server, Effects &effects) -> void
+{
+    if (server.idlePolicy == IdlePolicy::Keep)
+        return;
+    for (const auto &idle : std::exchange(server.idle, {})) {
+        effects.emplace_back(
+            [this, handle = ConnectionHandle{endpoint, idle.id}] { this->hooks.close(handle); });
+    }
+}
+
 auto ServerConnectionPool::opened(const ConnectionHandle &handle, TimePoint now) -> void
 {
     auto effects = Effects();
@@ -111,6 +133,7 @@
         else
             server.idle.push_back({handle.id, std::move(row.mapped()), now});
         this->serveWaiters(handle.endpoint, server, now, effects);
+        this->closeUnneeded(handle.endpoint, server, effects);
     }
     run(effects);
 }
@@ -233,7 +256,7 @@
         // The server is least likely to have closed the most recently used connection.
         const auto idle =
             std::find_if(server.idle.rbegin(), server.idle.rend(), [&](const auto &candidate) {
-                return candidate.organisation == waiter->organisation;
+                return waiter->anyOrganisation || candidate.organisation == waiter->organisation;
             });
         if (idle != server.idle.rend()) {
             const auto handle = ConnectionHandle{endpoint, idle->id};
--- a/libs/proxy/src/ServerConnections.cpp
+++ b/libs/proxy/src/ServerConnections.cpp
@@ -78,13 +78,21 @@
 auto ServerConnections::lease(
     const Placement &placement, const StatementRequest &request,
     std::function<auto(absl::StatusOr<PooledConnectionPointer>)->void> done) -> void
+{
+    this->acquire(placement,
+                  ConnectionRequest{.endpoint = placement.endpoint,
+                                    .organisation = request.organisation,
+                                    .priority = request.policy.priority,
+                                    .objectiveEnd = request.objectiveEnd(),
+                                    .deadline = request.deadline()},
+                  std::move(done));
+}
+
+auto ServerConnections::acquire(
+    const Placement &placement, const ConnectionRequest &connectionRequest,
+    std::function<auto(absl::StatusOr<PooledConnectionPointer>)->void> done) -> void
 {
     this->endpoints.begin(placement.endpoint);
-    const auto connectionRequest = ConnectionRequest{.endpoint = placement.endpoint,
-                                                     .organisation = request.organisation,
-                                                     .priority = request.policy.priority,
-                                                     .objectiveEnd = request.objectiveEnd(),
-                                                     .deadline = request.deadline()};
     this->connectionPool.acquire(
         connectionRequest, this->hooks.executor.now(),
         [this, placement, done = std::move(done)](absl::StatusOr<ConnectionHandle> handle) {
@@ -230,9 +238,11 @@
     const auto placement = Placement{.endpoint = view.name,
                                      .isPrimary = group.serving && group.primary == view.name,
                                      .term = group.term};
-    auto request = StatementRequest{.arrivedAt = this->hooks.executor.now()};
-    request.policy.statementTimeout = PROBE_TIME_LIMIT_MS;
-    this->lease(placement, request, [this](absl::StatusOr<PooledConnectionPointer> leased) {
+    const auto request =
+        ConnectionRequest{.endpoint = view.name,
+                          .anyOrganisation = true,
+                          .deadline = this->hooks.executor.now() + PROBE_TIME_LIMIT_MS};
+    this->acquire(placement, request, [this](absl::StatusOr<PooledConnectionPointer> leased) {
         if (!leased.ok())
             return; // A failure to open is recorded already; a full server is alive.
         const auto connection = *leased;
--- a/libs/proxy/tests/ServerConnectionPoolTest.cpp
+++ b/libs/proxy/tests/ServerConnectionPoolTest.cpp
@@ -39,6 +39,16 @@
         return result;
     }
 
+    /// As acquire(), for a status request that may use a connection of any organisation.
+    auto acquireForProbe() -> std::shared_ptr<std::optional<absl::StatusOr<ConnectionHandle>>>
+    {
+        auto result = std::make_shared<std::optional<absl::StatusOr<ConnectionHandle>>>();
+        this->pool.acquire(
+            ConnectionRequest{.endpoint = "e", .anyOrganisation = true, .deadline = this->now + 1s},
+            this->now, [result](auto handle) { *result = std::move(handle); });
+        return result;
+    }
+
     auto openAll() -> void
     {
         for (const auto &[handle, owner] : std::exchange(this->opening, {}))
@@ -90,6 +100,45 @@
     CHECK(third->has_value());
 }
 
+// Guards against probes that use up the connections of a server: each probe evicted the idle
+// connection of an organisation and opened another one.
+TEST_CASE("a probe uses any idle connection and neither evicts one nor exceeds the limit")
+{
+    auto fixture = PoolFixture();
+    const auto first = fixture.acquire("a");
+    const auto second = fixture.acquire("b");
+    fixture.openAll();
+    const auto refused = fixture.acquireForProbe();
+    REQUIRE(refused->has_value());
+    CHECK(absl::IsResourceExhausted((*refused)->status()));
+    fixture.pool.release(***first, true, fixture.now);
+    const auto probe = fixture.acquireForProbe();
+    REQUIRE((probe->has_value() && (*probe)->ok()));
+    CHECK(***probe == ***first);
+    fixture.pool.release(***probe, true, fixture.now);
+    CHECK(fixture.pool.hasIdle("e", "a"));
+    CHECK(fixture.opening.empty());
+    CHECK(fixture.closed.empty());
+}
+
+// Guards against idle connections that keep other entries out: where a server accepts fewer
+// connections than there are entries, its limit is reached by idle ones alone.
+TEST_CASE("where connections are scarce, one is closed after its use unless its organisation waits")
+{
+    auto fixture = PoolFixture();
+    fixture.pool.setLimit("e", 1, IdlePolicy::Close);
+    const auto first = fixture.acquire("a");
+    fixture.openAll();
+    const auto next = fixture.acquire("a");
+    fixture.pool.release(***first, true, fixture.now);
+    REQUIRE((next->has_value() && (*next)->ok()));
+    CHECK(***next == ***first);
+    CHECK(fixture.closed.empty());
+    fixture.pool.release(***next, true, fixture.now);
+    CHECK(fixture.closed.size() == 1);
+    CHECK_FALSE(fixture.pool.hasIdle("e", "a"));
+}
+
 TEST_CASE("waiters are served by priority, then by arrival, and end at their deadline")
 {
     auto fixture = PoolFixture();
