--- a/libs/entry/tests/RateAdmissionTest.cpp
+++ b/libs/entry/tests/RateAdmissionTest.cpp
@@ -24,9 +24,7 @@
         return RateAdmissionHooks{
             .tryAcquire = take,
             .tryAcquireQueued = take,
-            .timeToToken = [](const std::string &, TimePoint) -> std::optional<Duration> {
-                return 100ms;
-            },
+            .timeToToken = [this](const std::string &, TimePoint) { return this->ownWait; },
             .forecast = [this](const std::string &, TimePoint) { return this->expected; },
             .setBacklog =
                 [this](const std::string &, std::size_t waiting, TimePoint) {
@@ -36,7 +34,8 @@
 
     int tokens = 0;
     std::size_t backlog = 0;
-    std::optional<TokenForecast> expected;
+    std::optional<TokenForecast> expected; ///< From the leader; nothing without one.
+    std::optional<Duration> ownWait = 100ms;
 };
 
 auto record(std::string &trace, std::string name) -> AdmissionDone
@@ -131,4 +130,26 @@
     CHECK(trace == "x!");
 }
 
+// Guards against requests that wait for a token that the leader expects after their deadline.
+TEST_CASE("waiting requests are refused once the leader's forecast is too late for them")
+{
+    auto tokens = FakeTokens();
+    auto admission = RateAdmission(tokens.hooks());
+    auto trace = std::string();
+    const auto start = TimePoint(1s);
+    tokens.expected = TokenForecast();
+    tokens.ownWait = std::nullopt;
+    admission.admit(requestUntil("shed", start + 300ms), start, record(trace, "a"));
+    admission.admit(requestUntil("shed", start + 2s), start, record(trace, "b"));
+    CHECK(trace.empty());
+    tokens.expected = TokenForecast{.first = 500ms, .interval = 100ms};
+    std::ignore = admission.advance(start + 10ms);
+    CHECK(trace == "a!");
+    admission.admit(requestUntil("shed", start + 400ms), start + 10ms, record(trace, "c"));
+    CHECK(trace == "a!c!");
+    admission.offer("shed", 1, start + 20ms);
+    CHECK(trace == "a!c!b");
+    CHECK(tokens.backlog == 0);
+}
+
 } // namespace auburnrail
--- a/libs/quota/include/quota/detail/OrganisationShares.h
+++ b/libs/quota/include/quota/detail/OrganisationShares.h
@@ -25,7 +25,7 @@
     std::optional<TimePoint> allocatedAt;
     TokenReserve reserve;                ///< What no claim counts.
     std::map<HolderId, LimitUser> users; ///< Holders whose requests use the limits.
-    double dividedPart = 1.0; ///< Part of the limits that is divided into shares.
+    double dividedPart = 1.0;            ///< Part of the limits that is divided into shares.
 };
 
 } // namespace auburnrail::detail
