--- a/libs/quota/include/quota/detail/TokenReserve.h
+++ b/libs/quota/include/quota/detail/TokenReserve.h
@@ -16,9 +16,9 @@
 class TokenReserve
 {
 public:
-    /// Starts without tokens. Until one lifetime has passed, `burst` millitokens count as taken,
-    /// which covers what an earlier ledger has granted.
-    auto begin(std::int64_t burst, TimePoint now) -> void;
+    /// Starts without tokens. Until one lifetime has passed, `granted` millitokens count as taken,
+    /// for what an earlier leader may have granted.
+    auto begin(std::int64_t granted, TimePoint now) -> void;
 
     /// Sets what is left of the limits: tokens per second and tokens. To be called before take()
     /// and whenever less is left; `lifetime` is that of tokens taken.
--- a/libs/quota/src/TokenReserve.cpp
+++ b/libs/quota/src/TokenReserve.cpp
@@ -10,12 +10,12 @@
 
 } // namespace
 
-auto TokenReserve::begin(std::int64_t burst, TimePoint now) -> void
+auto TokenReserve::begin(std::int64_t granted, TimePoint now) -> void
 {
     *this = TokenReserve();
     this->bucket = TokenBucket(0, 0, now);
-    this->taken.emplace_back(now, burst);
-    this->takenSum = burst;
+    this->taken.emplace_back(now, granted);
+    this->takenSum = granted;
 }
 
 auto TokenReserve::setLimits(double newRate, double newBurst, Duration lifetime, TimePoint now)
