--- a/libs/entry/src/EntryNode.cpp
+++ b/libs/entry/src/EntryNode.cpp
@@ -136,6 +136,9 @@
 
 EntryNode::~EntryNode()
 {
+    // Sessions wake the token loop, which is destroyed before them.
+    if (this->sessions != nullptr)
+        this->sessions->stop();
     this->workers.stop();
 }
 
