Wait in the stand-in's freeze test until the exchange is held

Cause: the test gave the exchange 2 ms to reach its wait. Ruled out: the fix itself; an exchange that is held by the freeze runs, also there. Change: StandInFaults counts the exchanges it holds, and the test waits for it. The check is the same.

--- a/libs/standin/include/standin/StandInFaults.h
+++ b/libs/standin/include/standin/StandInFaults.h
@@ -32,6 +32,9 @@
     /// held by a freeze alone runs when the freeze ends, whatever happens to its peer afterwards.
     [[nodiscard]] auto admit(const std::string &peer) -> bool;
 
+    /// Exchanges that admit() holds now, because of a freeze or a cut.
+    [[nodiscard]] auto heldExchanges() const -> std::size_t;
+
     /// Holds an answer while the server is frozen.
     auto holdWhileFrozen() -> void;
 
@@ -66,6 +69,7 @@
     RankedCondition changed;
     bool stopping ABSL_GUARDED_BY(mutex) = false;
     bool frozen ABSL_GUARDED_BY(mutex) = false;
+    std::size_t held ABSL_GUARDED_BY(mutex) = 0;
     std::uint64_t resumptions ABSL_GUARDED_BY(mutex) = 0; ///< Freezes that have ended.
     bool recording ABSL_GUARDED_BY(mutex) = false;
     std::set<std::string> cutPeers ABSL_GUARDED_BY(mutex);
--- a/libs/standin/src/StandInFaults.cpp
+++ b/libs/standin/src/StandInFaults.cpp
@@ -78,7 +78,9 @@
         // A cut exchange is held too, because a lost packet gives its sender no answer.
         const auto wasCut = this->isCut(peer);
         const auto resumptionsBefore = this->resumptions;
+        ++this->held;
         this->changed.wait(this->mutex);
+        --this->held;
         if (wasCut && !this->isCut(peer))
             return false;
         // The exchange ran when the server resumed, even if its peer was cut off before this thread
@@ -89,6 +91,12 @@
     return !this->stopping;
 }
 
+auto StandInFaults::heldExchanges() const -> std::size_t
+{
+    const RankedLock lock(this->mutex);
+    return this->held;
+}
+
 auto StandInFaults::holdWhileFrozen() -> void
 {
     const RankedLock lock(this->mutex);
--- a/libs/standin/tests/StandInFaultsTest.cpp
+++ b/libs/standin/tests/StandInFaultsTest.cpp
@@ -16,8 +16,8 @@
         faults.apply(FaultCommand{.kind = FaultKind::Freeze, .on = true});
         auto admitted =
             std::async(std::launch::async, [&faults] { return faults.admit("127.0.0.1"); });
-        // Lets the exchange reach its wait.
-        std::ignore = admitted.wait_for(2ms);
+        while (faults.heldExchanges() == 0)
+            REQUIRE(admitted.wait_for(1ms) == std::future_status::timeout);
         faults.apply(FaultCommand{.kind = FaultKind::Freeze, .on = false});
         faults.apply(FaultCommand{.kind = FaultKind::Cut, .on = true, .peers = {"127.0.0.1"}});
         const auto ran = admitted.wait_for(1s) == std::future_status::ready;
