--- a/libs/quota/src/ShareAllocation.cpp
+++ b/libs/quota/src/ShareAllocation.cpp
@@ -21,7 +21,7 @@
 
 // Part of the limits that is divided into shares, by the tokens of burst for each holder that uses
 // them. Shares of a few tokens are often empty while tokens are left at other holders, so half of
-// the limits stays in the reserve then; without a token for each holder everything does.
+// the limits stays in the reserve then, and with fewer tokens everything does.
 struct DivisionRule
 {
     double minTokensPerUser;
