--- a/libs/entry/include/entry/RateAdmission.h
+++ b/libs/entry/include/entry/RateAdmission.h
@@ -58,26 +58,33 @@
 
     using Queue = std::deque<Waiter>;
 
+    /// What is known of an organisation's next tokens.
+    struct TokenOutlook
+    {
+        std::optional<Duration> ownWait; ///< Until the own share yields one; nothing if never.
+        std::optional<TokenForecast> forecast; ///< Of the leader; nothing without one.
+    };
+
     [[nodiscard]] auto refusal(ReasonCode reason, const std::string &organisation, TimePoint now)
         -> RequestRefusal;
 
-    [[nodiscard]] auto retryAfter(const std::string &organisation, TimePoint now) const
-        -> std::optional<Duration>;
+    [[nodiscard]] auto outlookOf(const std::string &organisation, TimePoint now) const
+        -> TokenOutlook;
 
     /// Why a request without a token is refused immediately; nothing if it may wait.
     [[nodiscard]] auto refusalReason(const AdmissionRequest &request, const Queue &queue,
                                      TimePoint now) -> std::optional<ReasonCode>;
 
     /// Whether a request behind `ahead` others certainly gets no token before its deadline.
-    [[nodiscard]] auto missesDeadline(const std::string &organisation, TimePoint deadline,
-                                      std::ptrdiff_t ahead, TimePoint now) const -> bool;
+    [[nodiscard]] static auto missesDeadline(const TokenOutlook &outlook, TimePoint deadline,
+                                             std::ptrdiff_t ahead, TimePoint now) -> bool;
 
     /// The waiter that gets the next token. The queue must not be empty.
     [[nodiscard]] static auto nextWaiter(Queue &queue, TimePoint now) -> Queue::iterator;
 
     ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
-    auto refuseHopeless(const std::string &organisation, Queue &queue, TimePoint now,
-                        std::vector<Ended> &ended) -> void;
+    auto refuseUnservable(const std::string &organisation, Queue &queue, TimePoint now,
+                          std::vector<Ended> &ended) -> void;
 
     ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
     auto advanceQueue(const std::string &organisation, Queue &queue, TimePoint now,
--- a/libs/entry/src/RateAdmission.cpp
+++ b/libs/entry/src/RateAdmission.cpp
@@ -21,24 +21,24 @@
 {
 }
 
+auto RateAdmission::outlookOf(const std::string &organisation, TimePoint now) const -> TokenOutlook
+{
+    return TokenOutlook{.ownWait = this->hooks.timeToToken(organisation, now),
+                        .forecast = this->hooks.forecast(organisation, now)};
+}
+
 auto RateAdmission::refusal(ReasonCode reason, const std::string &organisation, TimePoint now)
     -> RequestRefusal
 {
     const auto message = reason == ReasonCode::QueueFull
                              ? "too many requests of the organisation wait for its rate"
                              : "the organisation is over its rate";
-    return RequestRefusal{
-        .reason = reason, .message = message, .retryAfter = this->retryAfter(organisation, now)};
-}
-
-auto RateAdmission::retryAfter(const std::string &organisation, TimePoint now) const
-    -> std::optional<Duration>
-{
-    const auto wait = this->hooks.timeToToken(organisation, now);
-    const auto forecast = this->hooks.forecast(organisation, now);
-    if (!forecast || forecast->first <= Duration::zero())
-        return wait;
-    return std::min(wait.value_or(forecast->first), forecast->first);
+    const auto outlook = this->outlookOf(organisation, now);
+    auto retryAfter = outlook.ownWait;
+    if (outlook.forecast && outlook.forecast->first > Duration::zero())
+        retryAfter =
+            std::min(retryAfter.value_or(outlook.forecast->first), outlook.forecast->first);
+    return RequestRefusal{.reason = reason, .message = message, .retryAfter = retryAfter};
 }
 
 auto RateAdmission::refusalReason(const AdmissionRequest &request, const Queue &queue,
@@ -52,22 +52,22 @@
     const auto ahead = std::count_if(queue.begin(), queue.end(), [&](const auto &waiter) {
         return isLate || !missesObjective(waiter.objectiveEnd, now);
     });
-    return this->missesDeadline(request.organisation, request.deadline, ahead, now)
+    const auto outlook = this->outlookOf(request.organisation, now);
+    return missesDeadline(outlook, request.deadline, ahead, now)
                ? std::optional(ReasonCode::RateLimited)
                : std::nullopt;
 }
 
-auto RateAdmission::missesDeadline(const std::string &organisation, TimePoint deadline,
-                                   std::ptrdiff_t ahead, TimePoint now) const -> bool
+auto RateAdmission::missesDeadline(const TokenOutlook &outlook, TimePoint deadline,
+                                   std::ptrdiff_t ahead, TimePoint now) -> bool
 {
-    const auto wait = this->hooks.timeToToken(organisation, now);
-    const auto forecast = this->hooks.forecast(organisation, now);
+    const auto &[ownWait, forecast] = outlook;
     if (forecast) {
         const auto grantedAt = now + forecast->first + forecast->interval * ahead;
-        return grantedAt > deadline && (!wait || now + *wait * (ahead + 1) > deadline);
+        return grantedAt > deadline && (!ownWait || now + *ownWait * (ahead + 1) > deadline);
     }
     // With no request ahead, a new share may still yield a token in time.
-    return ahead > 0 && wait && now + *wait * (ahead + 1) > deadline;
+    return ahead > 0 && ownWait && now + *ownWait * (ahead + 1) > deadline;
 }
 
 auto RateAdmission::nextWaiter(Queue &queue, TimePoint now) -> Queue::iterator
@@ -126,17 +126,17 @@
         done(std::nullopt);
 }
 
-auto RateAdmission::refuseHopeless(const std::string &organisation, Queue &queue, TimePoint now,
-                                   std::vector<Ended> &ended) -> void
+auto RateAdmission::refuseUnservable(const std::string &organisation, Queue &queue, TimePoint now,
+                                     std::vector<Ended> &ended) -> void
 {
     // What the leader expects may have become known after a request began to wait.
-    const auto isForecast = this->hooks.forecast(organisation, now).has_value();
+    const auto outlook = this->outlookOf(organisation, now);
     auto ahead = std::ptrdiff_t(0);
     for (auto waiter = queue.begin(); waiter != queue.end();) {
-        const auto isHopeless =
+        const auto isUnservable =
             waiter->deadline <= now
-            || (isForecast && this->missesDeadline(organisation, waiter->deadline, ahead, now));
-        if (!isHopeless) {
+            || (outlook.forecast && missesDeadline(outlook, waiter->deadline, ahead, now));
+        if (!isUnservable) {
             ++waiter;
             ++ahead;
             continue;
@@ -150,7 +150,7 @@
 auto RateAdmission::advanceQueue(const std::string &organisation, Queue &queue, TimePoint now,
                                  std::vector<Ended> &ended) -> std::optional<TimePoint>
 {
-    this->refuseHopeless(organisation, queue, now, ended);
+    this->refuseUnservable(organisation, queue, now, ended);
     while (!queue.empty() && this->hooks.tryAcquireQueued(organisation, now)) {
         const auto next = nextWaiter(queue, now);
         ended.push_back(Ended{std::move(next->done), std::nullopt});
--- a/libs/proxy/include/proxy/ServerConnectionPool.h
+++ b/libs/proxy/include/proxy/ServerConnectionPool.h
@@ -96,6 +96,9 @@
     ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
     auto closeUnneeded(const std::string &endpoint, detail::ServerPoolState &server,
                        Effects &effects) -> void;
+    ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
+    auto closeIdle(const std::string &endpoint, detail::ServerPoolState &server, Effects &effects)
+        -> void;
     static auto run(const Effects &effects) -> void;
 
     ServerConnectionPoolHooks hooks;
--- a/libs/proxy/src/ServerConnectionPool.cpp
+++ b/libs/proxy/src/ServerConnectionPool.cpp
@@ -111,8 +111,13 @@
 auto ServerConnectionPool::closeUnneeded(const std::string &endpoint,
                                          detail::ServerPoolState &server, Effects &effects) -> void
 {
-    if (server.idlePolicy == IdlePolicy::Keep)
-        return;
+    if (server.idlePolicy == IdlePolicy::Close)
+        this->closeIdle(endpoint, server, effects);
+}
+
+auto ServerConnectionPool::closeIdle(const std::string &endpoint, detail::ServerPoolState &server,
+                                     Effects &effects) -> void
+{
     for (const auto &idle : std::exchange(server.idle, {})) {
         effects.emplace_back(
             [this, handle = ConnectionHandle{endpoint, idle.id}] { this->hooks.close(handle); });
@@ -215,12 +220,7 @@
             return;
         auto &server = found->second;
         server.removed = true;
-        for (const auto &idle : server.idle) {
-            effects.emplace_back([this, handle = ConnectionHandle{found->first, idle.id}] {
-                this->hooks.close(handle);
-            });
-        }
-        server.idle.clear();
+        this->closeIdle(found->first, server, effects);
         for (auto &waiter : server.waiters) {
             effects.emplace_back([done = std::move(waiter.done)] {
                 done(absl::UnavailableError("the server was removed"));
--- a/libs/quota/include/quota/ShareLedgerActivity.h
+++ b/libs/quota/include/quota/ShareLedgerActivity.h
@@ -8,10 +8,8 @@
 /// Work that a ShareLedger has done since it was created.
 struct ShareLedgerActivity
 {
-    std::uint64_t reports = 0;       ///< Reports of holders that were processed.
     std::uint64_t allocations = 0;   ///< Times that the limits of one organisation were divided.
     std::uint64_t claims = 0;        ///< Claims that these allocations went through.
-    std::uint64_t tokens = 0;        ///< Tokens granted one by one.
     std::uint64_t notifications = 0; ///< Times that a held response was to be sent early.
 };
 
--- a/libs/quota/src/ShareLedger.cpp
+++ b/libs/quota/src/ShareLedger.cpp
@@ -1,6 +1,5 @@
 #include <quota/ShareLedger.h>
 
-#include <LimitUsers.h>
 #include <ShareAllocation.h>
 #include <ShareAmounts.h>
 
@@ -20,8 +19,6 @@
 // A holder counts as a user of the limits for this long after its last demand.
 constexpr auto USER_RETENTION = std::chrono::seconds(60);
 
-constexpr auto TOKENS_PER_MILLITOKEN = 1e-3;
-
 // Limits that are not divided are looked at again in this interval, because fewer holders may use
 // them by then.
 constexpr auto UNDIVIDED_CHECK_INTERVAL = Duration(std::chrono::seconds(1));
@@ -91,22 +88,6 @@
     this->eraseRemoved(now);
 }
 
-auto ShareLedger::eraseRemoved(TimePoint now) -> void
-{
-    std::erase_if(this->removed, [&](const std::string &name) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex) {
-        const auto found = this->organisations.find(name);
-        if (found == this->organisations.end() || found->second.limits != ShareLimits())
-            return true;
-        this->updateReserve(found->second, now);
-        // Shares and tokens that are in use count if the organisation is added again.
-        if (!found->second.claims.empty() || found->second.reserve.inFlight() > 0)
-            return false;
-        this->changed.erase(name);
-        this->organisations.erase(found);
-        return true;
-    });
-}
-
 auto ShareLedger::report(const ShareReport &report, TimePoint now) -> ShareGrant
 {
     auto grant = ShareGrant{.sequence = report.sequence};
@@ -122,7 +103,6 @@
             return grant;
         auto &record = this->holders[report.holder];
         if (report.sequence > record.sequence) {
-            ++this->work.reports;
             // Once granting has started, the lease of an unknown holder has ended, so it no longer
             // uses the shares that it reports.
             const auto trusted = known != this->holders.end() || !this->granting;
@@ -164,69 +144,6 @@
     return grant;
 }
 
-auto ShareLedger::takeTokens(const TokenRequest &request, TimePoint now) -> TokenResponse
-{
-    auto response = TokenResponse();
-    auto holdersReady = std::set<HolderId>();
-    {
-        const RankedLock lock(this->mutex);
-        this->expireLocked(now);
-        response.granting = this->granting;
-        if (!this->granting)
-            return response;
-        for (const auto &demand : request.demands) {
-            const auto found = this->organisations.find(demand.organisation);
-            if (found == this->organisations.end())
-                continue;
-            auto &shares = found->second;
-            if (!shares.users.contains(request.holder) && shares.dividedPart > 0)
-                this->changed.insert(demand.organisation);
-            response.grants.push_back(this->takeFrom(shares, request.holder, demand, now));
-        }
-        this->allocateChanged(now);
-        holdersReady = this->takeReady();
-    }
-    this->notify(holdersReady);
-    return response;
-}
-
-auto ShareLedger::takeFrom(detail::OrganisationShares &shares, const HolderId &holder,
-                           const TokenDemand &demand, TimePoint now) -> TokenGrant
-{
-    this->updateReserve(shares, now);
-    auto grant = TokenGrant{.organisation = demand.organisation, .wait = {}};
-    grant.tokens = shares.reserve.take(demand.tokens, now);
-    this->work.tokens += grant.tokens;
-    grant.interval = shares.reserve.interval();
-    const auto unmet = demand.tokens - grant.tokens;
-    if (unmet > 0) {
-        // The tokens that others wait for come first.
-        const auto ahead = detail::tokensAwaitedByOthers(shares.users, holder, now);
-        if (const auto first = shares.reserve.timeToToken(now))
-            grant.wait = *first + grant.interval * ahead;
-    }
-    shares.users[holder] = detail::LimitUser{.seenAt = now, .askedAt = now, .unmet = unmet};
-    return grant;
-}
-
-auto ShareLedger::updateReserve(detail::OrganisationShares &shares, TimePoint now) -> void
-{
-    const auto rate = static_cast<double>(shares.limits.rate - shares.countedRate);
-    const auto burst = static_cast<double>(shares.limits.burst - shares.countedBurst);
-    shares.reserve.setLimits(rate * TOKENS_PER_MILLITOKEN / (1.0 + this->timing.clockRateMargin),
-                             burst * TOKENS_PER_MILLITOKEN, this->timing.tokenWait(), now);
-}
-
-auto ShareLedger::addOrganisation(std::string_view organisation, ShareLimits limits, TimePoint now)
-    -> Organisations::iterator
-{
-    const auto added = this->organisations.try_emplace(std::string(organisation)).first;
-    // An earlier leader may have granted tokens of limits that this one has just learned of.
-    if (!this->granting)
-        added->second.reserve.begin(limits.burst, now);
-    return added;
-}
-
 auto ShareLedger::expire(TimePoint now) -> void
 {
     auto holdersReady = std::set<HolderId>();
