Log refusals by busy servers, unused connections and the begin of share grants

Cause: the log lines of the incident don't tell whether a primary is overloaded by statements or by connections that are opened without a result, nor when a new leader begins to grant and for whom it waited. Ruled out: logging each refusal, which would exceed the log budget in an overload. No decision changes.

--- a/libs/control/src/ControlTables.cpp
+++ b/libs/control/src/ControlTables.cpp
@@ -45,6 +45,14 @@
     return view;
 }
 
+auto logGrantingStart(const ShareGrantingStart &start) -> void
+{
+    logLine(LogLevel::Info, "quota", "share grants begin",
+            {{"waited_ms", absl::StrCat(toMillis(start.waited))},
+             {"unreported", absl::StrCat(start.unreported.size())},
+             {"first_unreported", start.unreported.empty() ? "" : *start.unreported.begin()}});
+}
+
 } // namespace
 
 ControlTables::ControlTables(Executor controlExecutor, RandomSource secureRandom,
@@ -69,7 +77,8 @@
     , ledger(QuotaTiming(), ShareLedgerHooks{.grantReady =
                                                  [this](const HolderId &holder) {
                                                      this->heldResponses.sharesChanged(holder);
-                                                 }})
+                                                 },
+                                             .grantingStarted = logGrantingStart})
     , registrar(EndpointRegistrarSettings{.adoptsPrimaries = settings.adoptsPrimaries,
                                           .endpointTimeout = settings.endpointTimeout})
     , commander(this->random)
--- a/libs/entry/src/HeartbeatLoop.cpp
+++ b/libs/entry/src/HeartbeatLoop.cpp
@@ -96,6 +96,8 @@
     heartbeat.burn = this->burnSender.begin(member, this->tables.executor.now());
     const auto response = this->hooks.send(member, heartbeat, RESPONSE_TIME_LIMIT);
     if (!response.ok()) {
+        logLine(LogLevel::Warning, "lease", "control member did not respond",
+                {{"member", member}, {"error", std::string(response.status().message())}});
         this->logLeaseChange(false, member, std::string(response.status().message()));
         this->burnSender.end(false, this->tables.executor.now());
         this->chooseMember("", false);
--- a/libs/proxy/include/proxy/ConnectionRequest.h
+++ b/libs/proxy/include/proxy/ConnectionRequest.h
@@ -1,6 +1,9 @@
 #ifndef AUBURNRAIL_PROXY_CONNECTIONREQUEST_H
 #define AUBURNRAIL_PROXY_CONNECTIONREQUEST_H
 
+#include <proxy/Placement.h>
+#include <proxy/StatementRequest.h>
+
 #include <core/Time.h>
 
 #include <cstdint>
@@ -21,6 +24,10 @@
     TimePoint deadline;
 };
 
+/// The connection that a statement needs at the server chosen for it.
+[[nodiscard]] auto connectionRequestFor(const Placement &placement, const StatementRequest &request)
+    -> ConnectionRequest;
+
 } // namespace auburnrail
 
 #endif
--- a/libs/proxy/include/proxy/PooledConnection.h
+++ b/libs/proxy/include/proxy/PooledConnection.h
@@ -9,6 +9,7 @@
 
 #include <core/Time.h>
 
+#include <atomic>
 #include <functional>
 #include <memory>
 #include <string>
@@ -25,6 +26,7 @@
     bool isPrimary = false; ///< According to the fleet state when the connection was leased.
     std::uint64_t term = 0; ///< Term of the group when the connection was leased.
     ServerSession session;
+    std::atomic<bool> carriedRequest = false; ///< Set by `exchange`.
 
     /// Sends a request. At most one request may be in progress at a time. After any phase other
     /// than Responded the connection is closed. `done` may run on any thread.
--- a/libs/proxy/include/proxy/ServerConnectionEvent.h
+++ b/libs/proxy/include/proxy/ServerConnectionEvent.h
@@ -13,6 +13,8 @@
     Full,   ///< The server has reached its connection limit.
     Failed, ///< The server did not respond or refused for another reason.
     Probe,  ///< A status request was sent without a statement of a caller.
+    Busy,   ///< The server refused a request because it had no capacity.
+    Unused, ///< A connection was closed without a request having been sent on it.
 };
 
 template <>
@@ -22,6 +24,8 @@
         {ServerConnectionEvent::Full, "full"},
         {ServerConnectionEvent::Failed, "failed"},
         {ServerConnectionEvent::Probe, "probe"},
+        {ServerConnectionEvent::Busy, "busy"},
+        {ServerConnectionEvent::Unused, "unused"},
     });
 
 } // namespace auburnrail
--- a/libs/proxy/src/ServerConnections.cpp
+++ b/libs/proxy/src/ServerConnections.cpp
@@ -79,13 +79,7 @@
     const Placement &placement, const StatementRequest &request,
     std::function<auto(absl::StatusOr<PooledConnectionPointer>)->void> done) -> void
 {
-    this->acquire(placement,
-                  ConnectionRequest{.endpoint = placement.endpoint,
-                                    .organisation = request.organisation,
-                                    .priority = request.policy.priority,
-                                    .objectiveEnd = request.objectiveEnd(),
-                                    .deadline = request.deadline()},
-                  std::move(done));
+    this->acquire(placement, connectionRequestFor(placement, request), std::move(done));
 }
 
 auto ServerConnections::acquire(
@@ -136,8 +130,10 @@
         return;
     }
     const auto &failure = outcome.response.failure;
-    if (failure && failure->error == StatementError::Busy)
+    if (failure && failure->error == StatementError::Busy) {
+        this->count(ServerConnectionEvent::Busy);
         this->endpoints.recordFailure(endpoint, EndpointFailure::Overloaded, now);
+    }
     const auto position = outcome.response.position.value_or(Position());
     this->endpoints.recordResponse(endpoint,
                                    EndpointObservation{.position = position,
@@ -183,8 +179,10 @@
                 *stream, this->hooks.codec, [this, handle] { this->connectionPool.lost(handle); });
             const auto connection = std::make_shared<PooledConnection>();
             connection->handle = handle;
-            connection->exchange = [socket](const ServerRequest &request, Duration timeLimit,
-                                            PooledConnection::Done done) {
+            connection->exchange = [socket, &carriedRequest = connection->carriedRequest](
+                                       const ServerRequest &request, Duration timeLimit,
+                                       PooledConnection::Done done) {
+                carriedRequest = true;
                 socket->exchange(request, timeLimit, std::move(done));
             };
             connection->close = [socket] {
@@ -222,8 +220,12 @@
 
 auto ServerConnections::close(const ConnectionHandle &handle) -> void
 {
-    if (const auto connection = this->extract(handle); connection != nullptr)
-        connection->close();
+    const auto connection = this->extract(handle);
+    if (connection == nullptr)
+        return;
+    if (!connection->carriedRequest)
+        this->count(ServerConnectionEvent::Unused);
+    connection->close();
 }
 
 auto ServerConnections::probeDue(TimePoint now) -> void
--- a/libs/quota/benchmarks/ShareLedgerFleet.cpp
+++ b/libs/quota/benchmarks/ShareLedgerFleet.cpp
@@ -23,7 +23,8 @@
                 this->respondToHeld(entry, exchange);
             });
     };
-    this->ledger = std::make_unique<ShareLedger>(QuotaTiming(), ShareLedgerHooks{grantReady});
+    this->ledger = std::make_unique<ShareLedger>(
+        QuotaTiming(), ShareLedgerHooks{.grantReady = grantReady, .grantingStarted = {}});
     this->ledger->beginLeadership({.number = 1}, scheduler.now() - QuotaTiming().leaseWait());
     for (const auto &[organisation, limits] : workload.limits)
         this->ledger->setLimits(organisation, limits, scheduler.now());
--- /dev/null
+++ b/libs/quota/include/quota/ShareGrantingStart.h
@@ -0,0 +1,22 @@
+#ifndef AUBURNRAIL_QUOTA_SHAREGRANTINGSTART_H
+#define AUBURNRAIL_QUOTA_SHAREGRANTINGSTART_H
+
+#include <core/Time.h>
+
+#include <set>
+#include <string>
+
+namespace auburnrail {
+
+/// The moment from which a new leader's ledger grants shares and tokens.
+struct ShareGrantingStart
+{
+    Duration waited{}; ///< Since the leadership began.
+    /// Instances that may hold shares of the former leader and have not reported; their lease has
+    /// ended.
+    std::set<std::string> unreported;
+};
+
+} // namespace auburnrail
+
+#endif
--- a/libs/quota/include/quota/ShareLedger.h
+++ b/libs/quota/include/quota/ShareLedger.h
@@ -11,6 +11,7 @@
 #include <quota/TokenRequest.h>
 #include <quota/TokenResponse.h>
 #include <quota/detail/HolderRecord.h>
+#include <quota/detail/LedgerNotices.h>
 #include <quota/detail/OrganisationShares.h>
 
 #include <core/RankedMutex.h>
@@ -109,8 +110,8 @@
     ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex) auto allocateChanged(TimePoint now) -> void;
     ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
     auto findReady(const detail::OrganisationShares &shares) -> void;
-    ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex) auto takeReady() -> std::set<HolderId>;
-    auto notify(const std::set<HolderId> &holdersReady) -> void;
+    ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex) auto takeNotices() -> detail::LedgerNotices;
+    auto notify(const detail::LedgerNotices &notices) -> void;
 
     const QuotaTiming timing;
     const ShareLedgerHooks hooks;
@@ -121,6 +122,8 @@
     std::set<std::string, std::less<>> changed ABSL_GUARDED_BY(mutex);
     std::set<std::string, std::less<>> removed ABSL_GUARDED_BY(mutex);
     std::set<HolderId> ready ABSL_GUARDED_BY(mutex);
+    std::optional<ShareGrantingStart>
+        started ABSL_GUARDED_BY(mutex); ///< Not yet passed to the hook.
     ShareLedgerActivity work ABSL_GUARDED_BY(mutex);
     ShareLeadership current
         ABSL_GUARDED_BY(mutex); ///< With the earlier holders that have not reported under it yet.
--- a/libs/quota/src/ShareLedger.cpp
+++ b/libs/quota/src/ShareLedger.cpp
@@ -62,7 +62,7 @@
 auto ShareLedger::setLimits(std::string_view organisation, ShareLimits limits, TimePoint now)
     -> void
 {
-    auto holdersReady = std::set<HolderId>();
+    auto notices = detail::LedgerNotices();
     {
         const RankedLock lock(this->mutex);
         this->startGrantingWhenSafe(now);
@@ -75,9 +75,9 @@
         this->updateReserve(found->second, now);
         this->changed.emplace(organisation);
         this->allocateChanged(now);
-        holdersReady = this->takeReady();
+        notices = this->takeNotices();
     }
-    this->notify(holdersReady);
+    this->notify(notices);
 }
 
 auto ShareLedger::removeLimits(std::string_view organisation, TimePoint now) -> void
@@ -91,7 +91,7 @@
 auto ShareLedger::report(const ShareReport &report, TimePoint now) -> ShareGrant
 {
     auto grant = ShareGrant{.sequence = report.sequence};
-    auto holdersReady = std::set<HolderId>();
+    auto notices = detail::LedgerNotices();
     {
         const RankedLock lock(this->mutex);
         grant.leadership = this->current.number;
@@ -120,16 +120,16 @@
         this->allocateChanged(now);
         grant = this->makeGrant(report.holder, record, now);
         this->ready.erase(report.holder);
-        holdersReady = this->takeReady();
+        notices = this->takeNotices();
     }
-    this->notify(holdersReady);
+    this->notify(notices);
     return grant;
 }
 
 auto ShareLedger::grant(const HolderId &holder, TimePoint now) -> ShareGrant
 {
     auto grant = ShareGrant();
-    auto holdersReady = std::set<HolderId>();
+    auto notices = detail::LedgerNotices();
     {
         const RankedLock lock(this->mutex);
         this->expireLocked(now);
@@ -138,22 +138,22 @@
         if (found != this->holders.end())
             grant = this->makeGrant(holder, found->second, now);
         this->ready.erase(holder);
-        holdersReady = this->takeReady();
+        notices = this->takeNotices();
     }
-    this->notify(holdersReady);
+    this->notify(notices);
     return grant;
 }
 
 auto ShareLedger::expire(TimePoint now) -> void
 {
-    auto holdersReady = std::set<HolderId>();
+    auto notices = detail::LedgerNotices();
     {
         const RankedLock lock(this->mutex);
         this->expireLocked(now);
         this->allocateChanged(now);
-        holdersReady = this->takeReady();
+        notices = this->takeNotices();
     }
-    this->notify(holdersReady);
+    this->notify(notices);
 }
 
 auto ShareLedger::nextExpiry() -> std::optional<TimePoint>
@@ -244,6 +244,9 @@
     if (now < *this->grantingFrom && !this->current.earlierHolders.empty())
         return;
     this->granting = true;
+    this->started =
+        ShareGrantingStart{.waited = now - (*this->grantingFrom - this->timing.leaseWait()),
+                           .unreported = this->current.earlierHolders};
     for (const auto &[organisation, shares] : this->organisations)
         this->changed.insert(organisation);
 }
@@ -283,17 +286,20 @@
     }
 }
 
-auto ShareLedger::takeReady() -> std::set<HolderId>
+auto ShareLedger::takeNotices() -> detail::LedgerNotices
 {
     this->work.notifications += this->ready.size();
-    return std::exchange(this->ready, {});
+    return detail::LedgerNotices{.ready = std::exchange(this->ready, {}),
+                                 .started = std::exchange(this->started, std::nullopt)};
 }
 
-auto ShareLedger::notify(const std::set<HolderId> &holdersReady) -> void
+auto ShareLedger::notify(const detail::LedgerNotices &notices) -> void
 {
+    if (notices.started && this->hooks.grantingStarted)
+        this->hooks.grantingStarted(*notices.started);
     if (!this->hooks.grantReady)
         return;
-    for (const auto &holder : holdersReady)
+    for (const auto &holder : notices.ready)
         this->hooks.grantReady(holder);
 }
 
--- a/libs/quota/src/ShareLedgerTokens.cpp
+++ b/libs/quota/src/ShareLedgerTokens.cpp
@@ -15,7 +15,7 @@
 auto ShareLedger::takeTokens(const TokenRequest &request, TimePoint now) -> TokenResponse
 {
     auto response = TokenResponse();
-    auto holdersReady = std::set<HolderId>();
+    auto notices = detail::LedgerNotices();
     {
         const RankedLock lock(this->mutex);
         this->expireLocked(now);
@@ -32,9 +32,9 @@
             response.grants.push_back(this->takeFrom(shares, request.holder, demand, now));
         }
         this->allocateChanged(now);
-        holdersReady = this->takeReady();
+        notices = this->takeNotices();
     }
-    this->notify(holdersReady);
+    this->notify(notices);
     return response;
 }
 
