Repeat a statement that a busy primary refused on the connection that it has

Cause: where a server accepts fewer connections than there are entries, a connection is closed after its use. A refusal by a busy server ended the use, so each retry opened another connection, and an opening occupies a slot of the server for 12 ms. At some hundred retries a second the openings fill the slots and the queue, so that statements are refused: the overload feeds itself. Change: a statement, or the first one of a transaction, that a busy primary refused keeps its connection and is sent again on it after the pause, if the primary and its term are still the same. A replica that is busy is left for another one as before.

--- a/libs/proxy/include/proxy/StatementRequest.h
+++ b/libs/proxy/include/proxy/StatementRequest.h
@@ -34,6 +34,14 @@
     TimePoint arrivedAt;
     TimePoint operationSince; ///< Start of the time to which the latency objective applies.
 
+    /// A statement with less time left is not sent: its response would be too late, and a write
+    /// would be in doubt. Covers a round trip between regions and a short statement.
+    static constexpr auto MIN_TIME_LEFT_MS = std::chrono::milliseconds(60);
+    /// The same for writes outside a transaction. A client can't repeat a write that is in doubt,
+    /// but it can repeat one that was not run. So a write is sent only with enough time for a queue
+    /// at the server and for the replica's confirmation.
+    static constexpr auto MIN_TIME_LEFT_TO_WRITE_MS = std::chrono::milliseconds(250);
+
     [[nodiscard]] auto deadline() const -> TimePoint
     {
         return this->arrivedAt + this->policy.statementTimeout;
@@ -44,6 +52,13 @@
         return this->operationSince + this->policy.latencyObjective;
     }
 
+    /// From this time on the statement is not sent any more.
+    [[nodiscard]] auto latestStart() const -> TimePoint
+    {
+        const auto writesAlone = this->writes() && !this->opens;
+        return this->deadline() - (writesAlone ? MIN_TIME_LEFT_TO_WRITE_MS : MIN_TIME_LEFT_MS);
+    }
+
     /// Whether the statement itself changes data. A commit doesn't count as such.
     [[nodiscard]] auto writes() const -> bool
     {
--- a/libs/proxy/include/proxy/StatementRun.h
+++ b/libs/proxy/include/proxy/StatementRun.h
@@ -31,14 +31,6 @@
     static constexpr auto RETRY_PAUSE_MS = std::chrono::milliseconds(10);
     static constexpr auto MAX_RETRY_PAUSE_MS = std::chrono::milliseconds(80);
 
-    /// A statement with less time left is not sent: its response would be too late, and a write
-    /// would be in doubt. Covers a round trip between regions and a short statement.
-    static constexpr auto MIN_TIME_LEFT_MS = std::chrono::milliseconds(60);
-    /// The same for writes outside a transaction. A client can't repeat a write that is in doubt,
-    /// but it can repeat one that was not run. So a write is sent only with enough time for a queue
-    /// at the server and for the replica's confirmation.
-    static constexpr auto MIN_TIME_LEFT_TO_WRITE_MS = std::chrono::milliseconds(250);
-
     StatementRun(StatementHooks statementHooks, StatementRequest requestToRun, Done doneHook);
 
     /// Runs the statement outside a transaction, or as the first one of a transaction.
@@ -53,7 +45,13 @@
     auto attempt() -> void;
     auto leaseAwaited(bool held) -> void;
     auto attemptAfterPause(const std::string &reason) -> void;
+    /// The pause before the next retry.
+    [[nodiscard]] auto nextPause() -> Duration;
     auto leased(absl::StatusOr<PooledConnectionPointer> result) -> void;
+    /// Prepares the connection for the statement and sends it.
+    auto runOnConnection() -> void;
+    /// Sends the statement again on the same connection, to a server that had no capacity.
+    auto retryOnConnection() -> void;
     auto prepareNext() -> void;
     auto beginTransaction() -> void;
     auto runStatement() -> void;
--- a/libs/proxy/src/StatementRun.cpp
+++ b/libs/proxy/src/StatementRun.cpp
@@ -96,11 +96,16 @@
 auto StatementRun::attemptAfterPause(const std::string &reason) -> void
 {
     this->lastError = reason;
+    this->hooks.executor.postAfter(this->nextPause(),
+                                   [self = this->shared_from_this()] { self->attempt(); });
+}
+
+auto StatementRun::nextPause() -> Duration
+{
     const auto doubled = RETRY_PAUSE_MS * (1U << std::min(this->pauses, 8U));
     ++this->pauses;
-    const auto pause = std::min<Duration>(
+    return std::min<Duration>(
         {doubled, MAX_RETRY_PAUSE_MS, std::max(this->timeLeft(), Duration::zero())});
-    this->hooks.executor.postAfter(pause, [self = this->shared_from_this()] { self->attempt(); });
 }
 
 auto StatementRun::leased(absl::StatusOr<PooledConnectionPointer> result) -> void
@@ -119,6 +124,11 @@
         this->attempt();
         return;
     }
+    this->runOnConnection();
+}
+
+auto StatementRun::runOnConnection() -> void
+{
     ++this->attempts;
     const auto requests = this->connection->session.preparations(
         this->statementRequest.values, this->statementRequest.prepared, false);
@@ -210,19 +220,21 @@
         this->finish(std::move(response), this->transactionOpen);
         return;
     }
-    if (this->continuesTransaction) {
-        // A busy server may have capacity shortly after; any other refusal ends the transaction.
-        const auto canWait = response.failure->error == StatementError::Busy
-                             && response.state == SessionState::InTransaction
-                             && this->timeLeft() > MAX_RETRY_PAUSE_MS;
-        if (!canWait) {
-            this->finish(std::move(response), true);
-            return;
-        }
-        this->hooks.executor.postAfter(RETRY_PAUSE_MS,
+    // A busy server may have capacity shortly after. A transaction that is not bound to its server
+    // yet may begin on another replica instead.
+    const auto canWait = response.failure->error == StatementError::Busy
+                         && response.state == SessionState::InTransaction
+                         && this->timeLeft() > MAX_RETRY_PAUSE_MS
+                         && (this->continuesTransaction || this->placement.isPrimary);
+    if (canWait) {
+        this->hooks.executor.postAfter(this->nextPause(),
                                        [self = this->shared_from_this()] { self->runStatement(); });
         return;
     }
+    if (this->continuesTransaction) {
+        this->finish(std::move(response), true);
+        return;
+    }
     if (this->transactionOpen) {
         this->rollBackAndAttempt(response.failure->detail);
         return;
@@ -238,6 +250,11 @@
         return;
     }
     this->lastError = std::string(nameOf(failure.error)) + " " + failure.detail;
+    if (failure.error == StatementError::Busy && this->placement.isPrimary) {
+        this->hooks.executor.postAfter(
+            this->nextPause(), [self = this->shared_from_this()] { self->retryOnConnection(); });
+        return;
+    }
     const auto lagsBehind = failure.error == StatementError::Lagging;
     if (lagsBehind)
         this->needsPrimary = true;
@@ -254,6 +271,22 @@
         this->attemptAfterPause(this->lastError);
 }
 
+auto StatementRun::retryOnConnection() -> void
+{
+    const auto now = this->hooks.executor.now();
+    const auto chosen = this->hasTimeToRun() && this->hooks.holdsLease(now)
+                            ? this->hooks.place(this->placementRequest(), now)
+                            : std::nullopt;
+    const auto isSamePrimary = chosen && chosen->endpoint == this->placement.endpoint
+                               && chosen->term == this->connection->term;
+    if (isSamePrimary) {
+        this->runOnConnection();
+        return;
+    }
+    this->dropConnection(true);
+    this->attempt();
+}
+
 auto StatementRun::rollBackAndAttempt(const std::string &reason) -> void
 {
     this->lastError = reason;
@@ -268,8 +301,7 @@
 
 auto StatementRun::hasTimeToRun() const -> bool
 {
-    const auto writesAlone = this->statementRequest.writes() && !this->statementRequest.opens;
-    return this->timeLeft() > (writesAlone ? MIN_TIME_LEFT_TO_WRITE_MS : MIN_TIME_LEFT_MS);
+    return this->hooks.executor.now() < this->statementRequest.latestStart();
 }
 
 auto StatementRun::lost(const ServerOutcome &outcome) -> void
--- a/libs/proxy/tests/FakeServers.h
+++ b/libs/proxy/tests/FakeServers.h
@@ -43,7 +43,7 @@
                                        || request.consistency == ReadConsistency::Primary;
                 auto placement = Placement{.endpoint = isPrimary ? "primary" : "replica",
                                            .isPrimary = isPrimary,
-                                           .term = 1};
+                                           .term = this->term};
                 if (!isPrimary)
                     placement.minimumPosition = Position{1, 7};
                 return placement;
@@ -109,6 +109,7 @@
     bool leaseExpected = false; ///< While there is no lease, requests for it wait for `grantLease`.
     std::vector<std::function<auto(bool)->void>> leaseWaiters;
     int unplaceable = 0;
+    std::uint64_t term = 1; ///< Of the group.
     absl::Status leaseStatus;
     std::vector<PlacementRequest> placements;
     std::vector<ServerRequest> sent;
--- a/libs/proxy/tests/StatementRunTest.cpp
+++ b/libs/proxy/tests/StatementRunTest.cpp
@@ -61,6 +61,46 @@
     CHECK(servers.released == std::vector<std::pair<std::string, bool>>{{"replica", true}});
 }
 
+// Guards against an overload that a primary can't leave: each refusal closed the connection, and
+// opening another one took a slot of the primary.
+TEST_CASE("a statement that a busy primary refused is repeated on its connection")
+{
+    auto servers = FakeServers();
+    servers.script(ServerOperation::Forward, FakeServers::refused(StatementError::Busy));
+    servers.script(ServerOperation::Forward, FakeServers::refused(StatementError::Busy));
+    const auto result = runToEnd(servers, requestFor(StatementKind::Write, servers));
+    CHECK_FALSE(errorOf(result));
+    CHECK(servers.sent.size() == 3);
+    CHECK(servers.placements.size() == 3);
+    CHECK(servers.released == std::vector<std::pair<std::string, bool>>{{"primary", true}});
+}
+
+TEST_CASE("a transaction that a busy primary lets begin is not begun again")
+{
+    auto servers = FakeServers();
+    servers.script(ServerOperation::Forward,
+                   FakeServers::refused(StatementError::Busy, SessionState::InTransaction));
+    auto request = requestFor(StatementKind::Write, servers);
+    request.opens = TransactionAccess::ReadWrite;
+    const auto result = runToEnd(servers, request);
+    CHECK_FALSE(errorOf(result));
+    CHECK(servers.count(ServerOperation::Begin) == 1);
+    CHECK(servers.count(ServerOperation::Forward) == 2);
+    CHECK(servers.released.empty());
+}
+
+// Guards against a statement that reaches a primary after its replacement.
+TEST_CASE("a statement is not repeated on a connection of an earlier term")
+{
+    auto servers = FakeServers();
+    servers.script(ServerOperation::Forward, FakeServers::refused(StatementError::Busy));
+    servers.scheduler.executor().postAfter(5ms, [&servers] { servers.term = 2; });
+    const auto result = runToEnd(servers, requestFor(StatementKind::Write, servers));
+    CHECK_FALSE(errorOf(result));
+    CHECK(servers.sent.size() == 2);
+    CHECK(servers.released.size() == 2);
+}
+
 // Guards against writes that take effect twice and against wrong reports: a statement that may have
 // run is never sent again and never reported as "not run".
 TEST_CASE("a statement is repeated only if it can't have run and changed data")
