Open no connection for a statement that would miss its deadline

Callers saw: statements refused after a second at a primary that served almost none of them while it was overloaded. Cause: waiters get a connection in the order in which they came, so at an overload each got one when its time was nearly over. The opening took a slot of the server, the statement was refused or not sent any more, and the connection was closed unused. Change: the pool measures how long openings and single statements take. A waiter that has used half of its time, and for which a new connection would be too late by that, is refused with 'a new connection would be too late'; at a primary the statement ends at once instead of asking again. What was measured decays (DecayingAverage, moved out of EndpointTable), so that a server that was slow once is tried again. Waiters end when their statement can't be sent any more, not at their deadline.

--- a/libs/proxy/include/proxy/ConnectionRequest.h
+++ b/libs/proxy/include/proxy/ConnectionRequest.h
@@ -22,6 +22,7 @@
     std::uint32_t priority = 0; ///< Lower values are served first.
     TimePoint objectiveEnd;     ///< A later response misses the latency objective.
     TimePoint deadline;
+    bool opensTransaction = false; ///< The connection is kept until the transaction ends.
 };
 
 /// The connection that a statement needs at the server chosen for it.
--- a/libs/proxy/include/proxy/ServerConnectionPool.h
+++ b/libs/proxy/include/proxy/ServerConnectionPool.h
@@ -27,7 +27,9 @@
 /// Waiters are served by priority; within a priority, those that can still meet their latency
 /// objective come first. A waiter gets an idle connection of its organisation. If there is none, a
 /// connection is opened while the entry is below its limit; at the limit, the connection that has
-/// been idle for longest is closed to make room. The pool does no I/O itself. Thread-safe.
+/// been idle for longest is closed to make room. None is opened for a waiter whose statement would
+/// miss its deadline, judged by how long the last openings and statements took. The pool does no
+/// I/O itself. Thread-safe.
 class ServerConnectionPool
 {
 public:
@@ -52,8 +54,9 @@
                   IdlePolicy idlePolicy = IdlePolicy::Keep) -> void;
 
     /// Calls `done` with a connection for exclusive use, during this call or later. Errors:
-    /// `kResourceExhausted` when the queue is full or the deadline passes, `kUnavailable` when
-    /// opening fails or the server is removed.
+    /// `kResourceExhausted` when the queue is full, `kDeadlineExceeded` when the deadline passes or
+    /// a new connection would leave too little time before it, `kUnavailable` when opening fails or
+    /// the server is removed.
     auto acquire(const ConnectionRequest &request, TimePoint now, Done done) -> void;
 
     /// Returns a connection to the pool. One that is not `reusable` is closed.
--- a/libs/proxy/include/proxy/StatementHooks.h
+++ b/libs/proxy/include/proxy/StatementHooks.h
@@ -31,8 +31,9 @@
     std::function<auto(const PlacementRequest &request, TimePoint now)->std::optional<Placement>>
         place;
 
-    /// Leases a connection to the server of `placement`. Errors: `kResourceExhausted` when no
-    /// connection was free in time, `kUnavailable` when none could be opened.
+    /// Leases a connection to the server of `placement`. Errors: `kDeadlineExceeded` when none can
+    /// be had in time, `kResourceExhausted` when too many statements wait, `kUnavailable` when none
+    /// could be opened.
     std::function<auto(const Placement &placement, const StatementRequest &request,
                        std::function<auto(absl::StatusOr<PooledConnectionPointer>)->void> done)
                       ->void>
--- a/libs/proxy/include/proxy/detail/ServerPoolState.h
+++ b/libs/proxy/include/proxy/detail/ServerPoolState.h
@@ -4,6 +4,7 @@
 #include <proxy/IdlePolicy.h>
 #include <request/ConnectionHandle.h>
 
+#include <core/DecayingAverage.h>
 #include <core/Time.h>
 
 #include <absl/status/statusor.h>
@@ -30,6 +31,19 @@
         TimePoint since;
     };
 
+    struct Use
+    {
+        std::string organisation;
+        bool opensTransaction = false;
+        TimePoint since;
+    };
+
+    struct Opening
+    {
+        std::string organisation;
+        TimePoint since;
+    };
+
     struct Waiter
     {
         std::string organisation;
@@ -38,16 +52,19 @@
         TimePoint since;
         TimePoint objectiveEnd;
         TimePoint deadline;
+        bool opensTransaction = false;
         Done done;
     };
 
     std::size_t limit = 0;
     IdlePolicy idlePolicy = IdlePolicy::Keep;
     bool removed = false;
-    std::vector<Idle> idle;                       ///< Ordered by idle time, longest first.
-    std::map<std::uint64_t, std::string> inUse;   ///< Organisation by connection.
-    std::map<std::uint64_t, std::string> opening; ///< Organisation by connection.
-    std::list<Waiter> waiters;                    ///< In the order in which they are served.
+    std::vector<Idle> idle; ///< Ordered by idle time, longest first.
+    std::map<std::uint64_t, Use> inUse;
+    std::map<std::uint64_t, Opening> opening;
+    DecayingAverage openingTime;
+    DecayingAverage runTime;   ///< Of single statements, with the wait for the server's capacity.
+    std::list<Waiter> waiters; ///< In the order in which they are served.
     TimePoint
         fullUntil; ///< Until this time no connection is opened, because the server had none left.
 
--- a/libs/proxy/src/ConnectionRequest.cpp
+++ b/libs/proxy/src/ConnectionRequest.cpp
@@ -9,7 +9,8 @@
                              .organisation = request.organisation,
                              .priority = request.policy.priority,
                              .objectiveEnd = request.objectiveEnd(),
-                             .deadline = request.deadline()};
+                             .deadline = request.latestStart(),
+                             .opensTransaction = request.opens.has_value()};
 }
 
 } // namespace auburnrail
--- a/libs/proxy/src/ServerConnectionPool.cpp
+++ b/libs/proxy/src/ServerConnectionPool.cpp
@@ -12,16 +12,35 @@
 
 namespace {
 
+/// Part of the expected time that is kept in reserve, since it varies.
+constexpr auto EXPECTED_TIME_RESERVE_DIVISOR = 4;
+
 auto expiredStatus() -> absl::Status
 {
-    return absl::ResourceExhaustedError("no connection was free before the deadline");
+    return absl::DeadlineExceededError("no connection was free before the deadline");
+}
+
+auto tooLateStatus() -> absl::Status
+{
+    return absl::DeadlineExceededError("a new connection would be too late");
+}
+
+/// Whether a connection opened now would come too late for the waiter's statement. Only judged
+/// after half of its time, because what was measured may be out of date.
+auto missesDeadline(const detail::ServerPoolState::Waiter &waiter,
+                    const detail::ServerPoolState &server, TimePoint now) -> bool
+{
+    const auto halfTime = waiter.since + (waiter.deadline - waiter.since) / 2;
+    const auto expected = server.openingTime.value(now) + server.runTime.value(now);
+    return now >= halfTime
+           && now + expected + expected / EXPECTED_TIME_RESERVE_DIVISOR > waiter.deadline;
 }
 
 auto countOpening(const detail::ServerPoolState &server, const std::string &organisation)
     -> std::ptrdiff_t
 {
     return std::count_if(server.opening.begin(), server.opening.end(),
-                         [&](const auto &row) { return row.second == organisation; });
+                         [&](const auto &row) { return row.second.organisation == organisation; });
 }
 
 } // namespace
@@ -81,6 +100,7 @@
                                       .since = now,
                                       .objectiveEnd = request.objectiveEnd,
                                       .deadline = request.deadline,
+                                      .opensTransaction = request.opensTransaction,
                                       .done = std::move(done)});
             this->serveWaiters(request.endpoint, server, now, effects);
         }
@@ -98,8 +118,10 @@
         auto row = server.inUse.extract(handle.id);
         if (row.empty())
             return;
+        if (!row.mapped().opensTransaction)
+            server.runTime.add(now - row.mapped().since, now);
         if (reusable && !server.removed && server.used() < server.limit)
-            server.idle.push_back({handle.id, std::move(row.mapped()), now});
+            server.idle.push_back({handle.id, std::move(row.mapped().organisation), now});
         else
             effects.emplace_back([this, handle] { this->hooks.close(handle); });
         this->serveWaiters(handle.endpoint, server, now, effects);
@@ -136,7 +158,8 @@
         if (server.removed)
             effects.emplace_back([this, handle] { this->hooks.close(handle); });
         else
-            server.idle.push_back({handle.id, std::move(row.mapped()), now});
+            server.idle.push_back({handle.id, std::move(row.mapped().organisation), now});
+        server.openingTime.add(now - row.mapped().since, now);
         this->serveWaiters(handle.endpoint, server, now, effects);
         this->closeUnneeded(handle.endpoint, server, effects);
     }
@@ -157,8 +180,9 @@
             server.fullUntil = now + FULL_SERVER_RETRY_MS;
         } else {
             const auto waiter =
-                std::find_if(server.waiters.begin(), server.waiters.end(),
-                             [&](const auto &other) { return other.organisation == row.mapped(); });
+                std::find_if(server.waiters.begin(), server.waiters.end(), [&](const auto &other) {
+                    return other.organisation == row.mapped().organisation;
+                });
             if (waiter != server.waiters.end()) {
                 effects.emplace_back([done = std::move(waiter->done), status] {
                     done(absl::UnavailableError(status.message()));
@@ -260,7 +284,8 @@
             });
         if (idle != server.idle.rend()) {
             const auto handle = ConnectionHandle{endpoint, idle->id};
-            server.inUse.emplace(idle->id, idle->organisation);
+            server.inUse.emplace(idle->id, detail::ServerPoolState::Use{
+                                               idle->organisation, waiter->opensTransaction, now});
             server.idle.erase(std::next(idle).base());
             effects.emplace_back([done = std::move(waiter->done), handle] { done(handle); });
             waiter = server.waiters.erase(waiter);
@@ -268,6 +293,11 @@
         }
         auto &waitersBefore = waitersPassed[waiter->organisation];
         const auto isCovered = countOpening(server, waiter->organisation) > waitersBefore;
+        if (!isCovered && missesDeadline(*waiter, server, now)) {
+            effects.emplace_back([done = std::move(waiter->done)] { done(tooLateStatus()); });
+            waiter = server.waiters.erase(waiter);
+            continue;
+        }
         ++waitersBefore;
         if (!isCovered && now >= server.fullUntil)
             this->openFor(endpoint, *waiter, server, now, effects);
@@ -291,7 +321,7 @@
             return;
     }
     const auto handle = ConnectionHandle{endpoint, ++this->lastId};
-    server.opening.emplace(handle.id, waiter.organisation);
+    server.opening.emplace(handle.id, detail::ServerPoolState::Opening{waiter.organisation, now});
     effects.emplace_back([this, handle, organisation = waiter.organisation] {
         this->hooks.open(handle, organisation);
     });
--- a/libs/proxy/src/StatementRun.cpp
+++ b/libs/proxy/src/StatementRun.cpp
@@ -112,7 +112,13 @@
 {
     if (!result.ok()) {
         this->lastError = std::string(result.status().message());
-        if (absl::IsUnavailable(result.status()) && !this->placement.isPrimary)
+        const auto isTooLate = absl::IsDeadlineExceeded(result.status());
+        if (isTooLate && this->placement.isPrimary) {
+            this->fail(StatementError::Busy, "not run in time: " + this->lastError,
+                       SessionState::Idle);
+            return;
+        }
+        if ((isTooLate || absl::IsUnavailable(result.status())) && !this->placement.isPrimary)
             this->triedEndpoints.push_back(this->placement.endpoint);
         this->attemptAfterPause(this->lastError);
         return;
--- a/libs/proxy/tests/PrimaryOverloadTest.cpp
+++ b/libs/proxy/tests/PrimaryOverloadTest.cpp
@@ -43,4 +43,20 @@
     }
 }
 
+// Guards against an overload in which most of the capacity is lost: connections opened for
+// statements whose time was over, and statements refused after they had got one.
+TEST_CASE("a primary that is offered more than its capacity serves most of its capacity")
+{
+    for (const auto factor : {1.3, 2.0, 3.0}) {
+        auto fleet = PrimaryFleet(1);
+        fleet.offer(factor * CAPACITY_PER_SECOND, 5s);
+        std::ignore = fleet.takeCounts();
+        fleet.offer(factor * CAPACITY_PER_SECOND, 10s);
+        const auto counts = fleet.takeCounts();
+        INFO("factor " << factor << ": " << counts.served << " of " << counts.offered << ", "
+                       << counts.openings << " connections opened");
+        CHECK(static_cast<double>(counts.served) >= 0.8 * 10.0 * CAPACITY_PER_SECOND);
+    }
+}
+
 } // namespace auburnrail
--- a/libs/proxy/tests/StatementRunTest.cpp
+++ b/libs/proxy/tests/StatementRunTest.cpp
@@ -89,6 +89,17 @@
     CHECK(servers.released.empty());
 }
 
+// Guards against a caller that waits although its statement can't be served in time.
+TEST_CASE("a statement that can't get a connection of its primary in time is refused at once")
+{
+    auto servers = FakeServers();
+    servers.leaseStatus = absl::DeadlineExceededError("a new connection would be too late");
+    const auto result = runToEnd(servers, requestFor(StatementKind::Write, servers));
+    CHECK(errorOf(result) == StatementError::Busy);
+    CHECK(servers.placements.size() == 1);
+    CHECK(servers.sent.empty());
+}
+
 // Guards against a statement that reaches a primary after its replacement.
 TEST_CASE("a statement is not repeated on a connection of an earlier term")
 {
--- a/libs/routing/include/routing/EndpointTable.h
+++ b/libs/routing/include/routing/EndpointTable.h
@@ -11,6 +11,7 @@
 #include <routing/EndpointView.h>
 #include <routing/Suspicion.h>
 
+#include <core/DecayingAverage.h>
 #include <core/RankedMutex.h>
 
 #include <map>
@@ -33,8 +34,7 @@
     std::uint64_t observedTerm = 0;
     bool reportsLeaving = false;
     std::uint32_t inFlight = 0;
-    Duration responseTime{};
-    std::optional<TimePoint> measuredAt; ///< When `responseTime` was last updated.
+    DecayingAverage responseTime;
     std::optional<TimePoint> lastSeen;
     std::optional<TimePoint> dataTime;
     std::optional<TimePoint> lastObserved; ///< Send time of the latest recorded exchange.
@@ -58,9 +58,6 @@
     static constexpr auto PROBE_SPACING_MS = std::chrono::milliseconds(25);
     /// An endpoint counts as responsive for this long beyond its probe interval, if that is more.
     static constexpr auto PROBE_GRACE_MS = std::chrono::milliseconds(2000);
-    /// Half-life of a response time that is not measured again, so that an endpoint that was slow
-    /// once is tried again.
-    static constexpr auto RESPONSE_TIME_HALF_LIFE_MS = std::chrono::milliseconds(1000);
     /// A single lost exchange raises no suspicion, because some are lost between zones.
     static constexpr auto SUSPECT_AFTER_FAILURES = 2;
 
--- a/libs/routing/src/EndpointTable.cpp
+++ b/libs/routing/src/EndpointTable.cpp
@@ -4,25 +4,11 @@
 
 #include <algorithm>
 #include <cassert>
-#include <cmath>
 
 namespace auburnrail {
 
 namespace {
 
-/// Weight of a new response time in the moving average.
-constexpr auto AVERAGE_WEIGHT = 0.2;
-
-auto decayedResponseTime(const detail::EndpointEntry &entry, TimePoint now) -> Duration
-{
-    if (!entry.measuredAt || now <= *entry.measuredAt)
-        return entry.responseTime;
-    const auto halves = std::chrono::duration<double>(now - *entry.measuredAt)
-                        / std::chrono::duration<double>(EndpointTable::RESPONSE_TIME_HALF_LIFE_MS);
-    return Duration(static_cast<std::int64_t>(static_cast<double>(entry.responseTime.count())
-                                              * std::exp2(-halves)));
-}
-
 auto viewOf(const detail::EndpointEntry &entry, TimePoint now) -> EndpointView
 {
     const auto &known = entry.description;
@@ -39,7 +25,7 @@
         .dataTime = entry.dataTime,
         .inFlight = entry.inFlight,
         .limit = entry.limit.value(),
-        .responseTime = decayedResponseTime(entry, now),
+        .responseTime = entry.responseTime.value(now),
         .breaker = entry.breaker.state(now),
         .slowStartFraction = entry.breaker.slowStartFraction(now),
     };
@@ -135,14 +121,7 @@
     if (!observation.measuresTime)
         return;
     entry.limit.recordResponse(entry.inFlight);
-    entry.measuredAt = now;
-    const auto difference = observation.responseTime - entry.responseTime;
-    entry.responseTime =
-        entry.responseTime == Duration(0)
-            ? observation.responseTime
-            : entry.responseTime
-                  + std::chrono::duration_cast<Duration>(
-                      std::chrono::duration<double, std::nano>(difference) * AVERAGE_WEIGHT);
+    entry.responseTime.add(observation.responseTime, now);
 }
 
 auto EndpointTable::recordFailure(std::string_view endpoint, EndpointFailure failure, TimePoint now)
