Don't wait for a silent control member again while it is named as leader

Callers saw: requests of organisations with small limits refused as rate-limited for up to 2.8 s after the loss of the control leader. Cause: a new leader grants no tokens before every entry has reported to it, and one entry that comes late holds up all. An entry whose heartbeat was not answered in 900 ms asked the next member, which still named the frozen leader, and waited another 900 ms for it; members also came up in turn again at once. Ruled out: the time of the election (0.7 s), the processing of the reports. Change: MemberChoice (decisions without I/O): a member that did not respond in the last 2 s is passed over in turn, and asked with a limit of 300 ms and without long polling when another member names it.

--- a/libs/entry/include/entry/HeartbeatLoop.h
+++ b/libs/entry/include/entry/HeartbeatLoop.h
@@ -4,6 +4,7 @@
 #include <entry/BurnSender.h>
 #include <entry/EntryTables.h>
 #include <entry/HeartbeatLoopHooks.h>
+#include <entry/MemberChoice.h>
 
 #include <settings/MemberAddress.h>
 
@@ -23,7 +24,7 @@
 {
 public:
     /// `entryTables` must outlive this object.
-    HeartbeatLoop(EntryTables &entryTables, std::vector<MemberAddress> controlMembers,
+    HeartbeatLoop(EntryTables &entryTables, const std::vector<MemberAddress> &controlMembers,
                   HeartbeatLoopHooks loopHooks);
     HeartbeatLoop(const HeartbeatLoop &) = delete;
     auto operator=(const HeartbeatLoop &) -> HeartbeatLoop & = delete;
@@ -45,23 +46,21 @@
 
     /// True when the lease was renewed.
     [[nodiscard]] auto sendHeartbeat() -> bool;
-    [[nodiscard]] auto compose(Revision revision) -> Heartbeat;
+    [[nodiscard]] auto compose(Revision revision, Duration holdLimit) -> Heartbeat;
     [[nodiscard]] auto primaryReports(const FleetObjects &state) -> std::vector<PrimaryReport>;
     [[nodiscard]] auto hasRecentResponse(const std::string &endpoint, TimePoint now) -> bool;
     [[nodiscard]] auto apply(const HeartbeatAnswer &response) -> bool;
     /// Logs when the lease is newly granted or lost.
     auto logLeaseChange(bool renewed, const std::string &member, const std::string &outcome)
         -> void;
-    auto chooseMember(const std::string &leaderHint, bool granted) -> void;
     auto setLeader(const std::string &member) -> void;
     [[nodiscard]] auto pauseUnlessStopped(Duration length) -> bool;
 
     EntryTables &tables;
-    std::vector<MemberAddress> members;
+    MemberChoice members; ///< Used by the thread only.
     HeartbeatLoopHooks hooks;
-    BurnSender burnSender;   ///< Used by the thread only.
-    bool heldLease = false;  ///< As last logged; used by the thread only.
-    std::size_t current = 0; ///< Member that gets the next heartbeat; used by the thread only.
+    BurnSender burnSender;  ///< Used by the thread only.
+    bool heldLease = false; ///< As last logged; used by the thread only.
     RankedMutex mutex{LockRank::WorkerQueue};
     RankedCondition stopped;
     bool stopping ABSL_GUARDED_BY(mutex) = false;
--- a/libs/entry/src/HeartbeatLoop.cpp
+++ b/libs/entry/src/HeartbeatLoop.cpp
@@ -19,20 +19,31 @@
 constexpr auto RESPONSE_TIME_LIMIT = std::chrono::milliseconds(900);
 /// How long a response of a primary shows that it is reachable. Two probes of a small fleet.
 constexpr auto EVIDENCE_LIFETIME = std::chrono::milliseconds(1000);
+/// The same for a member that did not respond shortly before, which is asked not to hold its
+/// response. Several round trips between regions.
+constexpr auto SUSPECT_TIME_LIMIT = std::chrono::milliseconds(300);
 constexpr auto RETRY_PAUSE = std::chrono::milliseconds(50);
 
+auto namesOf(const std::vector<MemberAddress> &members) -> std::vector<std::string>
+{
+    auto names = std::vector<std::string>();
+    for (const auto &member : members)
+        names.push_back(member.name);
+    return names;
+}
+
 } // namespace
 
-HeartbeatLoop::HeartbeatLoop(EntryTables &entryTables, std::vector<MemberAddress> controlMembers,
+HeartbeatLoop::HeartbeatLoop(EntryTables &entryTables,
+                             const std::vector<MemberAddress> &controlMembers,
                              HeartbeatLoopHooks loopHooks)
     : tables(entryTables)
-    , members(std::move(controlMembers))
+    , members(namesOf(controlMembers), loopHooks.learnsMembers)
     , hooks(std::move(loopHooks))
     , burnSender([this](int minutes) {
         return this->tables.burn.contributions(minutes, this->hooks.wallClock());
     })
 {
-    assert(!this->members.empty() && "there must be at least one control member");
     assert(this->hooks.wallClock && "hooks.wallClock must be set");
     assert(this->hooks.send && "hooks.send must be set");
 }
@@ -90,17 +101,20 @@
 {
     const auto report = this->tables.shares.beginReport(this->tables.executor.now());
     const auto ticket = this->tables.lease.beginHeartbeat(this->tables.executor.now());
-    auto heartbeat = this->compose(ticket.revision);
+    const auto member = this->members.current();
+    const auto isSuspect = this->members.isSuspect(this->tables.executor.now());
+    const auto mayHold = !isSuspect && this->tables.lease.holds(this->tables.executor.now());
+    auto heartbeat = this->compose(ticket.revision, mayHold ? RESPONSE_HOLD : Duration());
     heartbeat.shares = report;
-    const auto member = this->members[this->current].name;
     heartbeat.burn = this->burnSender.begin(member, this->tables.executor.now());
-    const auto response = this->hooks.send(member, heartbeat, RESPONSE_TIME_LIMIT);
+    const auto response =
+        this->hooks.send(member, heartbeat, isSuspect ? SUSPECT_TIME_LIMIT : RESPONSE_TIME_LIMIT);
     if (!response.ok()) {
         logLine(LogLevel::Warning, "lease", "control member did not respond",
                 {{"member", member}, {"error", std::string(response.status().message())}});
         this->logLeaseChange(false, member, std::string(response.status().message()));
         this->burnSender.end(false, this->tables.executor.now());
-        this->chooseMember("", false);
+        this->members.silent(this->tables.executor.now());
         return false;
     }
     this->tables.setFleetSize({.entries = response->entries, .zoneEntries = response->zoneEntries});
@@ -116,7 +130,10 @@
     }
     this->burnSender.end(isGranted, this->tables.executor.now());
     this->logLeaseChange(isGranted, member, std::string(nameOf(response->lease.status)));
-    this->chooseMember(response->leader, isGranted);
+    if (isGranted)
+        this->members.granted();
+    else
+        this->members.refused(response->leader, this->tables.executor.now());
     return isGranted;
 }
 
@@ -134,7 +151,7 @@
              {"revision", std::to_string(this->tables.lease.revision())}});
 }
 
-auto HeartbeatLoop::compose(Revision revision) -> Heartbeat
+auto HeartbeatLoop::compose(Revision revision, Duration holdLimit) -> Heartbeat
 {
     const auto state = this->tables.state.snapshot();
     auto heartbeat = Heartbeat();
@@ -145,8 +162,7 @@
     heartbeat.appliedRevision = revision;
     heartbeat.endpoints = this->tables.announced.differences(*state, this->tables.executor.now());
     heartbeat.primaries = this->primaryReports(*state);
-    heartbeat.holdLimit =
-        this->tables.lease.holds(this->tables.executor.now()) ? RESPONSE_HOLD : Duration();
+    heartbeat.holdLimit = holdLimit;
     return heartbeat;
 }
 
@@ -192,20 +208,4 @@
     return true;
 }
 
-auto HeartbeatLoop::chooseMember(const std::string &leaderHint, bool granted) -> void
-{
-    if (granted)
-        return;
-    const auto hinted =
-        std::find_if(this->members.begin(), this->members.end(),
-                     [&](const MemberAddress &member) { return member.name == leaderHint; });
-    const auto index = static_cast<std::size_t>(hinted - this->members.begin());
-    if (hinted == this->members.end() && this->hooks.learnsMembers && !leaderHint.empty())
-        this->members.push_back(MemberAddress{leaderHint, ""});
-    if (index < this->members.size() && index != this->current)
-        this->current = index;
-    else
-        this->current = (this->current + 1) % this->members.size();
-}
-
 } // namespace auburnrail
