Refuse announcements with unusable addresses, implausible numbers or members of another type

Reported by another operator: one odd entry among those of the servers (nested very deeply, a number too large, a port out of range) ended or stopped the machines that read the list. Found here: nesting was refused already, and no process ends. Ruled out: a crash by such an endpoint that is stored already (connectStream and ServerCall return an error for its address). Change: JsonReader demands the member's own type; checkAnnouncement() finds what must not be stored, before a command is proposed, for announcements to control and for those that entries pass on. What the state machine accepts stays, since members of different builds must apply the same log alike. A refusal is logged with each fault.

--- a/libs/control/include/control/ControlTables.h
+++ b/libs/control/include/control/ControlTables.h
@@ -59,8 +59,12 @@
     /// Does the periodic work; called every few tens of milliseconds.
     auto tick(TimePoint now) -> void;
 
+    /// `kInvalidArgument` with every fault of an announcement that must not be processed, which is
+    /// logged.
+    [[nodiscard]] auto checkAnnounced(const Announcement &announcement) const -> absl::Status;
+
     /// Processes an endpoint's announcement. A departure is committed before this returns OK;
-    /// `kUnavailable` when it is not known to be committed.
+    /// `kUnavailable` when it is not known to be committed, `kInvalidArgument` as checkAnnounced().
     [[nodiscard]] auto announce(const Announcement &announcement) -> absl::Status;
 
     /// Makes a command issued by the system itself, with a new random id.
--- a/libs/control/src/ControlTables.cpp
+++ b/libs/control/src/ControlTables.cpp
@@ -1,5 +1,7 @@
 #include <control/ControlTables.h>
 
+#include <control/CheckAnnouncement.h>
+
 #include <daemon/Logging.h>
 #include <observe/BurnObjectives.h>
 
@@ -128,8 +130,22 @@
         });
 }
 
+auto ControlTables::checkAnnounced(const Announcement &announcement) const -> absl::Status
+{
+    auto status = checkAnnouncement(announcement, this->hooks.wallClock()).toStatus();
+    if (!status.ok()) {
+        logLine(LogLevel::Warning, "endpoint", "announcement refused",
+                {{"endpoint", announcement.endpoint},
+                 {"group", announcement.group},
+                 {"reason", std::string(status.message())}});
+    }
+    return status;
+}
+
 auto ControlTables::announce(const Announcement &announcement) -> absl::Status
 {
+    if (auto status = this->checkAnnounced(announcement); !status.ok())
+        return status;
     const auto state = this->store.objects();
     auto commands = this->registrar.commandsFor(announcement, state, this->executor.now());
     if (!commands.empty()) {
--- a/libs/control/src/HeartbeatService.cpp
+++ b/libs/control/src/HeartbeatService.cpp
@@ -81,6 +81,8 @@
         return;
     const auto state = this->tables.store.objects();
     for (const auto &announcement : heartbeat.endpoints) {
+        if (!this->tables.checkAnnounced(announcement).ok())
+            continue;
         this->tables.failover.endpointSeen(announcement.group, announcement.endpoint,
                                            announcement.term);
         for (auto &body : this->tables.registrar.commandsFor(announcement, state, now))
--- /dev/null
+++ b/libs/control/tests/CheckAnnouncementTest.cpp
@@ -0,0 +1,54 @@
+#include <control/CheckAnnouncement.h>
+
+#include <catch2/catch.hpp>
+
+namespace auburnrail {
+
+namespace {
+
+constexpr auto NOW = std::int64_t(1'700'000'000'000);
+
+auto valid() -> Announcement
+{
+    return Announcement{.endpoint = "i-7f",
+                        .group = "g",
+                        .zone = "z",
+                        .address = "10.128.0.9:8080",
+                        .startedAt = static_cast<std::uint64_t>(NOW) - 1000,
+                        .sequence = 4};
+}
+
+} // namespace
+
+TEST_CASE("a plausible announcement has no faults")
+{
+    CHECK(checkAnnouncement(valid(), NOW).empty());
+    auto announcement = valid();
+    announcement.address = "[::1]:65535";
+    announcement.startedAt = static_cast<std::uint64_t>(NOW) + 5000;
+    CHECK(checkAnnouncement(announcement, NOW).empty());
+}
+
+// Guards against an odd announcement that is stored and handed to every entry: its address can't be
+// used, or its numbers make announcements of real processes look out of date.
+TEST_CASE("announcements with an unusable address or implausible numbers are refused")
+{
+    for (const auto *address :
+         {"10.128.0.9:99999", "10.128.0.9:0", "10.128.0.9:-1", "10.128.0.9", "10.128.0.9:", ":80",
+          "server.example:80", "10.128.0.9:80x", "10.128.0.300:80", "[[[[[[[[[[[["}) {
+        INFO(address);
+        auto announcement = valid();
+        announcement.address = address;
+        CHECK(checkAnnouncement(announcement, NOW).all().size() == 1);
+    }
+    auto announcement = valid();
+    announcement.sequence = MAX_ANNOUNCED_NUMBER + 1;
+    announcement.startedAt = static_cast<std::uint64_t>(NOW) + 100'000'000;
+    CHECK(checkAnnouncement(announcement, NOW).all().size() == 2);
+    announcement.startedAt = ~std::uint64_t(0);
+    CHECK(checkAnnouncement(announcement, NOW).all().size() == 2);
+    announcement.gone = true;
+    CHECK(checkAnnouncement(announcement, NOW).empty());
+}
+
+} // namespace auburnrail
--- a/libs/http/src/JsonReader.cpp
+++ b/libs/http/src/JsonReader.cpp
@@ -6,6 +6,9 @@
 #include <Poco/JSON/Object.h>
 #include <Poco/JSON/Parser.h>
 
+#include <cmath>
+#include <type_traits>
+
 namespace auburnrail {
 
 namespace {
@@ -25,6 +28,24 @@
 
 namespace {
 
+/// Whether the JSON type of `value` is that of `T`. A number with a fraction is no integer, while
+/// one that is only written with a decimal point or an exponent is.
+template <typename T>
+auto hasTypeOf(const Poco::Dynamic::Var &value) -> bool
+{
+    if constexpr (std::is_same_v<T, std::string>)
+        return value.isString();
+    if constexpr (std::is_same_v<T, bool>)
+        return value.isBoolean();
+    if (!value.isNumeric() || value.isBoolean())
+        return false;
+    if constexpr (std::is_same_v<T, Poco::Int64>) {
+        const auto number = value.convert<double>();
+        return value.isInteger() || number == std::trunc(number);
+    }
+    return true;
+}
+
 /// Member converted to `T`, or the fallback; a value of another type is a fault.
 template <typename T>
 auto readMember(JsonReader &reader, const Poco::JSON::Object &object, const std::string &member,
@@ -34,12 +55,8 @@
     if (value.isEmpty())
         return fallback;
     try {
-        if constexpr (std::is_same_v<T, std::string>) {
-            if (!value.isString())
-                throw Poco::BadCastException("expected a string");
-        } else if (value.isString()) {
-            throw Poco::BadCastException("expected no string");
-        }
+        if (!hasTypeOf<T>(value))
+            throw Poco::BadCastException("another type is expected");
         return value.convert<T>();
     } catch (const std::exception &) {
         reader.fault(member, "has the wrong type");
--- a/libs/net/src/detail/TcpAddress.cpp
+++ b/libs/net/src/detail/TcpAddress.cpp
@@ -1,5 +1,7 @@
 #include "TcpAddress.h"
 
+#include <net/TcpAddress.h>
+
 #include <absl/strings/numbers.h>
 #include <absl/strings/strip.h>
 
@@ -23,3 +25,13 @@
 }
 
 } // namespace auburnrail::detail
+
+namespace auburnrail {
+
+auto isConnectableAddress(const std::string &address) -> bool
+{
+    const auto endpoint = detail::parseTcpAddress(address);
+    return endpoint.ok() && endpoint->port() != 0;
+}
+
+} // namespace auburnrail
