Use a replica that keeps up although it was heard of a while ago

Cause: an entry used a replica only if the position last seen there covers the one required. In a fleet of 89 entries an entry hears of an unused replica once in 2.2 s, and the required position is mostly later than that. So reads went to the primary, and nothing was heard of the replica: each entry decides by its own measurements only, and there are too few of them. Ruled out: unknown positions of the primary (it answers each entry about once a second meanwhile). Change: the entry estimates how far the replica was behind when it was last heard of, from the primary's positions around that time, and uses it if it has reached the required position by now if it keeps that lag. The server checks the position of each read as before, so an error of the estimate costs a retry at the primary, and no read is stale. Before/after: 'a replica that keeps up is used by an entry that heard of it a while ago' fails with the former rule (lead in place of replica) and passes now; 336 assertions of auburnrail_proxy_tests pass.

--- a/libs/proxy/include/proxy/PrimaryPositions.h
+++ b/libs/proxy/include/proxy/PrimaryPositions.h
@@ -1,6 +1,8 @@
 #ifndef AUBURNRAIL_PROXY_PRIMARYPOSITIONS_H
 #define AUBURNRAIL_PROXY_PRIMARYPOSITIONS_H
 
+#include <proxy/PrimarySample.h>
+
 #include <core/Position.h>
 #include <core/RankedMutex.h>
 #include <core/Time.h>
@@ -38,22 +40,21 @@
     /// because its log may end differently.
     auto setTerm(std::string_view group, std::uint64_t term) -> void;
 
-    /// Returns a position that covers every commit acknowledged before `now - maxStaleness`;
-    /// std::nullopt when no sample is new enough.
+    /// Returns a sample whose position covers every commit acknowledged before `now -
+    /// maxStaleness`; std::nullopt when none is new enough.
     [[nodiscard]] auto required(std::string_view group, Duration maxStaleness, TimePoint now)
-        -> std::optional<Position>;
+        -> std::optional<PrimarySample>;
 
-private:
-    struct Sample
-    {
-        TimePoint sentAt;
-        Position position;
-    };
+    /// Estimates when the primary reached `position`, on the assumption that it writes evenly
+    /// between two samples. std::nullopt for a position before the first sample or after the last.
+    [[nodiscard]] auto reachedAt(std::string_view group, Position position)
+        -> std::optional<TimePoint>;
 
+private:
     struct History
     {
         std::uint64_t term = 0;
-        std::deque<Sample> samples; ///< Ordered by sentAt; positions never decrease.
+        std::deque<PrimarySample> samples; ///< Ordered by sentAt; positions never decrease.
     };
 
     RankedMutex mutex{LockRank::PrimaryPositions};
--- a/libs/proxy/include/proxy/StatementPlacement.h
+++ b/libs/proxy/include/proxy/StatementPlacement.h
@@ -31,7 +31,16 @@
     [[nodiscard]] auto place(const PlacementRequest &request, TimePoint now)
         -> std::optional<Placement>;
 
+    /// Part of the time since a position was required that must be left after an endpoint's lag, as
+    /// the lag varies.
+    static constexpr auto LAG_MARGIN_MS = std::chrono::milliseconds(50);
+
 private:
+    /// Whether the endpoint has reached the position, as far as can be told from its lag when it
+    /// was last heard of. The server checks the position itself, so an error costs a retry only.
+    [[nodiscard]] auto isExpectedToHold(const EndpointView &endpoint, const PrimarySample &minimum,
+                                        TimePoint now) -> bool;
+
     [[nodiscard]] auto placeAtPrimary(const PlacementRequest &request, const GroupView &view,
                                       TimePoint now) -> std::optional<Placement>;
 
--- a/libs/proxy/src/PrimaryPositions.cpp
+++ b/libs/proxy/src/PrimaryPositions.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <compare>
+#include <iterator>
 
 namespace auburnrail {
 
@@ -24,7 +25,7 @@
         return;
     if (!samples.empty() && std::is_lt(position <=> samples.back().position))
         return;
-    samples.push_back(Sample{.sentAt = sentAt, .position = position});
+    samples.push_back(PrimarySample{.sentAt = sentAt, .position = position});
     while (samples.size() > 1 && sentAt - samples.front().sentAt > HISTORY_MS)
         samples.pop_front();
 }
@@ -40,17 +41,44 @@
 }
 
 auto PrimaryPositions::required(std::string_view group, Duration maxStaleness, TimePoint now)
-    -> std::optional<Position>
+    -> std::optional<PrimarySample>
 {
     const RankedLock lock(this->mutex);
     const auto found = this->histories.find(group);
     if (found == this->histories.end())
         return std::nullopt;
     const auto &samples = found->second.samples;
-    const auto oldest = std::find_if(samples.begin(), samples.end(), [&](const Sample &sample) {
-        return sample.sentAt >= now - maxStaleness;
-    });
-    return oldest == samples.end() ? std::nullopt : std::optional(oldest->position);
+    const auto oldest =
+        std::find_if(samples.begin(), samples.end(), [&](const PrimarySample &sample) {
+            return sample.sentAt >= now - maxStaleness;
+        });
+    return oldest == samples.end() ? std::nullopt : std::optional(*oldest);
+}
+
+auto PrimaryPositions::reachedAt(std::string_view group, Position position)
+    -> std::optional<TimePoint>
+{
+    const RankedLock lock(this->mutex);
+    const auto found = this->histories.find(group);
+    if (found == this->histories.end() || found->second.samples.empty())
+        return std::nullopt;
+    const auto &samples = found->second.samples;
+    const auto after =
+        std::find_if(samples.begin(), samples.end(), [&](const PrimarySample &sample) {
+            return std::is_gt(sample.position <=> position);
+        });
+    if (after == samples.begin())
+        return std::nullopt;
+    const auto &before = *std::prev(after);
+    if (position == before.position)
+        return before.sentAt;
+    if (after == samples.end() || after->position.term != before.position.term)
+        return std::nullopt;
+    const auto part = static_cast<double>(position.index - before.position.index)
+                      / static_cast<double>(after->position.index - before.position.index);
+    return before.sentAt
+           + std::chrono::duration_cast<Duration>(
+               std::chrono::duration<double, std::nano>(after->sentAt - before.sentAt) * part);
 }
 
 } // namespace auburnrail
--- a/libs/proxy/src/StatementPlacement.cpp
+++ b/libs/proxy/src/StatementPlacement.cpp
@@ -27,21 +27,38 @@
     if (!minimum)
         return this->placeAtPrimary(request, view, now);
     if (request.consistency == ReadConsistency::ReadYourWrites && request.sessionPosition
-        && std::is_gt(*request.sessionPosition <=> *minimum))
-        minimum = request.sessionPosition;
-    const auto chosen = this->endpoints.choose(EndpointCriteria{.group = request.group,
-                                                                .role = EndpointRole::Any,
-                                                                .minimum = minimum,
-                                                                .except = request.except,
-                                                                .ignoreLimit = true},
-                                               this->random(), now);
+        && std::is_gt(*request.sessionPosition <=> minimum->position)) {
+        const auto committedAt = this->positions.reachedAt(request.group, *request.sessionPosition);
+        minimum = PrimarySample{.sentAt = committedAt.value_or(now),
+                                .position = *request.sessionPosition};
+    }
+    auto views = this->endpoints.eligible(
+        EndpointCriteria{.group = request.group, .except = request.except, .ignoreLimit = true},
+        now);
+    std::erase_if(views, [&](const EndpointView &replica) {
+        return !this->isExpectedToHold(replica, *minimum, now);
+    });
+    const auto chosen = this->endpoints.chooseAmong(std::move(views), this->random());
     if (!chosen)
         return this->placeAtPrimary(request, view, now);
     const auto isPrimary = view.serving && chosen->name == view.primary;
     return Placement{.endpoint = chosen->name,
                      .isPrimary = isPrimary,
                      .term = view.term,
-                     .minimumPosition = isPrimary ? std::nullopt : minimum};
+                     .minimumPosition =
+                         isPrimary ? std::nullopt : std::optional(minimum->position)};
+}
+
+auto StatementPlacement::isExpectedToHold(const EndpointView &endpoint,
+                                          const PrimarySample &minimum, TimePoint now) -> bool
+{
+    if (endpoint.position >= minimum.position)
+        return true;
+    const auto caughtUpTo = this->positions.reachedAt(endpoint.group, endpoint.position);
+    if (!endpoint.observedAt || !caughtUpTo)
+        return false;
+    const auto lag = std::max(*endpoint.observedAt - *caughtUpTo, Duration::zero());
+    return now - lag - LAG_MARGIN_MS >= minimum.sentAt;
 }
 
 auto StatementPlacement::placeAtPrimary(const PlacementRequest &request, const GroupView &view,
--- a/libs/proxy/tests/PrimaryPositionsTest.cpp
+++ b/libs/proxy/tests/PrimaryPositionsTest.cpp
@@ -24,11 +24,11 @@
     positions.record("g", 3, Position{3, 20}, START + 500ms);
     positions.record("g", 3, Position{3, 30}, START + 1000ms);
     const auto now = START + 1200ms;
-    CHECK(positions.required("g", 1500ms, now) == Position{3, 10});
-    CHECK(positions.required("g", 1000ms, now) == Position{3, 20});
-    CHECK(positions.required("g", 300ms, now) == Position{3, 30});
-    CHECK(positions.required("g", 100ms, now) == std::nullopt);
-    CHECK(positions.required("other", 1500ms, now) == std::nullopt);
+    CHECK(positions.required("g", 1500ms, now)->position == Position{3, 10});
+    CHECK(positions.required("g", 1000ms, now)->position == Position{3, 20});
+    CHECK(positions.required("g", 300ms, now)->position == Position{3, 30});
+    CHECK_FALSE(positions.required("g", 100ms, now));
+    CHECK_FALSE(positions.required("other", 1500ms, now));
 }
 
 TEST_CASE("responses of another term and late responses are ignored")
@@ -38,9 +38,68 @@
     positions.record("g", 3, Position{3, 20}, START + 500ms);
     positions.record("g", 3, Position{3, 10}, START);
     positions.record("g", 2, Position{2, 99}, START + 800ms);
-    CHECK(positions.required("g", 10s, START + 900ms) == Position{3, 20});
+    CHECK(positions.required("g", 10s, START + 900ms)->position == Position{3, 20});
     positions.setTerm("g", 4);
-    CHECK(positions.required("g", 10s, START + 900ms) == std::nullopt);
+    CHECK_FALSE(positions.required("g", 10s, START + 900ms));
+}
+
+TEST_CASE("the time at which the primary reached a position is estimated between samples")
+{
+    auto positions = PrimaryPositions();
+    positions.setTerm("g", 3);
+    positions.record("g", 3, Position{3, 100}, START);
+    positions.record("g", 3, Position{3, 130}, START + 3000ms);
+    CHECK(positions.reachedAt("g", Position{3, 100}) == START);
+    CHECK(positions.reachedAt("g", Position{3, 110}) == START + 1000ms);
+    CHECK(positions.reachedAt("g", Position{3, 130}) == START + 3000ms);
+    CHECK_FALSE(positions.reachedAt("g", Position{3, 140}));
+    CHECK_FALSE(positions.reachedAt("g", Position{3, 99}));
+    CHECK_FALSE(positions.reachedAt("other", Position{3, 110}));
+}
+
+// Guards against reads that all go to the primary: an entry of a large fleet hears of a replica
+// every two seconds, and of the primary later than that, so that the replica seems to be behind.
+TEST_CASE("a replica that keeps up is used by an entry that heard of it a while ago")
+{
+    auto endpoints = EndpointTable("z1", makeNearestFirst());
+    endpoints.updateFromState(
+        {{.name = "replica", .group = "g", .zone = "z1", .term = 3},
+         {.name = "lead", .group = "g", .zone = "z3", .term = 3, .primary = true}});
+    auto positions = PrimaryPositions();
+    positions.setTerm("g", 3);
+    auto placement = StatementPlacement(
+        endpoints, positions,
+        [](const std::string &group) {
+            return GroupView{.group = group, .term = 3, .primary = "lead", .serving = true};
+        },
+        makeSeededRandom(1));
+    const auto hear = [&](const char *name, Position position, TimePoint sentAt) {
+        endpoints.recordResponse(
+            name, EndpointObservation{.position = position, .term = 3, .sentAt = sentAt}, sentAt);
+    };
+    positions.record("g", 3, Position{3, 100}, START);
+    positions.record("g", 3, Position{3, 130}, START + 2000ms);
+    hear("lead", Position{3, 130}, START + 2000ms);
+    const auto request = PlacementRequest{
+        .group = "g", .consistency = ReadConsistency::BoundedStaleness, .maxStaleness = 1500ms};
+    const auto now = START + 2300ms;
+    hear("replica", Position{3, 127}, START + 1900ms);
+    const auto chosen = placement.place(request, now);
+    REQUIRE(chosen);
+    CHECK(chosen->endpoint == "replica");
+    CHECK(chosen->minimumPosition == Position{3, 130});
+    // It was 600 ms behind when it was last heard of.
+    hear("replica", Position{3, 120}, START + 1940ms);
+    CHECK(placement.place(request, now)->endpoint == "lead");
+    // It was behind all that is known of the primary.
+    hear("replica", Position{3, 90}, START + 1960ms);
+    CHECK(placement.place(request, now + 1s)->endpoint == "lead");
+    // The session's own commit is later than the time to which the replica has caught up.
+    hear("replica", Position{3, 127}, START + 1980ms);
+    auto own = request;
+    own.consistency = ReadConsistency::ReadYourWrites;
+    own.sessionPosition = Position{3, 140};
+    CHECK(placement.place(own, START + 2100ms)->endpoint == "lead");
 }
 
 TEST_CASE("placement of statements")
--- a/libs/routing/include/routing/EndpointTable.h
+++ b/libs/routing/include/routing/EndpointTable.h
@@ -89,6 +89,10 @@
     [[nodiscard]] auto choose(const EndpointCriteria &criteria, std::uint64_t randomValue,
                               TimePoint now) -> std::optional<EndpointView>;
 
+    /// Chooses one of `views`; nothing when there is none.
+    [[nodiscard]] auto chooseAmong(std::vector<EndpointView> views, std::uint64_t randomValue) const
+        -> std::optional<EndpointView>;
+
     /// Returns the endpoint, eligible or not; nothing when it is unknown.
     [[nodiscard]] auto find(std::string_view endpoint, TimePoint now)
         -> std::optional<EndpointView>;
--- a/libs/routing/include/routing/EndpointView.h
+++ b/libs/routing/include/routing/EndpointView.h
@@ -23,6 +23,7 @@
     bool primary = false;   ///< According to the fleet state.
     bool leaving = false;
     Position position;
+    std::optional<TimePoint> observedAt; ///< When it was asked for `position`.
     std::optional<TimePoint> lastSeen;
     std::optional<TimePoint> dataTime; ///< Its data is at least as recent as this.
     std::uint32_t inFlight = 0;
--- a/libs/routing/src/EndpointTable.cpp
+++ b/libs/routing/src/EndpointTable.cpp
@@ -21,6 +21,7 @@
         .primary = known.primary,
         .leaving = known.leaving || entry.reportsLeaving,
         .position = entry.position,
+        .observedAt = entry.lastObserved,
         .lastSeen = entry.lastSeen,
         .dataTime = entry.dataTime,
         .inFlight = entry.inFlight,
@@ -184,7 +185,12 @@
 auto EndpointTable::choose(const EndpointCriteria &criteria, std::uint64_t randomValue,
                            TimePoint now) -> std::optional<EndpointView>
 {
-    auto views = this->eligible(criteria, now);
+    return this->chooseAmong(this->eligible(criteria, now), randomValue);
+}
+
+auto EndpointTable::chooseAmong(std::vector<EndpointView> views, std::uint64_t randomValue) const
+    -> std::optional<EndpointView>
+{
     if (views.empty())
         return std::nullopt;
     const auto index = this->choice(views, this->zone, randomValue);
