--- a/libs/control/src/ControlTables.cpp
+++ b/libs/control/src/ControlTables.cpp
@@ -52,6 +52,7 @@
     logLine(LogLevel::Info, "quota", "share grants begin",
             {{"waited_ms", absl::StrCat(toMillis(start.waited))},
              {"unreported", absl::StrCat(start.unreported.size())},
+             {"last_reporter", start.lastReporter},
              {"first_unreported", start.unreported.empty() ? "" : *start.unreported.begin()}});
 }
 
--- a/libs/quota/include/quota/ShareGrantingStart.h
+++ b/libs/quota/include/quota/ShareGrantingStart.h
@@ -11,7 +11,8 @@
 /// The moment from which a new leader's ledger grants shares and tokens.
 struct ShareGrantingStart
 {
-    Duration waited{}; ///< Since the leadership began.
+    Duration waited{};        ///< Since the leadership began.
+    std::string lastReporter; ///< The instance whose report was the last to come.
     /// Instances that may hold shares of the former leader and have not reported; their lease has
     /// ended.
     std::set<std::string> unreported;
--- a/libs/quota/include/quota/ShareLedger.h
+++ b/libs/quota/include/quota/ShareLedger.h
@@ -127,6 +127,7 @@
     ShareLedgerActivity work ABSL_GUARDED_BY(mutex);
     ShareLeadership current
         ABSL_GUARDED_BY(mutex); ///< With the earlier holders that have not reported under it yet.
+    std::string lastReporter ABSL_GUARDED_BY(mutex);              ///< Of the earlier holders.
     std::optional<TimePoint> grantingFrom ABSL_GUARDED_BY(mutex); ///< Latest start.
     bool granting ABSL_GUARDED_BY(mutex) = false;
 };
--- a/libs/quota/src/ShareLedger.cpp
+++ b/libs/quota/src/ShareLedger.cpp
@@ -42,6 +42,7 @@
 {
     const RankedLock lock(this->mutex);
     this->current = std::move(begun);
+    this->lastReporter.clear();
     this->holders.clear();
     this->expiries.clear();
     this->ready.clear();
@@ -114,8 +115,9 @@
             this->applyReport(report, record, trusted, now);
         }
         // A report made under this leadership is later than every grant of an earlier one.
-        if (report.leadership == this->current.number)
-            this->current.earlierHolders.erase(report.holder.instance);
+        if (report.leadership == this->current.number
+            && this->current.earlierHolders.erase(report.holder.instance) > 0)
+            this->lastReporter = report.holder.instance;
         this->startGrantingWhenSafe(now);
         this->allocateChanged(now);
         grant = this->makeGrant(report.holder, record, now);
@@ -246,6 +248,7 @@
     this->granting = true;
     this->started =
         ShareGrantingStart{.waited = now - (*this->grantingFrom - this->timing.leaseWait()),
+                           .lastReporter = this->lastReporter,
                            .unreported = this->current.earlierHolders};
     for (const auto &[organisation, shares] : this->organisations)
         this->changed.insert(organisation);
