Try a slow leader with the usual patience after one brief attempt

Before/after: 'a leader that is silent again is tried with the usual patience' fails with the former rule, passes now.

--- a/libs/entry/include/entry/MemberChoice.h
+++ b/libs/entry/include/entry/MemberChoice.h
@@ -4,6 +4,7 @@
 #include <core/Time.h>
 
 #include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <vector>
@@ -12,21 +13,23 @@
 
 /// Chooses the control member that gets an entry's next heartbeat: the leader as long as it grants
 /// leases, then the member that another one names as leader, else each in turn. A member that did
-/// not respond shortly before is passed over in turn, and suspect when it is named. Not
+/// not respond shortly before is passed over in turn. When it is named as leader, it is to be tried
+/// briefly once, and with the usual patience if it is silent again: it may be slow. Not
 /// thread-safe.
 class MemberChoice
 {
 public:
-    /// A member stays suspect for this long after it did not respond: as long as a lease, in which
-    /// a new leader is elected.
-    static constexpr auto SUSPECT_FOR_MS = std::chrono::milliseconds(2000);
+    /// How long a silent member is passed over: as long as a lease, in which a new leader is
+    /// elected.
+    static constexpr auto SILENCE_MEMORY_MS = std::chrono::milliseconds(2000);
 
     /// At least one name. With `learnsMembers` a leader that is not among them is added.
     MemberChoice(const std::vector<std::string> &names, bool learnsMembers);
 
     [[nodiscard]] auto current() const -> const std::string &;
 
-    /// Whether the current member did not respond shortly before `now`.
+    /// Whether the current member was silent once shortly before `now`, so that it is tried only
+    /// briefly.
     [[nodiscard]] auto isSuspect(TimePoint now) const -> bool;
 
     /// The current member granted a lease.
@@ -42,10 +45,12 @@
     struct Member
     {
         std::string name;
-        std::optional<TimePoint> silentAt;
+        std::optional<TimePoint> silentAt; ///< Last heartbeat that it did not answer.
+        std::uint32_t silences = 0;        ///< Since its last response.
     };
 
-    [[nodiscard]] static auto isSuspect(const Member &member, TimePoint now) -> bool;
+    [[nodiscard]] static auto wasSilent(const Member &member, TimePoint now) -> bool;
+    auto responded() -> void;
     auto chooseNextInTurn(TimePoint now) -> void;
 
     std::vector<Member> members;
--- a/libs/entry/src/MemberChoice.cpp
+++ b/libs/entry/src/MemberChoice.cpp
@@ -18,24 +18,31 @@
     return this->members[this->index].name;
 }
 
-auto MemberChoice::isSuspect(const Member &member, TimePoint now) -> bool
+auto MemberChoice::wasSilent(const Member &member, TimePoint now) -> bool
 {
-    return member.silentAt && now - *member.silentAt < SUSPECT_FOR_MS;
+    return member.silentAt && now - *member.silentAt < SILENCE_MEMORY_MS;
 }
 
 auto MemberChoice::isSuspect(TimePoint now) const -> bool
 {
-    return isSuspect(this->members[this->index], now);
+    const auto &member = this->members[this->index];
+    return wasSilent(member, now) && member.silences == 1;
 }
 
-auto MemberChoice::granted() -> void
+auto MemberChoice::responded() -> void
 {
     this->members[this->index].silentAt.reset();
+    this->members[this->index].silences = 0;
+}
+
+auto MemberChoice::granted() -> void
+{
+    this->responded();
 }
 
 auto MemberChoice::refused(const std::string &leader, TimePoint now) -> void
 {
-    this->members[this->index].silentAt.reset();
+    this->responded();
     auto named = std::find_if(this->members.begin(), this->members.end(),
                               [&](const Member &member) { return member.name == leader; });
     if (named == this->members.end() && this->learnsMembers && !leader.empty())
@@ -50,6 +57,7 @@
 auto MemberChoice::silent(TimePoint now) -> void
 {
     this->members[this->index].silentAt = now;
+    ++this->members[this->index].silences;
     this->chooseNextInTurn(now);
 }
 
@@ -58,7 +66,7 @@
     const auto count = this->members.size();
     for (auto step = std::size_t(1); step <= count; ++step) {
         const auto next = (this->index + step) % count;
-        if (!isSuspect(this->members[next], now)) {
+        if (!wasSilent(this->members[next], now)) {
             this->index = next;
             return;
         }
--- a/libs/entry/tests/MemberChoiceTest.cpp
+++ b/libs/entry/tests/MemberChoiceTest.cpp
@@ -44,11 +44,29 @@
     choice.refused("a", START + 150ms);
     CHECK(choice.current() == "a");
     CHECK(choice.isSuspect(START + 150ms));
-    CHECK_FALSE(choice.isSuspect(START + MemberChoice::SUSPECT_FOR_MS));
+    CHECK_FALSE(choice.isSuspect(START + MemberChoice::SILENCE_MEMORY_MS));
     choice.granted();
     CHECK_FALSE(choice.isSuspect(START + 200ms));
 }
 
+// Guards against an entry that never gets a lease from a leader that takes longer than the brief
+// attempt, since each attempt makes the leader suspect again.
+TEST_CASE("a leader that is silent again is tried with the usual patience")
+{
+    auto choice = MemberChoice({"a", "b"}, false);
+    choice.silent(START);
+    choice.refused("a", START + 50ms);
+    CHECK(choice.isSuspect(START + 50ms));
+    choice.silent(START + 350ms);
+    choice.refused("a", START + 400ms);
+    CHECK(choice.current() == "a");
+    CHECK_FALSE(choice.isSuspect(START + 400ms));
+    choice.granted();
+    choice.silent(START + 3s);
+    choice.refused("a", START + 3s);
+    CHECK(choice.isSuspect(START + 3s));
+}
+
 TEST_CASE("when no member responds each is tried in turn")
 {
     auto choice = MemberChoice({"a", "b"}, false);
