Compose and encode a state change once for all entries that need it

Cause: the leader composed and encoded the same 1,908 objects for each of 89 entries. Without processor time for its own heartbeats it lost its leadership (22.2 s), and so did the next one, which had to answer the same 89 entries (23.5 to 25.1 s). Ruled out: the log and the disks (the configuration was committed and acknowledged before), the links of the entries. Change: EntryUpdates keeps what an entry at a revision needs until the state changes; the wire layer keeps the last encoded payloads by identity. Both hold their mutex while they compose, so that entries that ask at once wait for one result.

--- a/libs/control/include/control/HeartbeatService.h
+++ b/libs/control/include/control/HeartbeatService.h
@@ -2,6 +2,7 @@
 #define AUBURNRAIL_CONTROL_HEARTBEATSERVICE_H
 
 #include <control/ControlTables.h>
+#include <control/EntryUpdates.h>
 
 #include <heartbeat/Heartbeat.h>
 #include <heartbeat/HeartbeatAnswer.h>
@@ -22,9 +23,9 @@
 private:
     [[nodiscard]] auto compose(const Heartbeat &heartbeat) -> HeartbeatAnswer;
     auto processReports(const Heartbeat &heartbeat, TimePoint now) -> void;
-    auto addChanges(Revision applied, HeartbeatAnswer &response) -> void;
 
     ControlTables &tables;
+    EntryUpdates updates;
 };
 
 } // namespace auburnrail
--- a/libs/control/src/HeartbeatService.cpp
+++ b/libs/control/src/HeartbeatService.cpp
@@ -12,17 +12,11 @@
 /// renew after a lost response.
 constexpr auto MAX_HOLD = LEASE_DURATION / 4;
 
-/// Entries use the objects that a configuration document defines, not its text, and don't need the
-/// list of entries.
-auto isForEntries(const FleetChange &change) -> bool
-{
-    return change.kind != ObjectKind::Document && change.kind != ObjectKind::Entry;
-}
-
 } // namespace
 
 HeartbeatService::HeartbeatService(ControlTables &controlTables)
     : tables(controlTables)
+    , updates(controlTables.store)
 {
 }
 
@@ -59,7 +53,9 @@
     this->tables.heldResponses.hold(heartbeat.shares.holder, heartbeat.appliedRevision,
                                     now + std::clamp<Duration>(holdLimit, Duration(), MAX_HOLD));
     now = this->tables.executor.now();
-    this->addChanges(heartbeat.appliedRevision, response);
+    const auto update = this->updates.since(heartbeat.appliedRevision);
+    response.update = update.changes;
+    response.snapshot = update.snapshot;
     response.entries = static_cast<std::uint32_t>(this->tables.leases.size());
     response.zoneEntries =
         static_cast<std::uint32_t>(this->tables.entries.countInZone(heartbeat.zone, now));
@@ -90,15 +86,4 @@
     }
 }
 
-auto HeartbeatService::addChanges(Revision applied, HeartbeatAnswer &response) -> void
-{
-    this->tables.store.read([&](const FleetState &state) {
-        if (state.revision() <= applied)
-            return;
-        response.update = state.changesSince(applied, isForEntries);
-        if (!response.update)
-            response.snapshot = state.entrySnapshot(isForEntries);
-    });
-}
-
 } // namespace auburnrail
--- a/libs/core/include/core/LockRank.h
+++ b/libs/core/include/core/LockRank.h
@@ -11,6 +11,7 @@
 /// rank is greater than that of every mutex it holds. Hooks run with no table mutex held.
 enum class LockRank : std::uint8_t {
     ConsensusNode,
+    EntryUpdates,
     FleetState,
     CommandPipeline,
     EndpointRegistrar,
@@ -39,6 +40,7 @@
     ExplainLog,
     BurnReport,
     Metrics,
+    EncodedPayloads,
     Scheduler,
     WorkerQueue,
     Connection,
@@ -49,6 +51,7 @@
 template <>
 inline constexpr auto ENUM_NAMES<LockRank> = std::to_array<EnumName<LockRank>>({
     {LockRank::ConsensusNode, "consensus-node"},
+    {LockRank::EntryUpdates, "entry-updates"},
     {LockRank::FleetState, "fleet-state"},
     {LockRank::CommandPipeline, "command-pipeline"},
     {LockRank::EndpointRegistrar, "endpoint-registrar"},
@@ -77,6 +80,7 @@
     {LockRank::ExplainLog, "explain-log"},
     {LockRank::BurnReport, "burn-report"},
     {LockRank::Metrics, "metrics"},
+    {LockRank::EncodedPayloads, "encoded-payloads"},
     {LockRank::Scheduler, "scheduler"},
     {LockRank::WorkerQueue, "worker-queue"},
     {LockRank::Connection, "connection"},
--- a/libs/heartbeat/include/heartbeat/HeartbeatAnswer.h
+++ b/libs/heartbeat/include/heartbeat/HeartbeatAnswer.h
@@ -6,7 +6,7 @@
 #include <state/FleetSnapshot.h>
 #include <state/FleetUpdate.h>
 
-#include <optional>
+#include <memory>
 #include <string>
 
 namespace auburnrail {
@@ -18,8 +18,10 @@
     std::uint32_t entries = 0;     ///< Entries that hold a lease, among which limits are divided.
     std::uint32_t zoneEntries = 0; ///< Those of them in the zone of the heartbeat's sender.
     std::string leader;            ///< Name of the leading member, if it is known.
-    std::optional<FleetUpdate> update;     ///< Changes after the revision that the heartbeat named.
-    std::optional<FleetSnapshot> snapshot; ///< Instead of `update` when the copy is too old.
+    /// Changes after the revision that the heartbeat named.
+    std::shared_ptr<const FleetUpdate> update;
+    std::shared_ptr<const FleetSnapshot>
+        snapshot; ///< Instead of `update` when the copy is too old.
     ShareGrant shares;
 };
 
--- a/libs/wire/src/ControlServer.cpp
+++ b/libs/wire/src/ControlServer.cpp
@@ -34,7 +34,8 @@
     auto heartbeat(thriftgen::HeartbeatAnswerMessage &answer,
                    const thriftgen::HeartbeatMessage &message) -> void override
     {
-        answer = detail::toMessage(this->hooks.heartbeat(detail::fromMessage(message)));
+        answer =
+            detail::toMessage(this->hooks.heartbeat(detail::fromMessage(message)), this->payloads);
     }
 
     auto takeTokens(thriftgen::TokenResponseMessage &response,
@@ -45,6 +46,7 @@
 
 private:
     const ControlServerHooks hooks;
+    detail::HeartbeatPayloads payloads;
 };
 
 /// Tells the starting thread that the server listens.
--- /dev/null
+++ b/libs/wire/src/EncodedPayloads.h
@@ -0,0 +1,57 @@
+#ifndef AUBURNRAIL_WIRE_ENCODEDPAYLOADS_H
+#define AUBURNRAIL_WIRE_ENCODEDPAYLOADS_H
+
+#include <core/RankedLock.h>
+#include <core/RankedMutex.h>
+
+#include <absl/base/thread_annotations.h>
+
+#include <cstddef>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+
+namespace auburnrail::detail {
+
+/// Encodes values that are sent to many receivers once each, and keeps the last few results.
+/// Thread-safe.
+template <typename T>
+class EncodedPayloads
+{
+public:
+    /// Entries that are behind by different revisions need different updates.
+    static constexpr auto CAPACITY = std::size_t(8);
+
+    explicit EncodedPayloads(std::function<auto(const T &)->std::string> encodeFunction)
+        : encode(std::move(encodeFunction))
+    {
+    }
+
+    [[nodiscard]] auto bytesOf(const std::shared_ptr<const T> &value)
+        -> std::shared_ptr<const std::string>
+    {
+        // Held while a value is encoded, so that threads that need the same one wait for it.
+        const RankedLock lock(this->mutex);
+        for (const auto &[known, bytes] : this->rows) {
+            if (known == value)
+                return bytes;
+        }
+        this->rows.emplace_back(value, std::make_shared<std::string>(this->encode(*value)));
+        if (this->rows.size() > CAPACITY)
+            this->rows.pop_front();
+        return this->rows.back().second;
+    }
+
+private:
+    using Row = std::pair<std::shared_ptr<const T>, std::shared_ptr<const std::string>>;
+
+    const std::function<auto(const T &)->std::string> encode;
+    RankedMutex mutex{LockRank::EncodedPayloads};
+    std::deque<Row> rows ABSL_GUARDED_BY(mutex);
+};
+
+} // namespace auburnrail::detail
+
+#endif
--- a/libs/wire/src/HeartbeatCodec.cpp
+++ b/libs/wire/src/HeartbeatCodec.cpp
@@ -114,13 +114,13 @@
         auto update = decodeChanges(message.update);
         if (!update.ok())
             return update.status();
-        answer.update = *std::move(update);
+        answer.update = std::make_shared<FleetUpdate>(*std::move(update));
     }
     if (message.__isset.snapshot) {
         auto snapshot = decodeSnapshot(message.snapshot);
         if (!snapshot.ok())
             return snapshot.status();
-        answer.snapshot = *std::move(snapshot);
+        answer.snapshot = std::make_shared<FleetSnapshot>(*std::move(snapshot));
     }
     return absl::OkStatus();
 }
@@ -173,7 +173,8 @@
     return heartbeat;
 }
 
-auto toMessage(const HeartbeatAnswer &answer) -> thriftgen::HeartbeatAnswerMessage
+auto toMessage(const HeartbeatAnswer &answer, HeartbeatPayloads &payloads)
+    -> thriftgen::HeartbeatAnswerMessage
 {
     auto message = thriftgen::HeartbeatAnswerMessage();
     message.status = static_cast<std::int32_t>(answer.lease.status);
@@ -183,9 +184,9 @@
     message.entries = static_cast<std::int32_t>(answer.entries);
     message.zoneEntries = static_cast<std::int32_t>(answer.zoneEntries);
     if (answer.update)
-        message.__set_update(encodeChanges(*answer.update));
+        message.__set_update(*payloads.updates.bytesOf(answer.update));
     if (answer.snapshot)
-        message.__set_snapshot(encodeSnapshot(*answer.snapshot));
+        message.__set_snapshot(*payloads.snapshots.bytesOf(answer.snapshot));
     message.shareSequence = static_cast<std::int64_t>(answer.shares.sequence);
     message.shareLeadership = static_cast<std::int64_t>(answer.shares.leadership);
     message.shares = toShareMessages(answer.shares.shares);
