Log the begin of share grants only at the leader

Change: the line is written while the member leads. EntryUpdates names the lock that its reader needs instead of switching the analysis off. Ruled out: grants by such a member; they are refused before the ledger is asked. No decision changes.

--- a/libs/control/src/ControlTables.cpp
+++ b/libs/control/src/ControlTables.cpp
@@ -81,7 +81,13 @@
                                                  [this](const HolderId &holder) {
                                                      this->heldResponses.sharesChanged(holder);
                                                  },
-                                             .grantingStarted = logGrantingStart})
+                                             .grantingStarted =
+                                                 [this](const ShareGrantingStart &start) {
+                                                     // The ledger of a member that has lost its
+                                                     // leadership goes on, but answers nobody.
+                                                     if (this->hasBegunLeadership)
+                                                         logGrantingStart(start);
+                                                 }})
     , registrar(EndpointRegistrarSettings{.adoptsPrimaries = settings.adoptsPrimaries,
                                           .endpointTimeout = settings.endpointTimeout})
     , commander(this->random)
--- a/libs/control/src/EntryUpdates.cpp
+++ b/libs/control/src/EntryUpdates.cpp
@@ -34,7 +34,7 @@
 {
     auto update = EntryUpdate();
     const RankedLock lock(this->mutex);
-    this->store.read([&](const FleetState &state) ABSL_NO_THREAD_SAFETY_ANALYSIS {
+    this->store.read([&](const FleetState &state) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex) {
         if (state.revision() <= applied)
             return;
         if (state.revision() != this->revision) {
