--- a/libs/entry/include/entry/MemberChoice.h
+++ b/libs/entry/include/entry/MemberChoice.h
@@ -13,8 +13,8 @@
 
 /// Chooses the control member that gets an entry's next heartbeat: the leader as long as it grants
 /// leases, then the member that another one names as leader, else each in turn. A member that did
-/// not respond shortly before is passed over in turn. When it is named as leader, it is to be tried
-/// briefly once, and with the usual patience if it is silent again: it may be slow. Not
+/// not respond shortly before is passed over in turn. When it is named as leader, it is tried
+/// once with a short time limit, and with the usual one if it is silent again: it may be slow. Not
 /// thread-safe.
 class MemberChoice
 {
@@ -28,8 +28,8 @@
 
     [[nodiscard]] auto current() const -> const std::string &;
 
-    /// Whether the current member was silent once shortly before `now`, so that it is tried only
-    /// briefly.
+    /// Whether the current member was silent once shortly before `now`, so that it is tried with a
+    /// short time limit.
     [[nodiscard]] auto isSuspect(TimePoint now) const -> bool;
 
     /// The current member granted a lease.
--- a/libs/entry/tests/MemberChoiceTest.cpp
+++ b/libs/entry/tests/MemberChoiceTest.cpp
@@ -49,9 +49,9 @@
     CHECK_FALSE(choice.isSuspect(START + 200ms));
 }
 
-// Guards against an entry that never gets a lease from a leader that takes longer than the brief
-// attempt, since each attempt makes the leader suspect again.
-TEST_CASE("a leader that is silent again is tried with the usual patience")
+// Guards against an entry that never gets a lease from a leader that takes longer than the short
+// time limit, since each attempt makes the leader suspect again.
+TEST_CASE("a leader that is silent again is tried with the usual time limit")
 {
     auto choice = MemberChoice({"a", "b"}, false);
     choice.silent(START);
