--- a/libs/consensus/benchmarks/ReplicationBenchmark.cpp
+++ b/libs/consensus/benchmarks/ReplicationBenchmark.cpp
@@ -54,8 +54,9 @@
             std::abort();
         for (const auto number : std::exchange(this->snapshotsDue, {})) {
             auto &node = *this->nodes[number];
-            node.storeSnapshot(node.commitIndex(), "").IgnoreError();
+            node.storeSnapshot(node.commitIndex(), "", this->now);
         }
+        this->runDisks();
         return messages;
     }
 
@@ -65,14 +66,25 @@
         return *this->nodes.front();
     }
 
+    /// Completes all writes.
+    auto runDisks() -> void
+    {
+        while (!this->writing.empty()) {
+            for (const auto number : std::exchange(this->writing, {}))
+                this->nodes[number]->persisted(this->now);
+        }
+    }
+
     auto deliver() -> std::vector<Message>
     {
         auto delivered = std::vector<Message>();
+        this->runDisks();
         while (!this->queue.empty()) {
             auto message = std::move(this->queue.front());
             this->queue.pop_front();
             this->nodes[this->numbers.at(message.to.name)]->receive(message, this->now);
             delivered.push_back(std::move(message));
+            this->runDisks();
         }
         return delivered;
     }
@@ -80,7 +92,7 @@
     auto hooks(std::size_t number) -> ConsensusHooks
     {
         return {
-            .persist = [](const PersistBatch &) { return absl::OkStatus(); },
+            .persist = [this, number](const PersistBatch &) { this->writing.push_back(number); },
             .send = [this](Message message) { this->queue.push_back(std::move(message)); },
             .committed = [](LogIndex, Term, const std::string &) {},
             .installSnapshot = [](const std::string &, LogIndex, Term) {},
@@ -94,6 +106,7 @@
     TimePoint now;
     std::deque<Message> queue;
     std::vector<std::size_t> snapshotsDue;
+    std::vector<std::size_t> writing; ///< Nodes with a batch under way.
     std::map<MemberName, std::size_t> numbers;
     std::vector<std::unique_ptr<ConsensusNode>> nodes;
 };
--- a/libs/consensus/include/consensus/ConsensusHooks.h
+++ b/libs/consensus/include/consensus/ConsensusHooks.h
@@ -1,7 +1,6 @@
 #ifndef AUBURNRAIL_CONSENSUS_CONSENSUSHOOKS_H
 #define AUBURNRAIL_CONSENSUS_CONSENSUSHOOKS_H
 
-#include <absl/status/status.h>
 #include <consensus/LogIndex.h>
 #include <consensus/Message.h>
 #include <consensus/PersistBatch.h>
@@ -17,8 +16,10 @@
 /// storeSnapshot, and must not call the node. All hooks must be set.
 struct ConsensusHooks
 {
-    /// Makes the batch durable before returning. After an error the node stops operating.
-    std::function<auto(const PersistBatch &)->absl::Status> persist;
+    /// Begins to make the batch durable and returns without waiting for the disk. The owner writes
+    /// a batch that the disk refuses again until it is durable, and then calls
+    /// ConsensusNode::persisted. One batch is under way at a time.
+    std::function<auto(PersistBatch)->void> persist;
 
     /// Sends a message to `message.to.name`. Called after the state that it depends on was
     /// persisted.
--- a/libs/consensus/include/consensus/ConsensusNode.h
+++ b/libs/consensus/include/consensus/ConsensusNode.h
@@ -10,12 +10,15 @@
 #include <consensus/detail/ProgressTable.h>
 #include <consensus/detail/ReplicatedLog.h>
 #include <consensus/detail/SnapshotAssembly.h>
+#include <consensus/detail/WriteProgress.h>
 
 #include <core/Time.h>
 
 #include <absl/status/status.h>
 #include <absl/status/statusor.h>
 
+#include <cstdint>
+#include <deque>
 #include <functional>
 #include <optional>
 #include <set>
@@ -34,6 +37,15 @@
 /// configuration has reached that voter, which matters when a second member is lost right after the
 /// first one was replaced.
 ///
+/// The node never waits for its disk. Messages that depend on a change are held until it is
+/// durable, and a leader counts its own copy of an entry only then; the leader's requests and the
+/// responses to heartbeats go out at once. A disk that is full, stalled or slow differs only in how
+/// long a write takes: while it is blocked (refused, or longer than diskStallLimit), the member
+/// acknowledges no entry, grants no vote and does not campaign, and as leader it steps down once a
+/// majority of the others has acknowledged what it can't write. Without such a majority a successor
+/// could commit no more than this member, so that it keeps the leadership and with it the leases of
+/// the entries.
+///
 /// Not thread-safe: the owner serializes calls with a mutex of LockRank::ConsensusNode.
 class ConsensusNode
 {
@@ -57,12 +69,24 @@
     /// Appends a command. Its index is reported by the `committed` or the `proposalLost` hook.
     /// The command was not appended on `kUnavailable` (this member is not the leader),
     /// `kResourceExhausted` (too many uncommitted entries) and `kInvalidArgument` (the payload is
-    /// too large). `kInternal`: the write to disk failed and the outcome is unknown.
+    /// too large).
     [[nodiscard]] auto propose(std::string payload, TimePoint now) -> absl::StatusOr<LogIndex>;
 
     /// Stores a snapshot of the state machine after the entry at `index`, which must have been
     /// delivered or installed. Ignored when a snapshot at or after `index` exists.
-    auto storeSnapshot(LogIndex index, std::string content) -> absl::Status;
+    auto storeSnapshot(LogIndex index, std::string content, TimePoint now) -> void;
+
+    /// The batch last passed to the persist hook is durable.
+    auto persisted(TimePoint now) -> void;
+
+    /// The disk refused the batch last passed to the persist hook. The owner writes it again.
+    auto writeRefused(TimePoint now) -> void;
+
+    /// Whether the disk has refused the batch under way or not completed it within diskStallLimit.
+    [[nodiscard]] auto isDiskBlocked(TimePoint now) const -> bool;
+
+    /// Time since the batch under way was passed to the persist hook; 0 if there is none.
+    [[nodiscard]] auto writeAge(TimePoint now) const -> Duration;
 
     /// Whether this member holds the quorum lease: no other member can have become leader by `now`,
     /// and everything committed in earlier terms was delivered. The lease starts at the send time
@@ -112,14 +136,19 @@
     auto handle(const Message &message, const SnapshotResponse &response, TimePoint now) -> void;
     auto handle(const Message &message, const JoinRequest &request, TimePoint now) -> void;
     auto advanceCommit() -> void;
+    /// Whether a majority without this member has acknowledged all that this member can't write.
+    [[nodiscard]] auto othersCanLead(TimePoint now) const -> bool;
     auto changeMembers(TimePoint now) -> void;
 
     // Effects (ConsensusNode.cpp).
     auto appendEntry(LogEntry entry) -> LogIndex;
     auto sendTo(const MemberId &member, Term messageTerm, MessageBody body) -> void;
+    /// Sends the message once all changes so far are durable.
+    auto sendWhenDurable(const MemberId &member, Term messageTerm, MessageBody body) -> void;
     /// Forwards a message of another member without changing its sender.
     auto forward(Message message, const MemberId &receiver) -> void;
-    auto persistPending() -> bool;
+    auto changeElection(ElectionState changed) -> void;
+    auto beginWrite(TimePoint now) -> void;
     auto deliverCommitted() -> void;
     auto applyEffects(TimePoint now) -> void;
     auto callHooks() -> void;
@@ -132,6 +161,7 @@
     LogIndex committed = 0;
     LogIndex deliveredIndex = 0;
     bool snapshotRequested = false;
+    std::size_t deliveredBytes = 0; ///< Payload bytes delivered since the last snapshot.
 
     NodeRole currentRole = NodeRole::Follower;
     std::optional<MemberId> knownLeader;
@@ -147,7 +177,16 @@
     bool leadershipAnnounced = false; ///< leadershipChanged(true) was called for this term.
     std::set<LogIndex> proposals;     ///< Own proposals not committed yet.
 
-    PersistBatch pending;
+    /// A message that depends on changes up to this batch.
+    struct HeldMessage
+    {
+        std::uint64_t batch;
+        Message message;
+    };
+
+    detail::WriteProgress writes;
+    std::optional<TimePoint> lastBlockedAt; ///< When the disk was last seen blocked.
+    std::deque<HeldMessage> heldMessages;
     std::vector<Message> outbox;
     /// Hook calls to make after persisting.
     std::vector<std::function<auto()->void>> deferredCalls;
--- a/libs/consensus/include/consensus/ConsensusSettings.h
+++ b/libs/consensus/include/consensus/ConsensusSettings.h
@@ -15,6 +15,9 @@
 inline constexpr auto SNAPSHOT_INTERVAL = LogIndex(1024);
 inline constexpr auto ENTRIES_KEPT_BEFORE_SNAPSHOT = LogIndex(256);
 
+/// Default bound of the entries in the log, in bytes of their payloads.
+inline constexpr auto DEFAULT_LOG_LIMIT_BYTES = std::size_t(16) * 1024 * 1024;
+
 /// Limits and intervals of a ConsensusNode.
 struct ConsensusSettings
 {
@@ -38,6 +41,11 @@
     Duration replaceUnresponsiveAfter = std::chrono::milliseconds(1500);
     LogIndex snapshotInterval = SNAPSHOT_INTERVAL;
     LogIndex entriesKept = ENTRIES_KEPT_BEFORE_SNAPSHOT;
+    /// Payload bytes of the committed entries in the log. A snapshot is due after half of it, and
+    /// at most half of it is kept before a snapshot.
+    std::size_t maxLogBytes = DEFAULT_LOG_LIMIT_BYTES;
+    /// A disk that has not completed a write for this long is treated as one that refuses it.
+    Duration diskStallLimit = std::chrono::milliseconds(1000);
 };
 
 } // namespace auburnrail
--- a/libs/consensus/include/consensus/NodeRole.h
+++ b/libs/consensus/include/consensus/NodeRole.h
@@ -14,7 +14,6 @@
     PreCandidate,
     Candidate,
     Leader,
-    Failed, ///< A write to disk failed; the member does nothing until it is restarted.
 };
 
 template <>
@@ -24,7 +23,6 @@
     {NodeRole::PreCandidate, "pre-candidate"},
     {NodeRole::Candidate, "candidate"},
     {NodeRole::Leader, "leader"},
-    {NodeRole::Failed, "failed"},
 });
 
 } // namespace auburnrail
--- a/libs/consensus/include/consensus/NodeStatus.h
+++ b/libs/consensus/include/consensus/NodeStatus.h
@@ -21,6 +21,8 @@
     LogIndex commitIndex = 0;
     LogIndex lastIndex = 0;
     LogIndex snapshotIndex = 0;
+    LogIndex durableIndex = 0; ///< Last entry that is on this member's disk.
+    bool diskBlocked = false;  ///< The disk refuses a write or has not completed it in time.
     std::vector<MemberStatus> members; ///< Voters. On the leader also learners, with matchIndex
                                        ///< and responseAge set.
 };
--- a/libs/consensus/include/consensus/detail/MemberProgress.h
+++ b/libs/consensus/include/consensus/detail/MemberProgress.h
@@ -17,6 +17,7 @@
     TimePoint replicatingSince{};     ///< When the leader began to replicate to the member.
     LogIndex matchIndex = 0;          ///< Last entry known to be durable on the member.
     LogIndex nextIndex = 1;           ///< First entry to send.
+    LogIndex sentThrough = 0;         ///< Last entry in the latest request.
     LogIndex snapshotIndex = 0;       ///< Index of the snapshot being sent, 0 if none.
     std::uint64_t snapshotOffset = 0; ///< Bytes of that snapshot that the member has received.
     /// sentAt of the request that has no response yet.
--- a/libs/consensus/include/consensus/detail/ReplicatedLog.h
+++ b/libs/consensus/include/consensus/detail/ReplicatedLog.h
@@ -37,6 +37,10 @@
     [[nodiscard]] auto slice(LogIndex from, std::size_t maxEntries, std::size_t maxBytes) const
         -> std::vector<LogEntry>;
 
+    /// The first of the entries up to `last` that together are within both limits.
+    [[nodiscard]] auto firstWithin(LogIndex last, LogIndex maxEntries, std::size_t maxBytes) const
+        -> LogIndex;
+
     auto append(LogEntry entry) -> LogIndex;
 
     /// Removes the entries from `index` on; `index` must be after the snapshot.
--- a/libs/consensus/src/ConsensusNode.cpp
+++ b/libs/consensus/src/ConsensusNode.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr auto MAX_UNCOMMITTED_ENTRIES = LogIndex(4096);
+/// While the disk is blocked, older messages are dropped first: their receivers ask again.
+constexpr auto MAX_HELD_MESSAGES = std::size_t(256);
 
 } // namespace
 
@@ -21,6 +23,7 @@
     , committed(log.snapshot().index)
     , deliveredIndex(log.snapshot().index)
     , lastLeaderContact(now)
+    , writes(log.lastIndex())
 {
     assert(this->hooks.persist && this->hooks.send && this->hooks.committed
            && this->hooks.installSnapshot && this->hooks.leadershipChanged
@@ -39,8 +42,8 @@
 
 auto ConsensusNode::tick(TimePoint now) -> void
 {
-    if (this->currentRole == NodeRole::Failed)
-        return;
+    if (this->isDiskBlocked(now))
+        this->lastBlockedAt = now;
     if (this->currentRole == NodeRole::Leader)
         this->tickLeader(now);
     else if (now >= this->electionDeadline)
@@ -54,8 +57,7 @@
                        || std::find(this->settings.members.begin(), this->settings.members.end(),
                                     message.from.name)
                               != this->settings.members.end();
-    if (this->currentRole == NodeRole::Failed || !known
-        || message.from.name == this->settings.self.name
+    if (!known || message.from.name == this->settings.self.name
         || message.to.name != this->settings.self.name)
         return;
     const auto forThisIncarnation = message.to == this->settings.self;
@@ -84,31 +86,56 @@
     this->replicateToAll(now, false);
     this->proposals.insert(index);
     this->applyEffects(now);
-    if (this->currentRole == NodeRole::Failed)
-        return absl::InternalError("the write to disk failed; the outcome is unknown");
     return index;
 }
 
-auto ConsensusNode::storeSnapshot(LogIndex index, std::string content) -> absl::Status
+auto ConsensusNode::storeSnapshot(LogIndex index, std::string content, TimePoint now) -> void
 {
-    if (this->currentRole == NodeRole::Failed)
-        return absl::UnavailableError("a write to disk failed");
     this->snapshotRequested = false;
     if (index <= this->log.snapshot().index)
-        return absl::OkStatus();
+        return;
     assert(index <= this->deliveredIndex && "the entry must have been delivered");
     auto snapshot = Snapshot{index, *this->log.termAt(index), this->log.configurationAt(index),
                              std::move(content)};
     const auto keepFrom =
-        index > this->settings.entriesKept ? index - this->settings.entriesKept : 1;
-    this->pending.snapshot = snapshot;
-    this->pending.keepFrom = keepFrom;
-    this->log.replaceSnapshot(std::move(snapshot), keepFrom);
-    if (!this->persistPending()) {
-        this->callHooks();
-        return absl::InternalError("the write of the snapshot failed");
+        this->log.firstWithin(index, this->settings.entriesKept, this->settings.maxLogBytes / 2);
+    this->deliveredBytes = 0;
+    this->log.replaceSnapshot(snapshot, keepFrom);
+    this->writes.snapshotReplaced(snapshot, keepFrom, this->log.lastIndex(), this->log);
+    this->applyEffects(now);
+}
+
+auto ConsensusNode::persisted(TimePoint now) -> void
+{
+    if (this->isDiskBlocked(now))
+        this->lastBlockedAt = now;
+    this->writes.completeWrite();
+    while (!this->heldMessages.empty()
+           && this->writes.isDurable(this->heldMessages.front().batch)) {
+        this->outbox.push_back(std::move(this->heldMessages.front().message));
+        this->heldMessages.pop_front();
+    }
+    if (this->currentRole == NodeRole::Candidate && this->writes.isElectionDurable()) {
+        this->votes.insert(this->settings.self);
+        this->countVotes(now);
     }
-    return absl::OkStatus();
+    this->applyEffects(now);
+}
+
+auto ConsensusNode::writeRefused(TimePoint now) -> void
+{
+    this->writes.refuseWrite();
+    this->lastBlockedAt = now;
+}
+
+auto ConsensusNode::isDiskBlocked(TimePoint now) const -> bool
+{
+    return this->writes.isBlocked(this->settings.diskStallLimit, now);
+}
+
+auto ConsensusNode::writeAge(TimePoint now) const -> Duration
+{
+    return this->writes.age(now);
 }
 
 auto ConsensusNode::role() const -> NodeRole
@@ -148,13 +175,15 @@
                              .commitIndex = this->committed,
                              .lastIndex = this->log.lastIndex(),
                              .snapshotIndex = this->log.snapshot().index,
+                             .durableIndex = this->writes.durableIndex(),
+                             .diskBlocked = this->isDiskBlocked(now),
                              .members = {}};
     if (this->currentRole != NodeRole::Leader) {
         for (const auto &voter : this->log.configuration().voters)
             result.members.push_back({voter, true, 0, std::nullopt});
         return result;
     }
-    result.members.push_back({this->settings.self, true, this->log.lastIndex(), Duration(0)});
+    result.members.push_back({this->settings.self, true, this->writes.durableIndex(), Duration(0)});
     for (const auto &[id, progress] : this->progressTable.rows()) {
         auto age = std::optional<Duration>();
         if (progress.lastRespondedSentAt)
@@ -166,10 +195,8 @@
 
 auto ConsensusNode::appendEntry(LogEntry entry) -> LogIndex
 {
-    this->pending.appended.push_back(entry);
     const auto index = this->log.append(std::move(entry));
-    if (this->pending.appended.size() == 1)
-        this->pending.firstAppended = index;
+    this->writes.entryAppended(index);
     return index;
 }
 
@@ -178,24 +205,36 @@
     this->outbox.push_back({this->settings.self, member, messageTerm, std::move(body)});
 }
 
+auto ConsensusNode::sendWhenDurable(const MemberId &member, Term messageTerm, MessageBody body)
+    -> void
+{
+    const auto batch = this->writes.currentBatch();
+    if (this->writes.isDurable(batch)) {
+        this->sendTo(member, messageTerm, std::move(body));
+        return;
+    }
+    if (this->heldMessages.size() == MAX_HELD_MESSAGES)
+        this->heldMessages.pop_front();
+    this->heldMessages.push_back(
+        {batch, {this->settings.self, member, messageTerm, std::move(body)}});
+}
+
 auto ConsensusNode::forward(Message message, const MemberId &receiver) -> void
 {
     message.to = receiver;
     this->outbox.push_back(std::move(message));
 }
 
-auto ConsensusNode::persistPending() -> bool
+auto ConsensusNode::changeElection(ElectionState changed) -> void
+{
+    this->election = std::move(changed);
+    this->writes.electionChanged(this->election);
+}
+
+auto ConsensusNode::beginWrite(TimePoint now) -> void
 {
-    if (this->pending.empty())
-        return true;
-    const auto batch = std::exchange(this->pending, PersistBatch());
-    if (this->hooks.persist(batch).ok())
-        return true;
-    this->endLeadership();
-    this->currentRole = NodeRole::Failed;
-    this->knownLeader.reset();
-    this->outbox.clear();
-    return false;
+    if (auto batch = this->writes.beginWrite(this->log, now))
+        this->hooks.persist(*std::move(batch));
 }
 
 auto ConsensusNode::deliverCommitted() -> void
@@ -204,6 +243,7 @@
         const auto index = ++this->deliveredIndex;
         const auto &entry = this->log.at(index);
         this->proposals.erase(index);
+        this->deliveredBytes += entry.payload.size();
         if (entry.kind == EntryKind::Command) {
             this->deferredCalls.emplace_back(
                 [this, index, entry] { this->hooks.committed(index, entry.term, entry.payload); });
@@ -215,8 +255,10 @@
         this->deferredCalls.emplace_back(
             [this, term = this->election.term] { this->hooks.leadershipChanged(true, term); });
     }
-    if (!this->snapshotRequested
-        && this->deliveredIndex >= this->log.snapshot().index + this->settings.snapshotInterval) {
+    const auto snapshotDue =
+        this->deliveredIndex >= this->log.snapshot().index + this->settings.snapshotInterval
+        || this->deliveredBytes >= this->settings.maxLogBytes / 2;
+    if (!this->snapshotRequested && snapshotDue) {
         this->snapshotRequested = true;
         this->deferredCalls.emplace_back(
             [this, index = this->deliveredIndex] { this->hooks.snapshotDue(index); });
@@ -225,14 +267,12 @@
 
 auto ConsensusNode::applyEffects(TimePoint now) -> void
 {
-    while (this->persistPending() && this->currentRole == NodeRole::Leader) {
+    if (this->currentRole == NodeRole::Leader) {
         this->advanceCommit();
         this->changeMembers(now);
-        if (this->pending.empty())
-            break;
     }
-    if (this->currentRole != NodeRole::Failed)
-        this->deliverCommitted();
+    this->beginWrite(now);
+    this->deliverCommitted();
     this->callHooks();
 }
 
--- a/libs/consensus/src/ConsensusNodeElection.cpp
+++ b/libs/consensus/src/ConsensusNodeElection.cpp
@@ -6,9 +6,20 @@
 
 namespace auburnrail {
 
+namespace {
+
+/// For this long after its disk was blocked, a member campaigns later than the others, so that a
+/// disk that stalls now and then does not change the leader each time.
+constexpr auto DISK_RECOVERY_TIME = std::chrono::seconds(10);
+
+} // namespace
+
 auto ConsensusNode::campaign(TimePoint now) -> void
 {
     this->restartElectionTimer(now);
+    // A member that can't write could not become leader and would only disturb the others.
+    if (this->isDiskBlocked(now))
+        return;
     this->knownLeader.reset();
     const auto voter = this->log.configuration().contains(this->settings.self);
     // A candidate that gets no response may have a configuration that was never committed and that
@@ -31,10 +42,13 @@
 {
     const auto messageTerm = this->election.term + (preVote ? 1 : 0);
     for (const auto &voter : this->log.configuration().voters) {
-        if (voter != this->settings.self) {
-            this->sendTo(voter, messageTerm,
-                         VoteRequest{preVote, this->log.lastIndex(), this->log.lastTerm()});
-        }
+        if (voter == this->settings.self)
+            continue;
+        const auto request = VoteRequest{preVote, this->log.lastIndex(), this->log.lastTerm()};
+        if (preVote)
+            this->sendTo(voter, messageTerm, request);
+        else
+            this->sendWhenDurable(voter, messageTerm, request);
     }
 }
 
@@ -51,11 +65,10 @@
         return;
     }
     this->currentRole = NodeRole::Candidate;
-    this->election = {this->election.term + 1, this->settings.self};
-    this->pending.election = this->election;
-    this->votes = {this->settings.self};
+    this->changeElection({this->election.term + 1, this->settings.self});
+    // Its own vote counts once it is durable.
+    this->votes.clear();
     this->requestVotes(false);
-    this->countVotes(now);
 }
 
 auto ConsensusNode::becomeLeader(TimePoint now) -> void
@@ -81,10 +94,8 @@
         this->endLeadership();
         this->restartElectionTimer(now);
     }
-    if (newTerm > this->election.term) {
-        this->election = {newTerm, std::nullopt};
-        this->pending.election = this->election;
-    }
+    if (newTerm > this->election.term)
+        this->changeElection({newTerm, std::nullopt});
     this->currentRole = NodeRole::Follower;
     this->knownLeader.reset();
 }
@@ -110,6 +121,8 @@
     this->electionDeadline =
         now
         + std::clamp(timeout, this->settings.minElectionTimeout, this->settings.maxElectionTimeout);
+    if (this->lastBlockedAt && now < *this->lastBlockedAt + DISK_RECOVERY_TIME)
+        this->electionDeadline += this->settings.maxElectionTimeout;
 }
 
 auto ConsensusNode::handle(const Message &message, const VoteRequest &request, TimePoint now)
@@ -151,12 +164,10 @@
         refuse();
         return;
     }
-    if (!this->election.vote) {
-        this->election.vote = message.from;
-        this->pending.election = this->election;
-    }
+    if (!this->election.vote)
+        this->changeElection({this->election.term, message.from});
     this->restartElectionTimer(now);
-    this->sendTo(message.from, this->election.term, VoteResponse{false, true});
+    this->sendWhenDurable(message.from, this->election.term, VoteResponse{false, true});
 }
 
 auto ConsensusNode::handle(const Message &message, const VoteResponse &response, TimePoint now)
--- a/libs/consensus/src/ConsensusNodeFollower.cpp
+++ b/libs/consensus/src/ConsensusNodeFollower.cpp
@@ -25,11 +25,21 @@
         if (const auto retry = this->retryIndex(request)) {
             response.retryFrom = *retry;
         } else {
+            const auto before = std::pair(this->log.lastIndex(), this->log.lastTerm());
             const auto matched = this->appendFrom(request);
             this->committed = std::max(this->committed, std::min(request.commitIndex, matched));
             response.accepted = true;
             // The leader of a term holds every entry committed in earlier terms.
             response.matchIndex = std::max(matched, this->committed);
+            const auto changed = before != std::pair(this->log.lastIndex(), this->log.lastTerm());
+            const auto electionDurable = this->writes.isElectionDurable();
+            const auto slow = this->writes.isBlocked(this->settings.heartbeatInterval, now);
+            if (changed || !electionDurable)
+                this->sendWhenDurable(message.from, this->election.term, response);
+            if (!electionDurable || (changed && !slow))
+                return;
+            // A request is also a heartbeat, which is answered even while the disk is busy.
+            response.matchIndex = std::min(response.matchIndex, this->writes.durableIndex());
         }
     }
     this->sendTo(message.from, this->election.term, response);
@@ -60,7 +70,7 @@
             continue;
         if (index <= this->log.lastIndex()) {
             this->log.truncateFrom(index);
-            this->pending.truncateFrom = index;
+            this->writes.truncatedFrom(index);
         }
         this->appendEntry(entry);
     }
@@ -78,21 +88,28 @@
     if (request.index > this->committed)
         installed = this->assembly.add(request);
     if (installed) {
+        const auto held = this->log.termAt(installed->index) == installed->term;
+        const auto matchingThrough = held ? this->log.lastIndex() : this->committed;
         this->committed = installed->index;
         this->deliveredIndex = installed->index;
+        this->deliveredBytes = 0;
         this->snapshotRequested = false;
-        this->pending.snapshot = *installed;
-        this->pending.keepFrom = installed->index + 1;
         this->deferredCalls.emplace_back([this, snapshot = *installed] {
             this->hooks.installSnapshot(snapshot.content, snapshot.index, snapshot.term);
         });
-        this->log.replaceSnapshot(std::move(*installed), this->pending.keepFrom);
+        const auto keepFrom = installed->index + 1;
+        this->log.replaceSnapshot(*installed, keepFrom);
+        this->writes.snapshotReplaced(*installed, keepFrom, matchingThrough, this->log);
     }
     if (request.index <= this->committed) {
-        this->sendTo(message.from, this->election.term,
-                     AppendResponse{.accepted = true,
-                                    .matchIndex = this->committed,
-                                    .sentAt = request.sentAt});
+        auto response = AppendResponse{
+            .accepted = true, .matchIndex = this->committed, .sentAt = request.sentAt};
+        if (installed || !this->writes.isElectionDurable()) {
+            this->sendWhenDurable(message.from, this->election.term, response);
+            return;
+        }
+        response.matchIndex = std::min(this->committed, this->writes.durableIndex());
+        this->sendTo(message.from, this->election.term, response);
         return;
     }
     this->sendTo(message.from, this->election.term,
--- a/libs/consensus/src/ConsensusNodeLeader.cpp
+++ b/libs/consensus/src/ConsensusNodeLeader.cpp
@@ -39,6 +39,10 @@
         this->becomeFollower(this->election.term, now);
         return;
     }
+    if (this->isDiskBlocked(now) && this->othersCanLead(now)) {
+        this->becomeFollower(this->election.term, now);
+        return;
+    }
     this->progressTable.dropUnresponsiveLearners(
         this->settings.maxElectionTimeout * UNRESPONSIVE_LEARNER_TIMEOUTS, now);
     if (now >= this->nextHeartbeat) {
@@ -65,14 +69,15 @@
         this->sendSnapshotChunk(member, progress, now);
         return;
     }
+    auto entries = this->log.slice(progress.nextIndex, this->settings.maxEntriesPerMessage,
+                                   this->settings.maxBytesPerMessage);
+    progress.sentThrough = previous + entries.size();
     this->sendTo(member, this->election.term,
                  AppendRequest{.previousIndex = previous,
                                .previousTerm = *previousTerm,
                                .commitIndex = this->committed,
                                .sentAt = now.time_since_epoch(),
-                               .entries = this->log.slice(progress.nextIndex,
-                                                          this->settings.maxEntriesPerMessage,
-                                                          this->settings.maxBytesPerMessage)});
+                               .entries = std::move(entries)});
 }
 
 auto ConsensusNode::sendSnapshotChunk(const MemberId &member, detail::MemberProgress &progress,
@@ -129,10 +134,13 @@
             std::clamp(response.retryFrom, progress->matchIndex + 1,
                        std::max(progress->matchIndex + 1, progress->nextIndex - 1));
     }
-    if (!isOutstanding)
+    if (isOutstanding)
+        progress->outstandingSentAt.reset();
+    else if (!response.accepted || progress->outstandingSentAt)
         return;
-    progress->outstandingSentAt.reset();
-    if (!response.accepted || progress->nextIndex <= this->log.lastIndex())
+    // A follower that has received entries and not written them yet responds again when it has.
+    const auto hasAll = progress->nextIndex > progress->sentThrough;
+    if (!response.accepted || (hasAll && progress->nextIndex <= this->log.lastIndex()))
         this->replicateTo(message.from, *progress, now);
 }
 
@@ -166,13 +174,24 @@
 auto ConsensusNode::advanceCommit() -> void
 {
     const auto index =
-        this->progressTable.majorityIndex(this->log.configuration(), this->log.lastIndex());
+        this->progressTable.majorityIndex(this->log.configuration(), this->writes.durableIndex());
     // An entry of an earlier term must not be committed by counting replicas, since a later leader
     // could still overwrite it. It is committed together with an entry of the current term.
     if (index > this->committed && this->log.termAt(index) == this->election.term)
         this->committed = index;
 }
 
+auto ConsensusNode::othersCanLead(TimePoint now) const -> bool
+{
+    const auto &configuration = this->log.configuration();
+    const auto able = std::count_if(
+        this->progressTable.rows().begin(), this->progressTable.rows().end(), [&](const auto &row) {
+            return row.second.voter && row.second.matchIndex >= this->writes.lastIndexUnderWay()
+                   && row.second.respondedWithin(this->settings.minElectionTimeout, now);
+        });
+    return static_cast<std::size_t>(able) >= configuration.majority();
+}
+
 auto ConsensusNode::changeMembers(TimePoint now) -> void
 {
     if (this->committed < this->termStartIndex || this->log.configurationIndex() > this->committed)
--- a/libs/consensus/src/ReplicatedLog.cpp
+++ b/libs/consensus/src/ReplicatedLog.cpp
@@ -63,6 +63,20 @@
     return result;
 }
 
+auto ReplicatedLog::firstWithin(LogIndex last, LogIndex maxEntries, std::size_t maxBytes) const
+    -> LogIndex
+{
+    auto index = last + 1;
+    auto bytes = std::size_t(0);
+    while (index > this->first && last + 1 - index < maxEntries) {
+        bytes += this->at(index - 1).payload.size();
+        if (bytes > maxBytes)
+            break;
+        --index;
+    }
+    return index;
+}
+
 auto ReplicatedLog::append(LogEntry entry) -> LogIndex
 {
     const auto index = this->lastIndex() + 1;
--- a/libs/control/include/control/ConsensusDisk.h
+++ b/libs/control/include/control/ConsensusDisk.h
@@ -1,6 +1,8 @@
 #ifndef AUBURNRAIL_CONTROL_CONSENSUSDISK_H
 #define AUBURNRAIL_CONTROL_CONSENSUSDISK_H
 
+#include <control/DurableStore.h>
+
 #include <consensus/DurableState.h>
 #include <consensus/MemberId.h>
 #include <consensus/PersistBatch.h>
@@ -38,9 +40,13 @@
     /// Reads the whole durable state. `kDataLoss` when a record can't be decoded.
     [[nodiscard]] auto restore() const -> absl::StatusOr<DurableState>;
 
-    /// Writes and syncs the batch.
+    /// Writes and syncs the batch. After an error, the same batch has to be written again before
+    /// any other.
     [[nodiscard]] auto persist(const PersistBatch &batch) -> absl::Status;
 
+    /// Hooks that own `disk`.
+    [[nodiscard]] static auto toStore(ConsensusDisk disk) -> DurableStore;
+
 private:
     explicit ConsensusDisk(DataDirectory opened);
 
--- a/libs/control/include/control/ConsensusRunner.h
+++ b/libs/control/include/control/ConsensusRunner.h
@@ -1,8 +1,8 @@
 #ifndef AUBURNRAIL_CONTROL_CONSENSUSRUNNER_H
 #define AUBURNRAIL_CONTROL_CONSENSUSRUNNER_H
 
-#include <control/ConsensusDisk.h>
 #include <control/ConsensusRunnerHooks.h>
+#include <control/DurableStore.h>
 
 #include <consensus/ConsensusSettings.h>
 #include <consensus/NodeStatus.h>
@@ -22,15 +22,17 @@
 class RunnerState;
 }
 
-/// Runs one ConsensusNode: owns its storage and its lock, ticks it, and calls the hooks. Thread
-/// rule: all calls from any thread, but start() before the others.
+/// Runs one ConsensusNode: owns its storage and its lock, ticks it, writes its changes to disk, and
+/// calls the hooks. The lock is never held during a write, so that a disk that stalls holds up
+/// nothing but the write itself. Thread rule: all calls from any thread, but start() before the
+/// others.
 class ConsensusRunner
 {
 public:
-    /// `settings.self` is taken from the disk. `random` draws election timeouts and is called with
-    /// the node's lock held.
+    /// `settings.self` is taken from the disk. Writes to disk run on `diskExecutor`, one at a time.
+    /// `random` draws election timeouts and is called with the node's lock held.
     ConsensusRunner(ConsensusSettings settings, ConsensusRunnerHooks hooks, Executor executor,
-                    RandomSource random);
+                    Executor diskExecutor, RandomSource random);
     ConsensusRunner(const ConsensusRunner &) = delete;
     auto operator=(const ConsensusRunner &) -> ConsensusRunner & = delete;
 
@@ -38,10 +40,10 @@
     ~ConsensusRunner();
 
     /// Restores the state, calls installSnapshot if a snapshot is stored, and starts the ticks.
-    [[nodiscard]] auto start(ConsensusDisk disk) -> absl::Status;
+    [[nodiscard]] auto start(DurableStore store) -> absl::Status;
 
-    /// Stops the ticks and the hook calls, and waits for a hook that is running. Must not be called
-    /// from a hook.
+    /// Stops the ticks and the hook calls, and waits for a hook and a write that are running. Must
+    /// not be called from a hook.
     auto stop() -> void;
 
     auto receive(const Message &message) -> void;
--- a/libs/control/include/control/ConsensusRunnerHooks.h
+++ b/libs/control/include/control/ConsensusRunnerHooks.h
@@ -1,12 +1,12 @@
 #ifndef AUBURNRAIL_CONTROL_CONSENSUSRUNNERHOOKS_H
 #define AUBURNRAIL_CONTROL_CONSENSUSRUNNERHOOKS_H
 
+#include <control/DiskStatus.h>
+
 #include <consensus/LogIndex.h>
 #include <consensus/Message.h>
 #include <consensus/Term.h>
 
-#include <absl/status/status.h>
-
 #include <functional>
 #include <string>
 
@@ -26,8 +26,8 @@
     /// Returns the encoded state after the last committed entry or installed snapshot.
     std::function<auto()->std::string> makeSnapshot;
 
-    /// A write to disk failed. The runner stops working; the process should exit.
-    std::function<auto(const absl::Status &)->void> failed;
+    /// The disk has become blocked, or works again.
+    std::function<auto(const DiskStatus &)->void> diskChanged;
 };
 
 } // namespace auburnrail
--- a/libs/control/include/control/ControlNode.h
+++ b/libs/control/include/control/ControlNode.h
@@ -2,6 +2,7 @@
 #define AUBURNRAIL_CONTROL_CONTROLNODE_H
 
 #include <control/ConfigurationService.h>
+#include <control/ConsensusDisk.h>
 #include <control/ConsensusRunner.h>
 #include <control/ControlFrontEndHooks.h>
 #include <control/ControlLoadLog.h>
@@ -50,7 +51,8 @@
     auto setFrontEnd(FrontEnd newFrontEnd) -> void;
 
     /// Opens the data directory and starts to serve. An unformatted directory is formatted for a
-    /// member whose disk was lost, which joins as a learner.
+    /// member whose disk was lost, which joins as a learner. While the disk takes no bytes, the
+    /// member serves without taking part in the consensus, and tries again until the disk does.
     [[nodiscard]] auto start() -> absl::Status;
 
     auto stop() -> void;
@@ -59,6 +61,9 @@
     [[nodiscard]] auto makeRunnerHooks() -> ConsensusRunnerHooks;
     [[nodiscard]] auto makeTableHooks() -> ControlTablesHooks;
     [[nodiscard]] auto openDisk() -> absl::StatusOr<ConsensusDisk>;
+    /// Opens the data directory and starts the runner.
+    [[nodiscard]] auto startRunner() -> absl::Status;
+    auto retryStart(const absl::Status &reason) -> void;
     auto send(Message message) -> void;
     [[nodiscard]] auto startTransport() -> absl::Status;
     auto scheduleTick() -> void;
@@ -70,6 +75,7 @@
     const ControlSettings settings;
     const EndpointRoleHooks endpointHooks;
     WorkerPool workers;
+    WorkerPool diskWorker; ///< One thread, which waits for the disk.
     ControlTables tables;
     ConsensusTransport transport;
     ConsensusRunner runner;
--- a/libs/control/src/ConsensusDisk.cpp
+++ b/libs/control/src/ConsensusDisk.cpp
@@ -8,6 +8,7 @@
 #include <absl/strings/str_cat.h>
 
 #include <cassert>
+#include <memory>
 #include <utility>
 
 namespace auburnrail {
@@ -133,4 +134,14 @@
     return this->directory.append(records);
 }
 
+auto ConsensusDisk::toStore(ConsensusDisk disk) -> DurableStore
+{
+    const auto shared = std::make_shared<ConsensusDisk>(std::move(disk));
+    return {
+        .self = shared->self(),
+        .restore = [shared] { return shared->restore(); },
+        .persist = [shared](const PersistBatch &batch) { return shared->persist(batch); },
+    };
+}
+
 } // namespace auburnrail
--- a/libs/control/src/ConsensusRunner.cpp
+++ b/libs/control/src/ConsensusRunner.cpp
@@ -7,9 +7,10 @@
 namespace auburnrail {
 
 ConsensusRunner::ConsensusRunner(ConsensusSettings settings, ConsensusRunnerHooks hooks,
-                                 Executor executor, RandomSource random)
+                                 Executor executor, Executor diskExecutor, RandomSource random)
     : state(std::make_shared<detail::RunnerState>(std::move(settings), std::move(hooks),
-                                                  std::move(executor), std::move(random)))
+                                                  std::move(executor), std::move(diskExecutor),
+                                                  std::move(random)))
 {
 }
 
@@ -18,9 +19,9 @@
     this->stop();
 }
 
-auto ConsensusRunner::start(ConsensusDisk disk) -> absl::Status
+auto ConsensusRunner::start(DurableStore store) -> absl::Status
 {
-    return this->state->start(std::move(disk));
+    return this->state->start(std::move(store));
 }
 
 auto ConsensusRunner::stop() -> void
--- a/libs/control/src/ControlNode.cpp
+++ b/libs/control/src/ControlNode.cpp
@@ -5,8 +5,6 @@
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_join.h>
 
-#include <cstdlib>
-
 namespace auburnrail {
 
 namespace {
@@ -21,6 +19,30 @@
 constexpr auto ADOPTION_WAIT = std::chrono::seconds(10);
 /// A promotion by the platform takes up to about a second.
 constexpr auto PROMOTION_WAIT = std::chrono::milliseconds(2500);
+/// Between attempts to open a data directory whose disk takes no bytes.
+constexpr auto DISK_RETRY_INTERVAL = std::chrono::milliseconds(500);
+
+/// Whether the disk may take the write later: it is full or reports an I/O error. Other errors need
+/// an operator.
+auto isDiskRefusal(const absl::Status &status) -> bool
+{
+    return absl::IsResourceExhausted(status) || absl::IsUnknown(status)
+           || absl::IsUnavailable(status);
+}
+
+auto logDiskChange(const MemberName &member, const DiskStatus &status) -> void
+{
+    const auto fields = LogFields{
+        {"member", member},
+        {"age_ms",
+         std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(status.age).count())},
+        {"error", status.lastError.ok() ? "" : std::string(status.lastError.message())}};
+    if (status.blocked)
+        logLine(LogLevel::Error, "storage",
+                "the disk takes no writes; this member acknowledges nothing until it does", fields);
+    else
+        logLine(LogLevel::Info, "storage", "the disk takes writes again", fields);
+}
 
 auto toConsensusSettings(const ControlSettings &settings) -> ConsensusSettings
 {
@@ -33,6 +55,8 @@
     result.heartbeatInterval = settings.heartbeatInterval;
     result.minElectionTimeout = settings.minimumElectionTimeout;
     result.maxElectionTimeout = settings.maximumElectionTimeout;
+    result.maxLogBytes = static_cast<std::size_t>(settings.logLimitMebibytes) * 1024 * 1024;
+    result.diskStallLimit = settings.diskStallLimit;
     return result;
 }
 
@@ -53,6 +77,7 @@
     : settings(controlSettings)
     , endpointHooks(std::move(roleHooks))
     , workers(WORKER_COUNT)
+    , diskWorker(1)
     , tables(workers.executor(), makeSecureRandom(), makeTableHooks(), toTablesSettings(settings))
     , transport(ConsensusTransportSettings{.address = settings.consensusAddress},
                 ConsensusTransportHooks{.received =
@@ -60,7 +85,7 @@
                                                 this->runner.receive(message);
                                             }})
     , runner(toConsensusSettings(settings), makeRunnerHooks(), workers.executor(),
-             makeSecureRandom())
+             diskWorker.executor(), makeSecureRandom())
     , heartbeats(tables)
     , tokens(tables)
     , configurations(tables)
@@ -126,13 +151,9 @@
         .proposalLost = [this](LogIndex index,
                                Term /*term*/) { this->tables.pipeline.lost(index); },
         .makeSnapshot = [this] { return this->tables.store.encodedSnapshot(); },
-        .failed =
-            [this](const absl::Status &status) {
-                logLine(LogLevel::Error, "storage", std::string(status.message()),
-                        {{"member", this->settings.member}});
-                shutDownLogging();
-                // State that can't be made durable must not be served.
-                std::_Exit(EXIT_FAILURE);
+        .diskChanged =
+            [this](const DiskStatus &status) {
+                logDiskChange(this->settings.member, status);
             }};
 }
 
@@ -196,9 +217,6 @@
 
 auto ControlNode::start() -> absl::Status
 {
-    auto disk = this->openDisk();
-    if (!disk.ok())
-        return disk.status();
     if (auto status = this->operators.start(); !status.ok())
         return status;
     if (auto status = this->metricsServer.start(); !status.ok())
@@ -207,12 +225,32 @@
         return status;
     if (auto status = this->startTransport(); !status.ok())
         return status;
-    if (auto status = this->runner.start(*std::move(disk)); !status.ok())
+    if (auto status = this->startRunner(); isDiskRefusal(status))
+        this->retryStart(status);
+    else if (!status.ok())
         return status;
     this->scheduleTick();
     return absl::OkStatus();
 }
 
+auto ControlNode::startRunner() -> absl::Status
+{
+    auto disk = this->openDisk();
+    if (!disk.ok())
+        return disk.status();
+    return this->runner.start(ConsensusDisk::toStore(*std::move(disk)));
+}
+
+auto ControlNode::retryStart(const absl::Status &reason) -> void
+{
+    logLine(LogLevel::Error, "storage", "can't open the data directory; trying again",
+            {{"member", this->settings.member}, {"error", std::string(reason.message())}});
+    this->diskWorker.executor().postAfter(DISK_RETRY_INTERVAL, [this] {
+        if (const auto status = this->startRunner(); !status.ok())
+            this->retryStart(status);
+    });
+}
+
 auto ControlNode::logMembershipChange(TimePoint now) -> void
 {
     if (now < this->nextMembershipCheck)
@@ -245,7 +283,8 @@
                          .term = status.term,
                          .revision = this->tables.store.revision(),
                          .leases = leading ? this->tables.leases.size() : 0,
-                         .members = status.members.size()};
+                         .members = status.members.size(),
+                         .diskBlocked = status.diskBlocked};
 }
 
 auto ControlNode::scheduleTick() -> void
@@ -265,6 +304,7 @@
     this->operators.stop();
     this->metricsServer.stop();
     this->transport.stop();
+    this->diskWorker.stop();
     this->runner.stop();
     this->workers.stop();
 }
--- a/libs/control/src/detail/RunnerState.cpp
+++ b/libs/control/src/detail/RunnerState.cpp
@@ -10,22 +10,24 @@
 namespace {
 
 constexpr auto TICK_INTERVAL = std::chrono::milliseconds(20);
+constexpr auto WRITE_RETRY_INTERVAL = std::chrono::milliseconds(100);
 
 } // namespace
 
 RunnerState::RunnerState(ConsensusSettings nodeSettings, ConsensusRunnerHooks runnerHooks,
-                         Executor runnerExecutor, RandomSource randomSource)
+                         Executor runnerExecutor, Executor writeExecutor, RandomSource randomSource)
     : settings(std::move(nodeSettings))
     , hooks(std::move(runnerHooks))
     , executor(std::move(runnerExecutor))
+    , diskExecutor(std::move(writeExecutor))
     , random(std::move(randomSource))
 {
     assert(this->hooks.send && this->hooks.committed && this->hooks.installSnapshot
            && this->hooks.leadershipChanged && this->hooks.proposalLost && this->hooks.makeSnapshot
-           && this->hooks.failed && "all hooks must be set");
+           && this->hooks.diskChanged && "all hooks must be set");
 }
 
-auto RunnerState::start(ConsensusDisk opened) -> absl::Status
+auto RunnerState::start(DurableStore opened) -> absl::Status
 {
     auto restored = opened.restore();
     if (!restored.ok())
@@ -35,8 +37,8 @@
         this->hooks.installSnapshot(snapshot.content, snapshot.index, snapshot.term);
     {
         const RankedLock lock(this->mutex);
-        this->settings.self = opened.self();
-        this->disk.emplace(std::move(opened));
+        this->settings.self = opened.self;
+        this->store.emplace(std::move(opened));
         this->node.emplace(this->settings, this->nodeHooks(), std::move(*restored),
                            this->executor.now());
     }
@@ -48,15 +50,13 @@
 {
     // The node calls its hooks with the lock held, and lives as long as this object.
     auto *queue = &this->effects;
-    auto *opened = &*this->disk;
     const auto *outer = &this->hooks;
     return ConsensusHooks{
         .persist =
-            [queue, opened, outer](const PersistBatch &batch) {
-                auto result = opened->persist(batch);
-                if (!result.ok())
-                    queue->push([outer, result] { outer->failed(result); });
-                return result;
+            [queue, this](PersistBatch next) {
+                queue->push([this, batch = std::make_shared<const PersistBatch>(std::move(next))] {
+                    this->scheduleWrite(batch, Duration::zero());
+                });
             },
         .send =
             [queue, outer](Message message) {
@@ -101,11 +101,11 @@
     const RankedLock lock(this->mutex);
     this->stopping = true;
     this->effects.clear();
-    while (this->effects.claimed())
+    while (this->effects.claimed() || this->writing)
         this->idle.wait(this->mutex);
     // Releases the data directory even if a scheduled tick still refers to this object.
     this->node.reset();
-    this->disk.reset();
+    this->store.reset();
 }
 
 auto RunnerState::tick() -> void
@@ -114,7 +114,9 @@
         const RankedLock lock(this->mutex);
         if (this->stopping)
             return;
-        this->node->tick(this->executor.now());
+        const auto now = this->executor.now();
+        this->node->tick(now);
+        this->checkDisk(now);
     }
     this->runEffects();
     this->executor.postAfter(TICK_INTERVAL, [weak = this->weak_from_this()] {
@@ -159,14 +161,71 @@
     return this->node ? this->node->status(this->executor.now()) : NodeStatus();
 }
 
+auto RunnerState::scheduleWrite(std::shared_ptr<const PersistBatch> batch, Duration delay) -> void
+{
+    auto task = [weak = this->weak_from_this(), batch = std::move(batch)] {
+        if (const auto state = weak.lock())
+            state->write(batch);
+    };
+    if (delay == Duration::zero())
+        this->diskExecutor.post(std::move(task));
+    else
+        this->diskExecutor.postAfter(delay, std::move(task));
+}
+
+auto RunnerState::write(const std::shared_ptr<const PersistBatch> &batch) -> void
+{
+    auto persist = std::function<auto(const PersistBatch &)->absl::Status>();
+    {
+        const RankedLock lock(this->mutex);
+        if (this->stopping)
+            return;
+        this->writing = true;
+        persist = this->store->persist;
+    }
+    const auto status = persist(*batch);
+    // Once `writing` is false, stop() releases the data directory: no copy of the hook may be left.
+    persist = nullptr;
+    {
+        const RankedLock lock(this->mutex);
+        this->writing = false;
+        this->idle.notifyAll();
+        if (this->stopping)
+            return;
+        const auto now = this->executor.now();
+        this->lastWriteError = status;
+        if (status.ok())
+            this->node->persisted(now);
+        else
+            this->node->writeRefused(now);
+        this->checkDisk(now);
+    }
+    this->runEffects();
+    if (!status.ok())
+        this->scheduleWrite(batch, WRITE_RETRY_INTERVAL);
+}
+
+auto RunnerState::checkDisk(TimePoint now) -> void
+{
+    const auto blocked = this->node->isDiskBlocked(now);
+    if (blocked == this->blockedSince.has_value())
+        return;
+    if (blocked)
+        this->blockedSince = now - this->node->writeAge(now);
+    const auto status = DiskStatus{
+        .blocked = blocked, .age = now - *this->blockedSince, .lastError = this->lastWriteError};
+    if (!blocked)
+        this->blockedSince.reset();
+    this->effects.push([this, status] { this->hooks.diskChanged(status); });
+}
+
 auto RunnerState::storeSnapshot(LogIndex index) -> void
 {
     // All earlier effects have run, so the snapshot holds the state after the entry at `index`.
     auto content = this->hooks.makeSnapshot();
     const RankedLock lock(this->mutex);
-    // A failed write is reported by the persist hook.
     if (!this->stopping)
-        this->node->storeSnapshot(index, std::move(content)).IgnoreError();
+        this->node->storeSnapshot(index, std::move(content), this->executor.now());
 }
 
 auto RunnerState::runEffects() -> void
--- a/libs/control/src/detail/RunnerState.h
+++ b/libs/control/src/detail/RunnerState.h
@@ -3,8 +3,8 @@
 
 #include "EffectQueue.h"
 
-#include <control/ConsensusDisk.h>
 #include <control/ConsensusRunnerHooks.h>
+#include <control/DurableStore.h>
 
 #include <consensus/ConsensusNode.h>
 
@@ -29,9 +29,9 @@
 {
 public:
     RunnerState(ConsensusSettings nodeSettings, ConsensusRunnerHooks runnerHooks,
-                Executor runnerExecutor, RandomSource randomSource);
+                Executor runnerExecutor, Executor writeExecutor, RandomSource randomSource);
 
-    auto start(ConsensusDisk opened) -> absl::Status;
+    auto start(DurableStore opened) -> absl::Status;
     auto stop() -> void;
     auto receive(const Message &message) -> void;
     auto propose(std::string payload) -> absl::StatusOr<LogIndex>;
@@ -40,6 +40,11 @@
 
 private:
     auto tick() -> void;
+    auto scheduleWrite(std::shared_ptr<const PersistBatch> batch, Duration delay) -> void;
+    /// Writes the batch under way, and schedules another attempt after an error.
+    auto write(const std::shared_ptr<const PersistBatch> &batch) -> void;
+    /// Queues a diskChanged call if the disk has become blocked or works again.
+    ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex) auto checkDisk(TimePoint now) -> void;
     auto storeSnapshot(LogIndex index) -> void;
     auto runEffects() -> void;
     auto takeEffect() -> std::optional<Task>;
@@ -48,12 +53,17 @@
     ConsensusSettings settings;
     const ConsensusRunnerHooks hooks;
     const Executor executor;
+    const Executor diskExecutor;
     const RandomSource random;
 
     RankedMutex mutex{LockRank::ConsensusNode};
     RankedCondition idle;
-    std::optional<ConsensusDisk> disk ABSL_GUARDED_BY(mutex);
+    std::optional<DurableStore> store ABSL_GUARDED_BY(mutex);
     std::optional<ConsensusNode> node ABSL_GUARDED_BY(mutex);
+    bool writing ABSL_GUARDED_BY(mutex) = false; ///< A thread is calling the store.
+    /// When the write began that the disk refuses or does not complete.
+    std::optional<TimePoint> blockedSince ABSL_GUARDED_BY(mutex);
+    absl::Status lastWriteError ABSL_GUARDED_BY(mutex);
     EffectQueue effects ABSL_GUARDED_BY(mutex);
     bool stopping ABSL_GUARDED_BY(mutex) = false;
 };
--- a/libs/settings/include/settings/ControlSettings.h
+++ b/libs/settings/include/settings/ControlSettings.h
@@ -38,6 +38,8 @@
     Duration heartbeatInterval{};     ///< Between messages of a consensus leader to its followers.
     Duration minimumElectionTimeout{};
     Duration maximumElectionTimeout{};
+    std::int64_t logLimitMebibytes = 0; ///< Bound of the committed entries in the log.
+    Duration diskStallLimit{};          ///< See ConsensusSettings.
 };
 
 /// Rows of every setting of a control member.
--- a/libs/settings/src/ControlSettings.cpp
+++ b/libs/settings/src/ControlSettings.cpp
@@ -101,6 +101,23 @@
      .minimum = 100,
      .maximum = 20000,
      .meaning = "longest election timeout"},
+    {.section = "consensus",
+     .key = "log_limit_mib",
+     .kind = SettingKind::Integer,
+     .defaultValue = "16",
+     .unit = "MiB",
+     .minimum = 1,
+     .maximum = 4096,
+     .meaning = "committed entries kept in the log; the disk needs about twice this and twice the "
+                "size of a snapshot"},
+    {.section = "consensus",
+     .key = "disk_stall_ms",
+     .kind = SettingKind::Integer,
+     .defaultValue = "1000",
+     .unit = "ms",
+     .minimum = 50,
+     .maximum = 60000,
+     .meaning = "a disk that has not completed a write for this long is treated as full"},
     {.section = "security",
      .key = "cluster_secret_file",
      .meaning = "file with the secret of the cluster; absent: keys are hashed without one"},
@@ -164,6 +181,8 @@
         .heartbeatInterval = file.millis("consensus", "heartbeat_ms"),
         .minimumElectionTimeout = file.millis("consensus", "election_timeout_min_ms"),
         .maximumElectionTimeout = file.millis("consensus", "election_timeout_max_ms"),
+        .logLimitMebibytes = file.integer("consensus", "log_limit_mib"),
+        .diskStallLimit = file.millis("consensus", "disk_stall_ms"),
     };
     takeSeeds(file, settings, findings);
     // Seeds are some of the members; they need not name this one.
--- a/libs/storage/include/storage/DataDirectory.h
+++ b/libs/storage/include/storage/DataDirectory.h
@@ -18,8 +18,9 @@
 namespace auburnrail {
 
 /// The durable state of one control member: identity, hard state, snapshot and log. Every write is
-/// synced before the call returns, file and directory. After a failed write the object refuses
-/// further writes, because the content of the disk is then unknown.
+/// synced before the call returns, file and directory. After a failed write, part of it may be on
+/// disk: it has to be repeated until it succeeds, before any other write. A process that ends
+/// meanwhile finds the state before that write, or a prefix of the records that it appended.
 /// Error messages contain the file name and, for damaged content (`kDataLoss`), the offset in
 /// bytes. Not thread-safe: the owner serializes calls.
 class DataDirectory
@@ -35,7 +36,8 @@
 
     /// Opens the directory and checks all files. `kFailedPrecondition` if it belongs to another
     /// cluster or member, or is in use by another process; `kDataLoss` if a file is damaged. An
-    /// incomplete or zero-filled last log record is truncated: its write was never acknowledged.
+    /// incomplete last log record, also one whose end is filled with zeros, is truncated: its write
+    /// was never acknowledged.
     [[nodiscard]] static auto open(const std::string &path, const std::string &cluster,
                                    const std::string &member) -> absl::StatusOr<DataDirectory>;
 
--- a/libs/storage/src/DataDirectory.cpp
+++ b/libs/storage/src/DataDirectory.cpp
@@ -90,22 +90,11 @@
 
 struct DataDirectory::Impl
 {
-    /// Runs `operation` unless an earlier write failed; returns the error of that write otherwise.
-    template <typename F>
-    auto write(F operation) -> absl::Status
-    {
-        if (!this->writeError.ok())
-            return this->writeError;
-        this->writeError = operation();
-        return this->writeError;
-    }
-
     std::string path;
     detail::FileDescriptor lock;
     Identity identity;
     HardState hardState;
     detail::LogFile log;
-    absl::Status writeError;
 };
 
 DataDirectory::DataDirectory(std::unique_ptr<Impl> implementation)
@@ -212,40 +201,36 @@
 
 auto DataDirectory::saveHardState(const HardState &state) -> absl::Status
 {
-    return this->impl->write([&] {
-        auto body = std::string();
-        detail::appendUint64(body, state.term);
-        body += state.vote;
-        auto status = detail::replaceFile(this->impl->path, HARD_STATE_FILE,
-                                          detail::encodeFile(HARD_STATE_MAGIC, body));
-        if (status.ok())
-            this->impl->hardState = state;
-        return status;
-    });
+    auto body = std::string();
+    detail::appendUint64(body, state.term);
+    body += state.vote;
+    auto status = detail::replaceFile(this->impl->path, HARD_STATE_FILE,
+                                      detail::encodeFile(HARD_STATE_MAGIC, body));
+    if (status.ok())
+        this->impl->hardState = state;
+    return status;
 }
 
 auto DataDirectory::append(const std::vector<LogRecord> &records) -> absl::Status
 {
-    return this->impl->write([&] { return this->impl->log.append(records); });
+    return this->impl->log.append(records);
 }
 
 auto DataDirectory::truncateFrom(std::uint64_t index) -> absl::Status
 {
-    return this->impl->write([&] { return this->impl->log.truncateFrom(index); });
+    return this->impl->log.truncateFrom(index);
 }
 
 auto DataDirectory::saveSnapshot(const SnapshotRecord &snapshot, std::uint64_t keepFrom)
     -> absl::Status
 {
-    return this->impl->write([&] {
-        auto body = std::string();
-        detail::appendUint64(body, snapshot.index);
-        detail::appendUint64(body, snapshot.term);
-        body += snapshot.payload;
-        auto status = detail::replaceFile(this->impl->path, SNAPSHOT_FILE,
-                                          detail::encodeFile(SNAPSHOT_MAGIC, body));
-        return status.ok() ? dropReplacedRecords(this->impl->log, snapshot, keepFrom) : status;
-    });
+    auto body = std::string();
+    detail::appendUint64(body, snapshot.index);
+    detail::appendUint64(body, snapshot.term);
+    body += snapshot.payload;
+    auto status = detail::replaceFile(this->impl->path, SNAPSHOT_FILE,
+                                      detail::encodeFile(SNAPSHOT_MAGIC, body));
+    return status.ok() ? dropReplacedRecords(this->impl->log, snapshot, keepFrom) : status;
 }
 
 } // namespace auburnrail
--- a/libs/storage/src/LogFile.cpp
+++ b/libs/storage/src/LogFile.cpp
@@ -29,11 +29,6 @@
     return encoded + body;
 }
 
-auto isZeroFilled(std::string_view data) -> bool
-{
-    return std::all_of(data.begin(), data.end(), [](char byte) { return byte == '\0'; });
-}
-
 } // namespace
 
 auto LogFile::open(const std::string &directory, const std::string &name) -> absl::StatusOr<LogFile>
@@ -72,19 +67,28 @@
     this->places.clear();
     if (content.substr(0, LOG_MAGIC.size()) != LOG_MAGIC)
         return dataLossAt(this->path(), 0, "the file type is wrong");
+    // A power loss may leave a file at its new length with zeros in place of the last bytes.
+    const auto zerosFrom = content.find_last_not_of('\0') + 1;
     auto offset = LOG_MAGIC.size();
     while (offset < content.size()) {
         const auto rest = content.substr(offset);
-        if (rest.size() < RECORD_HEADER_BYTES || isZeroFilled(rest))
+        const auto headerEnd = offset + RECORD_HEADER_BYTES;
+        if (rest.size() < RECORD_HEADER_BYTES || zerosFrom <= offset)
             return offset;
         const auto length = readUint32(rest, 0);
-        if (readUint32(rest, 4) != checksum(rest.substr(0, 4)) || length < RECORD_FIXED_BYTES)
+        if (readUint32(rest, 4) != checksum(rest.substr(0, 4)) || length < RECORD_FIXED_BYTES) {
+            if (zerosFrom < headerEnd)
+                return offset;
             return dataLossAt(this->path(), offset, "the record header is damaged");
+        }
         if (rest.size() < RECORD_HEADER_BYTES + length)
             return offset;
         const auto body = rest.substr(RECORD_HEADER_BYTES, length);
-        if (readUint32(rest, 8) != checksum(body))
+        if (readUint32(rest, 8) != checksum(body)) {
+            if (zerosFrom < headerEnd + length)
+                return offset;
             return dataLossAt(this->path(), offset, "the record checksum does not match");
+        }
         const auto index = readUint64(body, 0);
         const auto term = readUint64(body, 8);
         if (this->places.empty())
--- a/libs/storage/src/LogFile.h
+++ b/libs/storage/src/LogFile.h
@@ -23,8 +23,8 @@
 class LogFile
 {
 public:
-    /// Opens or creates `name` in `directory`, checks every record and truncates an incomplete or
-    /// zero-filled last record.
+    /// Opens or creates `name` in `directory`, checks every record and truncates an incomplete last
+    /// record, also one whose end is filled with zeros.
     [[nodiscard]] static auto open(const std::string &directory, const std::string &name)
         -> absl::StatusOr<LogFile>;
 
--- a/libs/storage/tests/DataDirectoryTest.cpp
+++ b/libs/storage/tests/DataDirectoryTest.cpp
@@ -4,6 +4,7 @@
 
 #include <filesystem>
 #include <fstream>
+#include <functional>
 #include <iterator>
 
 namespace auburnrail {
@@ -110,6 +111,84 @@
     }
 }
 
+// Guards against a member that does not start again after a power loss, or keeps part of a record.
+TEST_CASE("records torn at any byte are read back as a prefix, also when the rest is zeros")
+{
+    const auto temporary = TemporaryDirectory();
+    const auto path = temporary.path("data");
+    writeSampleData(path);
+    const auto acknowledged = readBytes(path + "/log").size();
+    const auto added = std::vector<LogRecord>{{4, 2, std::string("ends in zero\0", 13)},
+                                              {5, 2, "next"},
+                                              {6, 3, std::string("\0\0\0", 3)}};
+    {
+        auto directory = openDirectory(path);
+        REQUIRE(directory->append(added).ok());
+    }
+    const auto whole = readBytes(path + "/log");
+    for (auto written = acknowledged; written <= whole.size(); ++written) {
+        for (const auto zeroFilled : {false, true}) {
+            INFO("written " << written << " zero-filled " << zeroFilled);
+            writeBytes(path + "/log",
+                       whole.substr(0, written)
+                           + std::string(zeroFilled ? whole.size() - written : 0, '\0'));
+            auto directory = openDirectory(path);
+            REQUIRE(directory.ok());
+            const auto records = *directory->readLog();
+            REQUIRE(records.size() >= 2);
+            REQUIRE(records.size() <= 2 + added.size());
+            for (auto index = std::size_t(2); index < records.size(); ++index)
+                REQUIRE(records[index] == added[index - 2]);
+            REQUIRE(directory->append({{records.back().index + 1, 9, "more"}}).ok());
+        }
+    }
+}
+
+// Guards against a member whose state on disk is lost or doubled when a write has to be repeated.
+TEST_CASE("a refused write leaves the state before it, and succeeds when it is repeated")
+{
+    const auto temporary = TemporaryDirectory();
+    const auto path = temporary.path("data");
+    writeSampleData(path);
+    struct Case
+    {
+        std::string blocked; ///< File whose replacement fails while a directory has its name.
+        std::function<auto(DataDirectory &)->absl::Status> write;
+    };
+    const auto cases = std::vector<Case>{
+        {"hard-state.tmp",
+         [](auto &target) {
+             return target.saveHardState({9, "control-3"});
+         }},
+        {"snapshot.tmp",
+         [](auto &target) {
+             return target.saveSnapshot({3, 2, "later"}, 3);
+         }},
+        {"log.tmp",
+         [](auto &target) {
+             return target.saveSnapshot({3, 2, "later"}, 4);
+         }},
+    };
+    for (const auto &row : cases) {
+        INFO(row.blocked);
+        auto directory = openDirectory(path);
+        REQUIRE(directory.ok());
+        const auto before = *directory->readLog();
+        std::filesystem::create_directory(path + "/" + row.blocked);
+        REQUIRE_FALSE(row.write(*directory).ok());
+        REQUIRE_FALSE(row.write(*directory).ok());
+        REQUIRE(*directory->readLog() == before);
+        std::filesystem::remove(path + "/" + row.blocked);
+        REQUIRE(row.write(*directory).ok());
+    }
+    auto directory = openDirectory(path);
+    REQUIRE(directory.ok());
+    CHECK(directory->hardState() == HardState{9, "control-3"});
+    CHECK(**directory->readSnapshot() == SnapshotRecord{3, 2, "later"});
+    CHECK(directory->readLog()->empty());
+    CHECK(directory->append({{4, 9, "next"}}).ok());
+}
+
 // Guards against damage that is mistaken for an incomplete last record or goes unnoticed.
 TEST_CASE("a changed byte anywhere is reported with file and offset")
 {
