--- a/libs/core/tests/ExecutorTest.cpp
+++ b/libs/core/tests/ExecutorTest.cpp
@@ -1,14 +1,18 @@
 #include <core/MonotonicClock.h>
 #include <core/RankedLock.h>
+#include <core/TaskQueue.h>
 #include <core/VirtualScheduler.h>
 #include <core/WorkerPool.h>
 
 #include <catch2/catch.hpp>
 
 #include <ctime>
-
 #include <future>
+#include <latch>
+#include <memory>
 #include <string>
+#include <thread>
+#include <vector>
 
 namespace auburnrail {
 
@@ -57,6 +61,57 @@
     CHECK_FALSE(ran);
 }
 
+// Guards against a timer that wakes up every idle thread, which costs more than its task.
+TEST_CASE("a delayed task wakes up two threads at most")
+{
+    constexpr auto TASKS = 40;
+    constexpr auto THREADS = 16;
+    auto queue = TaskQueue();
+    auto threads = std::vector<std::thread>();
+    for (auto index = 0; index < THREADS; ++index) {
+        threads.emplace_back([&] {
+            while (const auto task = queue.take())
+                (*task)();
+        });
+    }
+    // Every thread runs a task and waits again while delayed tasks are set.
+    for (auto index = 0; index <= TASKS; ++index)
+        queue.postAfter(200ms + 5ms * index, [] {});
+    const auto running = std::make_shared<std::latch>(THREADS);
+    for (auto index = 0; index < THREADS; ++index)
+        queue.post([running] { running->arrive_and_wait(); });
+    std::this_thread::sleep_for(150ms);
+    const auto before = queue.wakeUps();
+    std::this_thread::sleep_for(100ms + 5ms * TASKS);
+    CHECK(queue.wakeUps() - before >= TASKS);
+    CHECK(queue.wakeUps() - before <= 2 * TASKS + THREADS);
+    queue.close();
+    for (auto &thread : threads)
+        thread.join();
+}
+
+// Guards against a task that waits behind a busy thread while another thread is idle.
+TEST_CASE("as many tasks run at a time as there are threads")
+{
+    constexpr auto THREADS = 3;
+    constexpr auto ROUNDS = 300;
+    auto pool = WorkerPool(THREADS);
+    const auto executor = pool.executor();
+    for (auto round = 0; round < ROUNDS; ++round) {
+        INFO("round " << round);
+        if (round % 2 == 0)
+            executor.postAfter(1h, [] {});
+        const auto running = std::make_shared<std::latch>(THREADS);
+        for (auto index = 0; index < THREADS; ++index)
+            executor.post([running] { running->arrive_and_wait(); });
+        const auto deadline = std::chrono::steady_clock::now() + 10s;
+        while (!running->try_wait()) {
+            REQUIRE(std::chrono::steady_clock::now() < deadline);
+            std::this_thread::sleep_for(50us);
+        }
+    }
+}
+
 TEST_CASE("mutexes are taken in rank order")
 {
     auto outer = RankedMutex(LockRank::FleetState);
