Grant single tokens to waiting entries in turn

A free token went to whoever asked first; the others were told to wait for all that everyone waited for, refused their requests by that forecast, and asked again seconds later. Ruled out: too few tokens (the organisation got its limit), failed token requests (no log line), a share that the entry still held. Change: waiting holders get one token in turn; tokens that are there for earlier turns are left to them; the forecast is the holder's own turn and the time between its turns. Conclusion: the worst-served entry of an organisation over its limit gets its part.

--- a/libs/entry/tests/AdmissionFleet.cpp
+++ b/libs/entry/tests/AdmissionFleet.cpp
@@ -75,6 +75,11 @@
     this->advanceLater();
 }
 
+auto AdmissionFleet::setDelay(std::size_t index, Duration oneWay) -> void
+{
+    this->entries[index].delay = oneWay;
+}
+
 auto AdmissionFleet::sendReport(std::size_t index) -> void
 {
     auto &entry = this->entries[index];
@@ -82,7 +87,7 @@
     ++this->outcome.messages;
     const auto exchange = ++entry.exchange;
     this->executor.postAfter(
-        ONE_WAY_DELAY,
+        entry.delay,
         [this, index, exchange, report = entry.holder->beginReport(this->scheduler.now())] {
             auto &sender = this->entries[index];
             sender.held = true;
@@ -106,7 +111,7 @@
     entry.held = false;
     const auto grant =
         this->ledger.grant(HolderId{std::to_string(index), 1}, this->scheduler.now());
-    this->executor.postAfter(ONE_WAY_DELAY, [this, index, grant] {
+    this->executor.postAfter(entry.delay, [this, index, grant] {
         auto &receiver = this->entries[index];
         receiver.holder->adopt(grant, receiver.sentAt + QuotaTiming().leaseDuration,
                                this->scheduler.now());
@@ -120,9 +125,10 @@
     if (!request)
         return;
     ++this->outcome.messages;
-    this->executor.postAfter(ONE_WAY_DELAY, [this, index, request = *request] {
+    const auto delay = this->entries[index].delay;
+    this->executor.postAfter(delay, [this, index, delay, request = *request] {
         const auto response = this->ledger.takeTokens(request, this->scheduler.now());
-        this->executor.postAfter(ONE_WAY_DELAY, [this, index, response] {
+        this->executor.postAfter(delay, [this, index, response] {
             auto &entry = this->entries[index];
             const auto now = this->scheduler.now();
             for (const auto &grant : entry.tokens->complete(response, now))
@@ -152,15 +158,17 @@
         AdmissionRequest{.organisation = organisation,
                          .objectiveEnd = at + OBJECTIVE,
                          .deadline = at + TIME_LIMIT},
-        at, [this, organisation, at, owed](const std::optional<RequestRefusal> &refusal) {
-            this->ended(organisation, at, owed, !refusal);
+        at, [this, organisation, index, at, owed](const std::optional<RequestRefusal> &refusal) {
+            this->ended(organisation, index, at, owed, !refusal);
         });
 }
 
-auto AdmissionFleet::ended(const std::string &organisation, TimePoint at, bool owed,
-                           bool isAdmitted) -> void
+auto AdmissionFleet::ended(const std::string &organisation, std::size_t index, TimePoint at,
+                           bool owed, bool isAdmitted) -> void
 {
     const auto now = this->scheduler.now();
+    this->outcome.admittedByEntry.resize(this->entries.size());
+    this->outcome.admittedByEntry[index] += isAdmitted ? 1 : 0;
     if (isAdmitted)
         this->outcome.admittedAt[organisation].push_back(now);
     else
--- a/libs/entry/tests/AdmissionFleet.h
+++ b/libs/entry/tests/AdmissionFleet.h
@@ -28,6 +28,7 @@
     std::uint64_t claims = 0; ///< Visited by allocations in that time.
     double waitSeconds = 0;   ///< Of all refused requests, until the refusal.
     std::map<std::string, std::vector<TimePoint>> admittedAt; ///< By organisation.
+    std::vector<std::size_t> admittedByEntry;
 };
 
 /// Entries and one ledger on virtual time, with message delays and long polling. Replays the
@@ -45,6 +46,9 @@
 
     AdmissionFleet(std::size_t entryCount, std::map<std::string, ShareLimits> organisationLimits);
 
+    /// Sets the delay of messages between one entry and the leader, instead of ONE_WAY_DELAY.
+    auto setDelay(std::size_t index, Duration oneWay) -> void;
+
     /// Sends requests of each organisation at `load` times its rate for `length`.
     auto run(double load, Duration length, std::uint64_t seed) -> AdmissionOutcome;
 
@@ -59,6 +63,7 @@
         TimePoint sentAt;
         std::uint64_t exchange = 0;
         bool held = false; ///< The leader holds the response.
+        Duration delay = ONE_WAY_DELAY;
     };
 
     auto sendReport(std::size_t index) -> void;
@@ -66,7 +71,8 @@
     auto requestTokens(std::size_t index) -> void;
     auto advanceLater() -> void;
     auto request(const std::string &organisation, std::size_t index) -> void;
-    auto ended(const std::string &organisation, TimePoint at, bool owed, bool isAdmitted) -> void;
+    auto ended(const std::string &organisation, std::size_t index, TimePoint at, bool owed,
+               bool isAdmitted) -> void;
 
     VirtualScheduler scheduler;
     Executor executor;
--- a/libs/entry/tests/FleetAdmissionTest.cpp
+++ b/libs/entry/tests/FleetAdmissionTest.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+
 namespace auburnrail {
 
 using namespace std::chrono_literals;
@@ -57,4 +59,42 @@
     CHECK(outcome.messages <= 12U * 9U * ENTRIES);
 }
 
+// Guards against callers that get nothing because their entry is far from the leader: tokens went
+// to whoever asked first after one became free, so that the entries beside the leader got most of
+// them.
+TEST_CASE("entries far from the leader get as many tokens of a lowered limit as those beside it")
+{
+    constexpr auto SMALL_FLEET = std::size_t(9);
+    constexpr auto NEAR = std::size_t(2);
+    for (auto seed = std::uint64_t(1); seed <= 5; ++seed) {
+        auto fleet = AdmissionFleet(SMALL_FLEET, {{"organisation", {21'000, 21'000}}});
+        for (auto index = std::size_t(0); index < SMALL_FLEET; ++index)
+            fleet.setDelay(index, index < NEAR ? 1ms : 14ms);
+        const auto outcome = fleet.run(2.2, 30s, seed);
+        const auto admitted = outcome.admittedAt.at("organisation").size();
+        INFO("seed " << seed << ", admitted " << admitted << ", by entry "
+                     << Catch::StringMaker<std::vector<std::size_t>>::convert(
+                            outcome.admittedByEntry));
+        CHECK(admitted >= 0.95 * 21 * 30);
+        for (const auto count : outcome.admittedByEntry)
+            CHECK(static_cast<double>(count) >= 0.7 * static_cast<double>(admitted) / SMALL_FLEET);
+    }
+}
+
+// Guards against tokens that nobody uses while many entries wait for their turn.
+TEST_CASE("a large fleet over its limit is admitted at the limit, and at every entry")
+{
+    auto fleet = AdmissionFleet(ENTRIES, {{"organisation", {42'000, 42'000}}});
+    for (auto index = std::size_t(0); index < ENTRIES; ++index)
+        fleet.setDelay(index, index < ENTRIES / 6 ? 1ms : 14ms);
+    const auto outcome = fleet.run(3.0, 30s, 1);
+    const auto admitted = outcome.admittedAt.at("organisation").size();
+    const auto &byEntry = outcome.admittedByEntry;
+    INFO("admitted " << admitted << ", least " << *std::min_element(byEntry.begin(), byEntry.end())
+                     << ", most " << *std::max_element(byEntry.begin(), byEntry.end()));
+    CHECK(admitted >= 0.95 * 42 * 30);
+    const auto least = *std::min_element(byEntry.begin(), byEntry.end());
+    CHECK(static_cast<double>(least) >= 0.4 * static_cast<double>(admitted) / ENTRIES);
+}
+
 } // namespace auburnrail
--- a/libs/quota/include/quota/detail/LimitUser.h
+++ b/libs/quota/include/quota/detail/LimitUser.h
@@ -13,6 +13,7 @@
     TimePoint seenAt;        ///< Last report of a demand or request for tokens.
     TimePoint askedAt;       ///< Last request for tokens.
     std::uint32_t unmet = 0; ///< Tokens of that request that were not granted.
+    TimePoint turnSince;     ///< With `unmet`: since when the holder has waited for its next token.
 };
 
 } // namespace auburnrail::detail
--- a/libs/quota/src/ShareLedgerTokens.cpp
+++ b/libs/quota/src/ShareLedgerTokens.cpp
@@ -4,6 +4,8 @@
 
 #include <core/RankedLock.h>
 
+#include <algorithm>
+
 namespace auburnrail {
 
 namespace {
@@ -42,17 +44,25 @@
                            const TokenDemand &demand, TimePoint now) -> TokenGrant
 {
     this->updateReserve(shares, now);
+    // Tokens that are there for holders with an earlier turn are left to them, so that a holder far
+    // away gets its part.
+    const auto turnSince = detail::turnOf(shares.users, holder, now);
+    const auto others = detail::countOtherWaiters(shares.users, holder, turnSince, now);
+    const auto there = shares.reserve.available(now);
+    const auto wanted = std::min(demand.tokens, there - std::min(there, others.ahead));
     auto grant = TokenGrant{.organisation = demand.organisation, .wait = {}};
-    grant.tokens = shares.reserve.take(demand.tokens, now);
-    grant.interval = shares.reserve.interval();
+    grant.tokens = shares.reserve.take(wanted, now);
     const auto unmet = demand.tokens - grant.tokens;
+    // Others have their turns between two tokens of this holder.
+    grant.interval = shares.reserve.interval() * (others.all + 1);
     if (unmet > 0) {
-        // The tokens that others wait for come first.
-        const auto ahead = detail::tokensAwaitedByOthers(shares.users, holder, now);
-        if (const auto first = shares.reserve.timeToToken(now))
-            grant.wait = *first + grant.interval * ahead;
+        const auto ahead = grant.tokens > 0 ? others.all : others.ahead;
+        grant.wait = shares.reserve.timeToTokens(ahead + 1, now);
     }
-    shares.users[holder] = detail::LimitUser{.seenAt = now, .askedAt = now, .unmet = unmet};
+    shares.users[holder] = detail::LimitUser{.seenAt = now,
+                                             .askedAt = now,
+                                             .unmet = unmet,
+                                             .turnSince = grant.tokens > 0 ? now : turnSince};
     return grant;
 }
 
