Give single tokens to requests in the order in which they began to wait

Cause: with one token an entry and turn, callers of entries with many callers got less than the others. Ruled out: going back to the first who asks, which left one entry with nothing. Change: a turn holds the requests that waited when it began, and lasts until each of them has a token; the forecast is the turn's place, and a token of it comes as often as the holder's part of all waiting requests. Before/after: the new test, an entry with three times the callers; it asks for 2.25 times the tokens of the others. The tests of far entries, of 89 entries and of the refusals hold.

--- a/libs/entry/tests/AdmissionFleet.cpp
+++ b/libs/entry/tests/AdmissionFleet.cpp
@@ -80,6 +80,11 @@
     this->entries[index].delay = oneWay;
 }
 
+auto AdmissionFleet::setWeight(std::size_t index, double weight) -> void
+{
+    this->entries[index].weight = weight;
+}
+
 auto AdmissionFleet::sendReport(std::size_t index) -> void
 {
     auto &entry = this->entries[index];
@@ -187,7 +192,10 @@
     this->scheduler.runFor(2 * QuotaTiming().leaseWait());
     this->outcome = AdmissionOutcome();
     auto random = std::mt19937_64(seed);
-    auto entry = std::uniform_int_distribution<std::size_t>(0, this->entries.size() - 1);
+    auto weights = std::vector<double>();
+    for (const auto &target : this->entries)
+        weights.push_back(target.weight);
+    auto entry = std::discrete_distribution<std::size_t>(weights.begin(), weights.end());
     for (const auto &[organisation, limit] : this->limits) {
         auto gap =
             std::exponential_distribution<double>(load * static_cast<double>(limit.rate) / MILLI);
--- a/libs/entry/tests/AdmissionFleet.h
+++ b/libs/entry/tests/AdmissionFleet.h
@@ -49,6 +49,9 @@
     /// Sets the delay of messages between one entry and the leader, instead of ONE_WAY_DELAY.
     auto setDelay(std::size_t index, Duration oneWay) -> void;
 
+    /// Sends `weight` times as many requests to the entry as to one of weight 1, the default.
+    auto setWeight(std::size_t index, double weight) -> void;
+
     /// Sends requests of each organisation at `load` times its rate for `length`.
     auto run(double load, Duration length, std::uint64_t seed) -> AdmissionOutcome;
 
@@ -64,6 +67,7 @@
         std::uint64_t exchange = 0;
         bool held = false; ///< The leader holds the response.
         Duration delay = ONE_WAY_DELAY;
+        double weight = 1.0;
     };
 
     auto sendReport(std::size_t index) -> void;
--- a/libs/entry/tests/FleetAdmissionTest.cpp
+++ b/libs/entry/tests/FleetAdmissionTest.cpp
@@ -81,6 +81,21 @@
     }
 }
 
+// Guards against callers that get less because many others use the same entry: tokens belong to
+// requests, not to entries.
+TEST_CASE("an entry with three times the callers gets about three times the tokens")
+{
+    constexpr auto SMALL_FLEET = std::size_t(9);
+    auto fleet = AdmissionFleet(SMALL_FLEET, {{"organisation", {21'000, 21'000}}});
+    fleet.setWeight(0, 3.0);
+    const auto outcome = fleet.run(2.2, 30s, 1);
+    const auto admitted = outcome.admittedAt.at("organisation").size();
+    const auto others =
+        static_cast<double>(admitted - outcome.admittedByEntry[0]) / (SMALL_FLEET - 1);
+    INFO("admitted " << admitted << ", at the busy entry " << outcome.admittedByEntry[0]);
+    CHECK(static_cast<double>(outcome.admittedByEntry[0]) >= 2.25 * others);
+}
+
 // Guards against tokens that nobody uses while many entries wait for their turn.
 TEST_CASE("a large fleet over its limit is admitted at the limit, and at every entry")
 {
--- a/libs/quota/src/LimitUsers.cpp
+++ b/libs/quota/src/LimitUsers.cpp
@@ -1,5 +1,7 @@
 #include <LimitUsers.h>
 
+#include <algorithm>
+
 namespace auburnrail::detail {
 
 namespace {
@@ -14,24 +16,29 @@
 
 } // namespace
 
-auto countOtherWaiters(const std::map<HolderId, LimitUser> &users, const HolderId &holder,
-                       TimePoint turnSince, TimePoint now) -> OtherWaiters
+auto tokensAwaitedByOthers(const std::map<HolderId, LimitUser> &users, const HolderId &holder,
+                           TimePoint turnSince, TimePoint now) -> TokensAwaited
 {
-    auto waiters = OtherWaiters();
+    auto awaited = TokensAwaited();
     for (const auto &[other, user] : users) {
         if (other == holder || !isWaiting(user, now))
             continue;
-        ++waiters.all;
-        waiters.ahead += user.turnSince < turnSince ? 1 : 0;
+        awaited.all += user.unmet;
+        awaited.ahead += user.turnSince < turnSince ? user.turnLeft : 0;
     }
-    return waiters;
+    return awaited;
 }
 
-auto turnOf(const std::map<HolderId, LimitUser> &users, const HolderId &holder, TimePoint now)
-    -> TimePoint
+auto turnOf(const std::map<HolderId, LimitUser> &users, const HolderId &holder,
+            std::uint32_t wanted, TimePoint now) -> LimitUser
 {
     const auto found = users.find(holder);
-    return found != users.end() && isWaiting(found->second, now) ? found->second.turnSince : now;
+    auto turn = LimitUser{.seenAt = now, .askedAt = now, .turnSince = now, .turnLeft = wanted};
+    if (found != users.end() && isWaiting(found->second, now)) {
+        turn.turnSince = found->second.turnSince;
+        turn.turnLeft = std::min(found->second.turnLeft, wanted);
+    }
+    return turn;
 }
 
 } // namespace auburnrail::detail
--- a/libs/quota/src/LimitUsers.h
+++ b/libs/quota/src/LimitUsers.h
@@ -9,22 +9,21 @@
 
 namespace auburnrail::detail {
 
-/// Holders other than `holder` that wait for a token, as far as their last requests tell. Each gets
-/// one token in turn, in the order in which they began to wait.
-struct OtherWaiters
+/// Tokens that holders other than `holder` wait for, as far as their last requests tell.
+struct TokensAwaited
 {
     std::uint32_t all = 0;
-    std::uint32_t ahead = 0; ///< Of these, began to wait before `holder`.
+    std::uint32_t ahead = 0; ///< For requests that began to wait before those of `holder`.
 };
 
-/// `turnSince` is when `holder` began to wait.
-[[nodiscard]] auto countOtherWaiters(const std::map<HolderId, LimitUser> &users,
-                                     const HolderId &holder, TimePoint turnSince, TimePoint now)
-    -> OtherWaiters;
+/// `turnSince` is that of `holder`.
+[[nodiscard]] auto tokensAwaitedByOthers(const std::map<HolderId, LimitUser> &users,
+                                         const HolderId &holder, TimePoint turnSince, TimePoint now)
+    -> TokensAwaited;
 
-/// Since when the holder has waited for its next token: from now on unless it waited before.
+/// The turn of `holder`: the one that it has, or a new one for `wanted` tokens.
 [[nodiscard]] auto turnOf(const std::map<HolderId, LimitUser> &users, const HolderId &holder,
-                          TimePoint now) -> TimePoint;
+                          std::uint32_t wanted, TimePoint now) -> LimitUser;
 
 } // namespace auburnrail::detail
 
--- a/libs/quota/src/ShareLedgerTokens.cpp
+++ b/libs/quota/src/ShareLedgerTokens.cpp
@@ -44,25 +44,30 @@
                            const TokenDemand &demand, TimePoint now) -> TokenGrant
 {
     this->updateReserve(shares, now);
-    // Tokens that are there for holders with an earlier turn are left to them, so that a holder far
-    // away gets its part.
-    const auto turnSince = detail::turnOf(shares.users, holder, now);
-    const auto others = detail::countOtherWaiters(shares.users, holder, turnSince, now);
+    // Tokens that are there for requests with an earlier turn are left to them, so that a holder
+    // far away gets its part.
+    auto user = detail::turnOf(shares.users, holder, demand.tokens, now);
+    const auto others = detail::tokensAwaitedByOthers(shares.users, holder, user.turnSince, now);
     const auto there = shares.reserve.available(now);
     const auto wanted = std::min(demand.tokens, there - std::min(there, others.ahead));
     auto grant = TokenGrant{.organisation = demand.organisation, .wait = {}};
     grant.tokens = shares.reserve.take(wanted, now);
-    const auto unmet = demand.tokens - grant.tokens;
-    // Others have their turns between two tokens of this holder.
-    grant.interval = shares.reserve.interval() * (others.all + 1);
-    if (unmet > 0) {
-        const auto ahead = grant.tokens > 0 ? others.all : others.ahead;
+    user.unmet = demand.tokens - grant.tokens;
+    auto ahead = others.ahead;
+    if (user.turnLeft > grant.tokens) {
+        user.turnLeft -= grant.tokens;
+    } else {
+        user.turnSince = now;
+        user.turnLeft = user.unmet;
+        ahead = others.all;
+    }
+    grant.interval = shares.reserve.interval();
+    if (user.unmet > 0) {
         grant.wait = shares.reserve.timeToTokens(ahead + 1, now);
+        // The tokens go to all requests that wait.
+        grant.interval = grant.interval * (others.all + user.unmet) / user.unmet;
     }
-    shares.users[holder] = detail::LimitUser{.seenAt = now,
-                                             .askedAt = now,
-                                             .unmet = unmet,
-                                             .turnSince = grant.tokens > 0 ? now : turnSince};
+    shares.users[holder] = user;
     return grant;
 }
 
