Fill the buckets of a restarted fleet for the time in which it admitted nothing

Change: a report says for how long its holder has certainly admitted nothing; if every entry that may hold shares is in that state, the reserve fills from the latest first report on. A share that grows takes along the tokens of the reserve's part that it replaces. A token is given to a request only while there is time to run it (50 ms).

--- a/idl/Control.thrift
+++ b/idl/Control.thrift
@@ -12,6 +12,7 @@
   1: string organisation
   2: i64 rate
   3: i64 burst
+  4: i64 tokens
 }
 
 struct AnnouncementMessage {
@@ -61,6 +62,7 @@
   11: string operatorsAddress
   12: list<BurnContributionMessage> burn
   13: i64 shareLeadership
+  14: i64 unusedMicros
 }
 
 struct HeartbeatAnswerMessage {
--- a/libs/core/include/core/TokenBucket.h
+++ b/libs/core/include/core/TokenBucket.h
@@ -23,6 +23,12 @@
     /// smaller one drops what exceeds it.
     auto setLimits(double newRate, double newBurst, TimePoint now) -> void;
 
+    /// Adds tokens that another bucket has given up, as far as there is room.
+    auto add(double count, TimePoint now) -> void;
+
+    /// Gives up `count` tokens, at most all.
+    auto remove(double count, TimePoint now) -> void;
+
     /// Drops all tokens.
     auto clear(TimePoint now) -> void;
 
--- a/libs/core/src/TokenBucket.cpp
+++ b/libs/core/src/TokenBucket.cpp
@@ -34,6 +34,18 @@
     this->tokens = std::min(this->tokens, newBurst);
 }
 
+auto TokenBucket::add(double count, TimePoint now) -> void
+{
+    this->refill(now);
+    this->tokens = std::min(this->burst, this->tokens + count);
+}
+
+auto TokenBucket::remove(double count, TimePoint now) -> void
+{
+    this->refill(now);
+    this->tokens = std::max(0.0, this->tokens - count);
+}
+
 auto TokenBucket::clear(TimePoint now) -> void
 {
     this->refill(now);
--- a/libs/entry/include/entry/RateAdmission.h
+++ b/libs/entry/include/entry/RateAdmission.h
@@ -27,6 +27,10 @@
     /// Queue limit of one organisation, so that one over its rate can't exhaust the memory.
     static constexpr auto MAX_WAITERS = std::size_t(256);
 
+    /// A token is of use only until this long before the request's deadline: the request still has
+    /// to reach a server and run there.
+    static constexpr auto TIME_TO_RUN = std::chrono::milliseconds(50);
+
     explicit RateAdmission(RateAdmissionHooks admissionHooks);
 
     /// Calls `done`, immediately or later, with nothing if the request is admitted or with a
@@ -46,7 +50,7 @@
     struct Waiter
     {
         TimePoint objectiveEnd;
-        TimePoint deadline;
+        TimePoint deadline; ///< For a token.
         AdmissionDone done;
     };
 
--- a/libs/entry/src/EntryTables.cpp
+++ b/libs/entry/src/EntryTables.cpp
@@ -60,6 +60,10 @@
                                      [this] {
                                          if (this->tokenListener)
                                              this->tokenListener();
+                                     },
+                                 .requestBegins =
+                                     [this] {
+                                         this->shares.tokensRequested();
                                      }})
     , admission(RateAdmissionHooks{
           .tryAcquire =
--- a/libs/entry/src/RateAdmission.cpp
+++ b/libs/entry/src/RateAdmission.cpp
@@ -46,14 +46,14 @@
 {
     if (queue.size() >= MAX_WAITERS)
         return ReasonCode::QueueFull;
-    if (now >= request.deadline)
+    if (now >= request.deadline - TIME_TO_RUN)
         return ReasonCode::RateLimited;
     const auto isLate = missesObjective(request.objectiveEnd, now);
     const auto ahead = std::count_if(queue.begin(), queue.end(), [&](const auto &waiter) {
         return isLate || !missesObjective(waiter.objectiveEnd, now);
     });
     const auto outlook = this->outlookOf(request.organisation, now);
-    return missesDeadline(outlook, request.deadline, ahead, now)
+    return missesDeadline(outlook, request.deadline - TIME_TO_RUN, ahead, now)
                ? std::optional(ReasonCode::RateLimited)
                : std::nullopt;
 }
@@ -89,13 +89,15 @@
         if (!hasToken) {
             const auto reason = this->refusalReason(request, queue, now);
             if (!reason) {
-                queue.push_back(Waiter{request.objectiveEnd, request.deadline, std::move(done)});
+                queue.push_back(
+                    Waiter{request.objectiveEnd, request.deadline - TIME_TO_RUN, std::move(done)});
                 this->hooks.setBacklog(request.organisation, queue.size(), now);
                 return;
             }
             refused = this->refusal(*reason, request.organisation, now);
         } else if (!queue.empty()) {
-            queue.push_back(Waiter{request.objectiveEnd, request.deadline, std::move(done)});
+            queue.push_back(
+                Waiter{request.objectiveEnd, request.deadline - TIME_TO_RUN, std::move(done)});
             const auto next = nextWaiter(queue, now);
             done = std::move(next->done);
             queue.erase(next);
--- a/libs/entry/tests/AdmissionFleet.cpp
+++ b/libs/entry/tests/AdmissionFleet.cpp
@@ -47,6 +47,10 @@
                                     [this, index] {
                                         this->executor.post(
                                             [this, index] { this->requestTokens(index); });
+                                    },
+                                .requestBegins =
+                                    [&entry] {
+                                        entry.holder->tokensRequested();
                                     }});
         entry.admission = std::make_unique<RateAdmission>(RateAdmissionHooks{
             .tryAcquire =
--- a/libs/entry/tests/RateAdmissionTest.cpp
+++ b/libs/entry/tests/RateAdmissionTest.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <tuple>
+
 #include <string>
 
 namespace auburnrail {
@@ -116,6 +118,24 @@
     CHECK(trace == "b!");
 }
 
+// Guards against tokens that are spent on requests which can't run in time any more, while others
+// wait for them.
+TEST_CASE("a request that could not run after its token is refused before")
+{
+    auto tokens = FakeTokens();
+    auto admission = RateAdmission(tokens.hooks());
+    auto trace = std::string();
+    const auto start = TimePoint(1s);
+    admission.admit(requestUntil("shed", start + RateAdmission::TIME_TO_RUN / 2), start,
+                    record(trace, "a"));
+    CHECK(trace == "a!");
+    admission.admit(requestUntil("shed", start + 500ms), start, record(trace, "b"));
+    admission.admit(requestUntil("shed", start + 2s), start, record(trace, "c"));
+    tokens.tokens = 1;
+    std::ignore = admission.advance(start + 500ms - RateAdmission::TIME_TO_RUN / 2);
+    CHECK(trace == "a!b!c");
+}
+
 // Guards against unbounded memory when one organisation exceeds its rate.
 TEST_CASE("a full queue refuses further requests of its organisation only")
 {
--- a/libs/quota/include/quota/QuotaTiming.h
+++ b/libs/quota/include/quota/QuotaTiming.h
@@ -35,6 +35,13 @@
         return this->withMargin(this->tokenLifetime);
     }
 
+    /// Time that has passed on every clock when `length` has passed on one.
+    [[nodiscard]] auto withoutMargin(Duration length) const -> Duration
+    {
+        const auto nanos = static_cast<double>(length.count());
+        return Duration(static_cast<Duration::rep>(nanos / (1.0 + this->clockRateMargin)));
+    }
+
     /// Time after which `length` has passed on any clock.
     [[nodiscard]] auto withMargin(Duration length) const -> Duration
     {
--- a/libs/quota/include/quota/ShareHolder.h
+++ b/libs/quota/include/quota/ShareHolder.h
@@ -19,7 +19,8 @@
 
 /// Entry side of the distributed rate limit: admits requests from the shares that the ledger has
 /// granted. Shares are usable until the lease ends on the holder's own clock. Then they are dropped
-/// with their tokens, and the token buckets of later grants start empty.
+/// with their tokens. The token buckets of later grants start with the tokens that the ledger hands
+/// over.
 ///
 /// Call `tryAcquire` for each request. For each heartbeat, call `beginReport`, send the report, and
 /// `adopt` the grant of the response with the lease end counted from the time of `beginReport`.
@@ -42,6 +43,9 @@
     [[nodiscard]] auto timeToToken(std::string_view organisation, TimePoint now)
         -> std::optional<Duration>;
 
+    /// To be called before a request for single tokens is sent; see ShareReport::unusedFor.
+    auto tokensRequested() -> void;
+
     /// Creates the next report. Grants for earlier reports are ignored from now on.
     [[nodiscard]] auto beginReport(TimePoint now) -> ShareReport;
 
@@ -70,6 +74,9 @@
     std::uint64_t leadership ABSL_GUARDED_BY(mutex) = 0; ///< Newest that sent a grant.
     std::optional<TimePoint> leaseEnd ABSL_GUARDED_BY(mutex);
     std::optional<TimePoint> reportedAt ABSL_GUARDED_BY(mutex);
+    std::optional<TimePoint> firstReportAt ABSL_GUARDED_BY(mutex);
+    bool used ABSL_GUARDED_BY(mutex) = false; ///< A share was received or tokens were asked for.
+    std::uint64_t tokensAdoptedFor ABSL_GUARDED_BY(mutex) = 0; ///< Sequence of that report.
     bool reportRequested ABSL_GUARDED_BY(mutex) = false;
 };
 
--- a/libs/quota/include/quota/ShareLedger.h
+++ b/libs/quota/include/quota/ShareLedger.h
@@ -106,6 +106,9 @@
     /// Forgets removed organisations of which nothing is in use any more.
     ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex) auto eraseRemoved(TimePoint now) -> void;
     ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex) auto expireLocked(TimePoint now) -> void;
+    /// Records since when an earlier holder has admitted nothing.
+    ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
+    auto recordUnused(const ShareReport &report, TimePoint now) -> void;
     ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex) auto startGrantingWhenSafe(TimePoint now) -> void;
     ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex) auto allocateChanged(TimePoint now) -> void;
     ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
@@ -127,7 +130,10 @@
     ShareLedgerActivity work ABSL_GUARDED_BY(mutex);
     ShareLeadership current
         ABSL_GUARDED_BY(mutex); ///< With the earlier holders that have not reported under it yet.
-    std::string lastReporter ABSL_GUARDED_BY(mutex);              ///< Of the earlier holders.
+    std::string lastReporter ABSL_GUARDED_BY(mutex); ///< Of the earlier holders.
+    /// Since when none of the earlier holders that have reported has admitted anything.
+    std::optional<TimePoint> unusedSince ABSL_GUARDED_BY(mutex);
+    bool someHolderUsed ABSL_GUARDED_BY(mutex) = false;           ///< An earlier holder may have.
     std::optional<TimePoint> grantingFrom ABSL_GUARDED_BY(mutex); ///< Latest start.
     bool granting ABSL_GUARDED_BY(mutex) = false;
 };
--- a/libs/quota/include/quota/ShareReport.h
+++ b/libs/quota/include/quota/ShareReport.h
@@ -5,6 +5,8 @@
 #include <quota/HolderId.h>
 #include <quota/Share.h>
 
+#include <core/Time.h>
+
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -23,7 +25,10 @@
     std::uint64_t sequence = 0; ///< Increases with each report of the holder; starts at 1.
     std::vector<Demand> demands;
     std::vector<Share> heldShares; ///< Every share in use when the report was made.
-    std::uint64_t leadership = 0;  ///< Newest from which the holder received a grant; 0 before any.
+    /// For how long the holder has certainly admitted nothing, on its own clock: since its first
+    /// report; 0 once it has received a share or asked for tokens.
+    Duration unusedFor{};
+    std::uint64_t leadership = 0; ///< Newest from which the holder received a grant; 0 before any.
 };
 
 } // namespace auburnrail
--- a/libs/quota/include/quota/TokenRequesterHooks.h
+++ b/libs/quota/include/quota/TokenRequesterHooks.h
@@ -20,6 +20,9 @@
     /// A request may have become due earlier than nextRequestAt() said before. May be empty. Called
     /// with no mutex of the requester held.
     std::function<auto()->void> requestWanted;
+
+    /// Optional: a request is about to be sent.
+    std::function<auto()->void> requestBegins;
 };
 
 } // namespace auburnrail
--- a/libs/quota/include/quota/detail/TokenReserve.h
+++ b/libs/quota/include/quota/detail/TokenReserve.h
@@ -20,6 +20,13 @@
     /// for what an earlier leader may have granted.
     auto begin(std::int64_t granted, TimePoint now) -> void;
 
+    /// Starts without tokens at an earlier time, since when nothing was granted.
+    auto beginUnused(TimePoint since) -> void;
+
+    /// Gives up the tokens in that part of the reserve's burst which becomes a share's; both in
+    /// millitokens. To be called before the reserve's limits are lowered.
+    [[nodiscard]] auto handOver(std::int64_t burstOfShare, TimePoint now) -> std::int64_t;
+
     /// Sets what is left of the limits: tokens per second and tokens. To be called before take()
     /// and whenever less is left; `lifetime` is that of tokens taken.
     auto setLimits(double newRate, double newBurst, Duration lifetime, TimePoint now) -> void;
--- a/libs/quota/src/ShareHolder.cpp
+++ b/libs/quota/src/ShareHolder.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace auburnrail {
 
@@ -106,6 +107,12 @@
     return found->second.bucket.timeToToken(now);
 }
 
+auto ShareHolder::tokensRequested() -> void
+{
+    const RankedLock lock(this->mutex);
+    this->used = true;
+}
+
 auto ShareHolder::beginReport(TimePoint now) -> ShareReport
 {
     const RankedLock lock(this->mutex);
@@ -117,6 +124,8 @@
     auto report = ShareReport{.holder = this->holder, .zone = this->zone};
     report.sequence = ++this->sequence;
     report.leadership = this->leadership;
+    this->firstReportAt = this->firstReportAt.value_or(now);
+    report.unusedFor = this->used ? Duration::zero() : now - *this->firstReportAt;
     for (auto entry = this->organisations.begin(); entry != this->organisations.end();) {
         auto &share = entry->second;
         share.arrivedPerSecond = share.arrivedPerSecond * keep
@@ -145,6 +154,10 @@
     if (grant.sequence != this->sequence || end <= now)
         return false;
     this->leaseEnd = std::max(end, this->leaseEnd.value_or(end));
+    // Another response to the same report may come, also the same one again.
+    const auto takesTokens =
+        std::exchange(this->tokensAdoptedFor, grant.sequence) != grant.sequence;
+    this->used = this->used || !grant.shares.empty();
     for (const auto &share : grant.shares) {
         auto &held = this->find(share.organisation, now);
         held.rate = share.rate;
@@ -152,6 +165,8 @@
         held.bucket.setLimits(static_cast<double>(share.rate) * TOKENS_PER_MILLITOKEN
                                   / (1.0 + this->timing.clockRateMargin),
                               static_cast<double>(share.burst) * TOKENS_PER_MILLITOKEN, now);
+        if (takesTokens)
+            held.bucket.add(static_cast<double>(share.tokens) * TOKENS_PER_MILLITOKEN, now);
     }
     return true;
 }
@@ -202,7 +217,8 @@
     auto shares = std::vector<Share>();
     for (const auto &[organisation, share] : this->organisations) {
         if (share.rate > 0 || share.burst > 0)
-            shares.push_back({organisation, share.rate, share.burst});
+            shares.push_back(
+                {.organisation = organisation, .rate = share.rate, .burst = share.burst});
     }
     return shares;
 }
--- a/libs/quota/src/ShareLedger.cpp
+++ b/libs/quota/src/ShareLedger.cpp
@@ -43,6 +43,8 @@
     const RankedLock lock(this->mutex);
     this->current = std::move(begun);
     this->lastReporter.clear();
+    this->unusedSince.reset();
+    this->someHolderUsed = false;
     this->holders.clear();
     this->expiries.clear();
     this->ready.clear();
@@ -117,8 +119,10 @@
         }
         // A report made under this leadership is later than every grant of an earlier one.
         if (report.leadership == this->current.number
-            && this->current.earlierHolders.erase(report.holder.instance) > 0)
+            && this->current.earlierHolders.erase(report.holder.instance) > 0) {
             this->lastReporter = report.holder.instance;
+            this->recordUnused(report, now);
+        }
         this->startGrantingWhenSafe(now);
         this->allocateChanged(now);
         grant = this->makeGrant(report.holder, record, now);
@@ -215,12 +219,14 @@
                                               shares.limits.burst, this->granting);
         claim.grantedRate = std::max(claim.grantedRate, rate);
         claim.grantedBurst = std::max(claim.grantedBurst, burst);
+        // What the reserve gives up goes along with its tokens.
+        const auto tokens = shares.reserve.handOver(claim.countedBurst() - countedBurst, now);
         shares.countedRate += claim.countedRate() - countedRate;
         shares.countedBurst += claim.countedBurst() - countedBurst;
         this->updateReserve(shares, now);
         if (rate == claim.reportedRate && burst == claim.reportedBurst)
             continue;
-        grant.shares.push_back({organisation, rate, burst});
+        grant.shares.push_back({organisation, rate, burst, tokens});
         grant.urgent = grant.urgent || detail::isUrgent(claim.reportedRate, rate)
                        || detail::isUrgent(claim.reportedBurst, burst);
     }
@@ -247,6 +253,14 @@
     if (now < *this->grantingFrom && !this->current.earlierHolders.empty())
         return;
     this->granting = true;
+    const auto unusedSince =
+        this->current.earlierHolders.empty() ? this->unusedSince : std::nullopt;
+    for (auto &[organisation, shares] : this->organisations) {
+        if (unusedSince && shares.countedRate == 0 && shares.countedBurst == 0) {
+            shares.reserve.beginUnused(*unusedSince);
+            this->updateReserve(shares, *unusedSince);
+        }
+    }
     this->started =
         ShareGrantingStart{.waited = now - (*this->grantingFrom - this->timing.leaseWait()),
                            .lastReporter = this->lastReporter,
@@ -255,6 +269,16 @@
         this->changed.insert(organisation);
 }
 
+auto ShareLedger::recordUnused(const ShareReport &report, TimePoint now) -> void
+{
+    if (report.unusedFor <= Duration::zero())
+        this->someHolderUsed = true;
+    const auto since = now - this->timing.withoutMargin(report.unusedFor);
+    this->unusedSince = this->someHolderUsed
+                            ? std::nullopt
+                            : std::optional(std::max(since, this->unusedSince.value_or(since)));
+}
+
 auto ShareLedger::allocateChanged(TimePoint now) -> void
 {
     for (auto name = this->changed.begin(); name != this->changed.end();) {
--- a/libs/quota/src/TokenRequester.cpp
+++ b/libs/quota/src/TokenRequester.cpp
@@ -75,6 +75,8 @@
     if (request.demands.empty())
         return std::nullopt;
     this->sentAt = now;
+    if (this->hooks.requestBegins)
+        this->hooks.requestBegins();
     return request;
 }
 
--- a/libs/quota/src/TokenReserve.cpp
+++ b/libs/quota/src/TokenReserve.cpp
@@ -18,6 +18,24 @@
     this->takenSum = granted;
 }
 
+auto TokenReserve::beginUnused(TimePoint since) -> void
+{
+    *this = TokenReserve();
+    this->bucket = TokenBucket(0, 0, since);
+}
+
+auto TokenReserve::handOver(std::int64_t burstOfShare, TimePoint now) -> std::int64_t
+{
+    const auto free = this->burst * MILLITOKENS_PER_TOKEN - static_cast<double>(this->takenSum);
+    if (burstOfShare <= 0 || free <= 0)
+        return 0;
+    const auto part = std::min(1.0, static_cast<double>(burstOfShare) / free);
+    const auto handed =
+        static_cast<std::int64_t>(this->bucket.level(now) * part * MILLITOKENS_PER_TOKEN);
+    this->bucket.remove(static_cast<double>(handed) / MILLITOKENS_PER_TOKEN, now);
+    return handed;
+}
+
 auto TokenReserve::setLimits(double newRate, double newBurst, Duration lifetime, TimePoint now)
     -> void
 {
--- a/libs/quota/tests/SharePropertyTest.cpp
+++ b/libs/quota/tests/SharePropertyTest.cpp
@@ -32,6 +32,7 @@
     DeliverTokenResponse,
     LoseMessages,
     Restart,
+    RestartAll, ///< Every holder restarts, and a new leader hears of each.
     ChangeLeader,
     Expire,
 };
@@ -137,6 +138,18 @@
         case Event::Restart:
             this->restart(step.holder);
             break;
+        case Event::RestartAll:
+            for (auto i = 0; i < HOLDERS; ++i)
+                this->restart(i);
+            for (auto i = std::size_t(0); i < HOLDERS; ++i)
+                this->sendReport(i);
+            this->trueS += step.amount * 0.02;
+            this->changeLeader();
+            for (auto round = 0; round < 3; ++round) {
+                for (auto i = 0; i < HOLDERS; ++i)
+                    this->run({Event::Exchange, i, 0});
+            }
+            break;
         case Event::ChangeLeader:
             this->changeLeader();
             break;
@@ -227,7 +240,11 @@
                     [raw = holder.get()](const std::string &organisation, TimePoint now) {
                         return raw->timeToToken(organisation, now);
                     },
-                .requestWanted = {}});
+                .requestWanted = {},
+                .requestBegins =
+                    [raw = holder.get()] {
+                        raw->tokensRequested();
+                    }});
         this->exchanges[static_cast<std::size_t>(index)] = ++this->lastExchange;
         this->holders[static_cast<std::size_t>(index)] = std::move(holder);
         this->ids[static_cast<std::size_t>(index)] = id;
@@ -346,6 +363,7 @@
                                                         {3, Event::DeliverTokenResponse},
                                                         {1, Event::LoseMessages},
                                                         {1, Event::Restart},
+                                                        {1, Event::RestartAll},
                                                         {1, Event::ChangeLeader},
                                                         {2, Event::Expire}});
     return rc::gen::apply(
--- a/libs/wire/src/HeartbeatCodec.cpp
+++ b/libs/wire/src/HeartbeatCodec.cpp
@@ -19,6 +19,7 @@
         message.organisation = share.organisation;
         message.rate = share.rate;
         message.burst = share.burst;
+        message.tokens = share.tokens;
     }
     return messages;
 }
@@ -27,7 +28,7 @@
 {
     auto shares = std::vector<Share>();
     for (const auto &message : messages)
-        shares.push_back(Share{message.organisation, message.rate, message.burst});
+        shares.push_back(Share{message.organisation, message.rate, message.burst, message.tokens});
     return shares;
 }
 
@@ -137,6 +138,8 @@
     message.appliedRevision = static_cast<std::int64_t>(heartbeat.appliedRevision);
     message.shareSequence = static_cast<std::int64_t>(heartbeat.shares.sequence);
     message.shareLeadership = static_cast<std::int64_t>(heartbeat.shares.leadership);
+    message.unusedMicros =
+        std::chrono::duration_cast<std::chrono::microseconds>(heartbeat.shares.unusedFor).count();
     message.demands = toDemandMessages(heartbeat.shares.demands);
     message.heldShares = toShareMessages(heartbeat.shares.heldShares);
     for (const auto &announcement : heartbeat.endpoints)
@@ -161,6 +164,7 @@
     heartbeat.shares.zone = heartbeat.zone;
     heartbeat.shares.sequence = static_cast<std::uint64_t>(message.shareSequence);
     heartbeat.shares.leadership = static_cast<std::uint64_t>(message.shareLeadership);
+    heartbeat.shares.unusedFor = std::chrono::microseconds(message.unusedMicros);
     heartbeat.shares.demands = fromDemandMessages(message.demands);
     heartbeat.shares.heldShares = fromShareMessages(message.heldShares);
     for (const auto &announcement : message.endpoints)
--- a/libs/wire/src/gen/Control_types.cpp
+++ b/libs/wire/src/gen/Control_types.cpp
@@ -196,6 +196,10 @@
 void ShareMessage::__set_burst(const int64_t val) {
   this->burst = val;
 }
+
+void ShareMessage::__set_tokens(const int64_t val) {
+  this->tokens = val;
+}
 std::ostream& operator<<(std::ostream& out, const ShareMessage& obj)
 {
   obj.printTo(out);
@@ -248,6 +252,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->tokens);
+          this->__isset.tokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -277,6 +289,10 @@
   xfer += oprot->writeI64(this->burst);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("tokens", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->tokens);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -287,6 +303,7 @@
   swap(a.organisation, b.organisation);
   swap(a.rate, b.rate);
   swap(a.burst, b.burst);
+  swap(a.tokens, b.tokens);
   swap(a.__isset, b.__isset);
 }
 
@@ -294,18 +311,21 @@
   organisation = other4.organisation;
   rate = other4.rate;
   burst = other4.burst;
+  tokens = other4.tokens;
   __isset = other4.__isset;
 }
 ShareMessage::ShareMessage(ShareMessage&& other5) noexcept {
   organisation = std::move(other5.organisation);
   rate = other5.rate;
   burst = other5.burst;
+  tokens = other5.tokens;
   __isset = other5.__isset;
 }
 ShareMessage& ShareMessage::operator=(const ShareMessage& other6) {
   organisation = other6.organisation;
   rate = other6.rate;
   burst = other6.burst;
+  tokens = other6.tokens;
   __isset = other6.__isset;
   return *this;
 }
@@ -313,6 +333,7 @@
   organisation = std::move(other7.organisation);
   rate = other7.rate;
   burst = other7.burst;
+  tokens = other7.tokens;
   __isset = other7.__isset;
   return *this;
 }
@@ -322,6 +343,7 @@
   out << "organisation=" << to_string(organisation);
   out << ", " << "rate=" << to_string(rate);
   out << ", " << "burst=" << to_string(burst);
+  out << ", " << "tokens=" << to_string(tokens);
   out << ")";
 }
 
@@ -1205,6 +1227,10 @@
 void HeartbeatMessage::__set_shareLeadership(const int64_t val) {
   this->shareLeadership = val;
 }
+
+void HeartbeatMessage::__set_unusedMicros(const int64_t val) {
+  this->unusedMicros = val;
+}
 std::ostream& operator<<(std::ostream& out, const HeartbeatMessage& obj)
 {
   obj.printTo(out);
@@ -1397,6 +1423,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->unusedMicros);
+          this->__isset.unusedMicros = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1506,6 +1540,10 @@
   xfer += oprot->writeI64(this->shareLeadership);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("unusedMicros", ::apache::thrift::protocol::T_I64, 14);
+  xfer += oprot->writeI64(this->unusedMicros);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1526,6 +1564,7 @@
   swap(a.operatorsAddress, b.operatorsAddress);
   swap(a.burn, b.burn);
   swap(a.shareLeadership, b.shareLeadership);
+  swap(a.unusedMicros, b.unusedMicros);
   swap(a.__isset, b.__isset);
 }
 
@@ -1543,6 +1582,7 @@
   operatorsAddress = other68.operatorsAddress;
   burn = other68.burn;
   shareLeadership = other68.shareLeadership;
+  unusedMicros = other68.unusedMicros;
   __isset = other68.__isset;
 }
 HeartbeatMessage::HeartbeatMessage(HeartbeatMessage&& other69) noexcept {
@@ -1559,6 +1599,7 @@
   operatorsAddress = std::move(other69.operatorsAddress);
   burn = std::move(other69.burn);
   shareLeadership = other69.shareLeadership;
+  unusedMicros = other69.unusedMicros;
   __isset = other69.__isset;
 }
 HeartbeatMessage& HeartbeatMessage::operator=(const HeartbeatMessage& other70) {
@@ -1575,6 +1616,7 @@
   operatorsAddress = other70.operatorsAddress;
   burn = other70.burn;
   shareLeadership = other70.shareLeadership;
+  unusedMicros = other70.unusedMicros;
   __isset = other70.__isset;
   return *this;
 }
@@ -1592,6 +1634,7 @@
   operatorsAddress = std::move(other71.operatorsAddress);
   burn = std::move(other71.burn);
   shareLeadership = other71.shareLeadership;
+  unusedMicros = other71.unusedMicros;
   __isset = other71.__isset;
   return *this;
 }
@@ -1611,6 +1654,7 @@
   out << ", " << "operatorsAddress=" << to_string(operatorsAddress);
   out << ", " << "burn=" << to_string(burn);
   out << ", " << "shareLeadership=" << to_string(shareLeadership);
+  out << ", " << "unusedMicros=" << to_string(unusedMicros);
   out << ")";
 }
 
--- a/libs/wire/src/gen/Control_types.h
+++ b/libs/wire/src/gen/Control_types.h
@@ -112,10 +112,11 @@
 std::ostream& operator<<(std::ostream& out, const DemandMessage& obj);
 
 typedef struct _ShareMessage__isset {
-  _ShareMessage__isset() : organisation(false), rate(false), burst(false) {}
+  _ShareMessage__isset() : organisation(false), rate(false), burst(false), tokens(false) {}
   bool organisation :1;
   bool rate :1;
   bool burst :1;
+  bool tokens :1;
 } _ShareMessage__isset;
 
 class ShareMessage : public virtual ::apache::thrift::TBase {
@@ -128,13 +129,15 @@
   ShareMessage() noexcept
                : organisation(),
                  rate(0),
-                 burst(0) {
+                 burst(0),
+                 tokens(0) {
   }
 
   virtual ~ShareMessage() noexcept;
   std::string organisation;
   int64_t rate;
   int64_t burst;
+  int64_t tokens;
 
   _ShareMessage__isset __isset;
 
@@ -144,6 +147,8 @@
 
   void __set_burst(const int64_t val);
 
+  void __set_tokens(const int64_t val);
+
   bool operator == (const ShareMessage & rhs) const
   {
     if (!(organisation == rhs.organisation))
@@ -152,6 +157,8 @@
       return false;
     if (!(burst == rhs.burst))
       return false;
+    if (!(tokens == rhs.tokens))
+      return false;
     return true;
   }
   bool operator != (const ShareMessage &rhs) const {
@@ -470,7 +477,7 @@
 std::ostream& operator<<(std::ostream& out, const BurnContributionMessage& obj);
 
 typedef struct _HeartbeatMessage__isset {
-  _HeartbeatMessage__isset() : instance(false), incarnation(false), zone(false), appliedRevision(false), shareSequence(false), demands(false), heldShares(false), endpoints(false), primaries(false), holdMillis(false), operatorsAddress(false), burn(false), shareLeadership(false) {}
+  _HeartbeatMessage__isset() : instance(false), incarnation(false), zone(false), appliedRevision(false), shareSequence(false), demands(false), heldShares(false), endpoints(false), primaries(false), holdMillis(false), operatorsAddress(false), burn(false), shareLeadership(false), unusedMicros(false) {}
   bool instance :1;
   bool incarnation :1;
   bool zone :1;
@@ -484,6 +491,7 @@
   bool operatorsAddress :1;
   bool burn :1;
   bool shareLeadership :1;
+  bool unusedMicros :1;
 } _HeartbeatMessage__isset;
 
 class HeartbeatMessage : public virtual ::apache::thrift::TBase {
@@ -501,7 +509,8 @@
                      shareSequence(0),
                      holdMillis(0),
                      operatorsAddress(),
-                     shareLeadership(0) {
+                     shareLeadership(0),
+                     unusedMicros(0) {
   }
 
   virtual ~HeartbeatMessage() noexcept;
@@ -518,6 +527,7 @@
   std::string operatorsAddress;
   std::vector<BurnContributionMessage>  burn;
   int64_t shareLeadership;
+  int64_t unusedMicros;
 
   _HeartbeatMessage__isset __isset;
 
@@ -547,6 +557,8 @@
 
   void __set_shareLeadership(const int64_t val);
 
+  void __set_unusedMicros(const int64_t val);
+
   bool operator == (const HeartbeatMessage & rhs) const
   {
     if (!(instance == rhs.instance))
@@ -575,6 +587,8 @@
       return false;
     if (!(shareLeadership == rhs.shareLeadership))
       return false;
+    if (!(unusedMicros == rhs.unusedMicros))
+      return false;
     return true;
   }
   bool operator != (const HeartbeatMessage &rhs) const {
