--- a/libs/quota/src/ShareLedger.cpp
+++ b/libs/quota/src/ShareLedger.cpp
@@ -253,12 +253,11 @@
     if (now < *this->grantingFrom && !this->current.earlierHolders.empty())
         return;
     this->granting = true;
-    const auto unusedSince =
-        this->current.earlierHolders.empty() ? this->unusedSince : std::nullopt;
+    const auto fillsSince = this->current.earlierHolders.empty() ? this->unusedSince : std::nullopt;
     for (auto &[organisation, shares] : this->organisations) {
-        if (unusedSince && shares.countedRate == 0 && shares.countedBurst == 0) {
-            shares.reserve.beginUnused(*unusedSince);
-            this->updateReserve(shares, *unusedSince);
+        if (fillsSince && shares.countedRate == 0 && shares.countedBurst == 0) {
+            shares.reserve.beginUnused(*fillsSince);
+            this->updateReserve(shares, *fillsSince);
         }
     }
     this->started =
