--- a/libs/quota/include/quota/TokenGrant.h
+++ b/libs/quota/include/quota/TokenGrant.h
@@ -18,7 +18,7 @@
     /// When the first token that was not granted is expected, counted from the response; nothing
     /// when everything was granted or no token can be foreseen.
     std::optional<Duration> wait;
-    Duration interval{}; ///< Expected time between further tokens of this holder.
+    Duration interval{}; ///< Expected time between further tokens.
 };
 
 } // namespace auburnrail
--- a/libs/quota/include/quota/detail/TokenReserve.h
+++ b/libs/quota/include/quota/detail/TokenReserve.h
@@ -34,13 +34,8 @@
     /// Takes up to `wanted` tokens; returns how many.
     auto take(std::uint32_t wanted, TimePoint now) -> std::uint32_t;
 
-    /// Whole tokens that take() would yield.
-    [[nodiscard]] auto available(TimePoint now) const -> std::uint32_t;
-
-    /// Time until `count` tokens are there if none is taken meanwhile; nothing when the limits
-    /// yield none.
-    [[nodiscard]] auto timeToTokens(std::uint32_t count, TimePoint now) const
-        -> std::optional<Duration>;
+    /// Time until a token is there if none is taken meanwhile; nothing when the limits yield none.
+    [[nodiscard]] auto timeToToken(TimePoint now) const -> std::optional<Duration>;
 
     /// Millitokens that holders may still use.
     [[nodiscard]] auto inFlight() const -> std::int64_t;
--- a/libs/quota/src/ShareLedgerTokens.cpp
+++ b/libs/quota/src/ShareLedgerTokens.cpp
@@ -4,8 +4,6 @@
 
 #include <core/RankedLock.h>
 
-#include <algorithm>
-
 namespace auburnrail {
 
 namespace {
@@ -44,30 +42,17 @@
                            const TokenDemand &demand, TimePoint now) -> TokenGrant
 {
     this->updateReserve(shares, now);
-    // Tokens that are there for requests with an earlier turn are left to them, so that a holder
-    // far away gets its part.
-    auto user = detail::turnOf(shares.users, holder, demand.tokens, now);
-    const auto others = detail::tokensAwaitedByOthers(shares.users, holder, user.turnSince, now);
-    const auto there = shares.reserve.available(now);
-    const auto wanted = std::min(demand.tokens, there - std::min(there, others.ahead));
     auto grant = TokenGrant{.organisation = demand.organisation, .wait = {}};
-    grant.tokens = shares.reserve.take(wanted, now);
-    user.unmet = demand.tokens - grant.tokens;
-    auto ahead = others.ahead;
-    if (user.turnLeft > grant.tokens) {
-        user.turnLeft -= grant.tokens;
-    } else {
-        user.turnSince = now;
-        user.turnLeft = user.unmet;
-        ahead = others.all;
-    }
+    grant.tokens = shares.reserve.take(demand.tokens, now);
     grant.interval = shares.reserve.interval();
-    if (user.unmet > 0) {
-        grant.wait = shares.reserve.timeToTokens(ahead + 1, now);
-        // The tokens go to all requests that wait.
-        grant.interval = grant.interval * (others.all + user.unmet) / user.unmet;
+    const auto unmet = demand.tokens - grant.tokens;
+    if (unmet > 0) {
+        // The tokens that others wait for come first.
+        const auto ahead = detail::tokensAwaitedByOthers(shares.users, holder, now);
+        if (const auto first = shares.reserve.timeToToken(now))
+            grant.wait = *first + grant.interval * ahead;
     }
-    shares.users[holder] = user;
+    shares.users[holder] = detail::LimitUser{.seenAt = now, .askedAt = now, .unmet = unmet};
     return grant;
 }
 
--- a/libs/quota/src/TokenReserve.cpp
+++ b/libs/quota/src/TokenReserve.cpp
@@ -64,16 +64,11 @@
     return count;
 }
 
-auto TokenReserve::available(TimePoint now) const -> std::uint32_t
-{
-    return static_cast<std::uint32_t>(std::max(0.0, this->bucket.level(now)));
-}
-
-auto TokenReserve::timeToTokens(std::uint32_t count, TimePoint now) const -> std::optional<Duration>
+auto TokenReserve::timeToToken(TimePoint now) const -> std::optional<Duration>
 {
     if (this->rate <= 0)
         return std::nullopt;
-    const auto missing = std::max(0.0, count - std::max(0.0, this->bucket.level(now)));
+    const auto missing = 1.0 - std::min(1.0, this->bucket.level(now));
     return std::chrono::duration_cast<Duration>(this->interval() * missing);
 }
 
