Review: the stand-ins stand in each case's folder

Tried: review/harness/fleet.py is moved into review/1 to review/5, the same file in each, so that review/ holds only the cases, build.sh and REPORT.md. Seen: built; the stand-ins are ready.

--- a/review/harness/fleet.py
+++ b/review/1/fleet.py
@@ -1,7 +1,8 @@
 """Stand-ins for the scripts of the review: the platform (settings files, promotions), database
 servers with synchronous replication, an operator and clients, after PROTOCOL.md. Standard library
 only. The programs of the project run as separate processes on loopback addresses 127.x.y.z, one
-address for each machine, so that all members use the same ports as on the platform."""
+address for each machine, so that all members use the same ports as on the platform. The file is the
+same in each case, so that a case stands alone."""
 import asyncio, ctypes, json, os, random, shutil, signal, socket, subprocess, tempfile, time
 import traceback
 
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,7 +1,6 @@
 """A DELETE that a partition held up arrives after its sender has started again under its id."""
 import asyncio, json, os, sys, time
 FOLDER = os.path.dirname(os.path.abspath(__file__))
-sys.path.insert(0, os.path.join(os.path.dirname(FOLDER), "harness"))
 from fleet import *
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
