Send and acknowledge changes of data only in the present term

Cause: the commit of an open transaction was sent and its answer passed on without a look at the entry's lease and the group's term. Control promotes a replica once every live lease names the new term, and takes this for "nothing more is acknowledged"; in group huvo0a 42 commits were acknowledged at the old primary in the 0.6 s after that.

Change: a write, or the commit of a transaction that wrote, is sent only while the entry holds its lease and the server is the primary of the present term; without a lease it waits for one. Otherwise the transaction is refused as rolled back, and its connection is closed, which frees it for control. A commit that was under way is acknowledged for at most ACKNOWLEDGEMENT_GRACE after it was sent, and is in doubt after that.

--- a/libs/proxy/include/proxy/StatementHooks.h
+++ b/libs/proxy/include/proxy/StatementHooks.h
@@ -13,6 +13,7 @@
 
 #include <functional>
 #include <optional>
+#include <string>
 
 namespace auburnrail {
 
@@ -24,6 +25,11 @@
 
     std::function<auto(TimePoint now)->bool> holdsLease;
 
+    /// Whether the connection's server is the primary of the group in the term in which the
+    /// connection was leased, according to the fleet state that this entry has applied.
+    std::function<auto(const std::string &group, const PooledConnection &connection)->bool>
+        isCurrentPrimary;
+
     /// For an entry without a lease: calls `done` with true when it holds one, or with false when
     /// the deadline passes or no lease is expected.
     AwaitLease awaitLease;
--- a/libs/proxy/include/proxy/StatementRequest.h
+++ b/libs/proxy/include/proxy/StatementRequest.h
@@ -65,6 +65,13 @@
         return this->statement.kind == StatementKind::Write
                || (this->prepared && this->prepared->writes);
     }
+
+    /// Whether the statement contributes to a change of data, or commits one.
+    [[nodiscard]] auto changesData() const -> bool
+    {
+        return this->writes()
+               || (this->statement.kind == StatementKind::Commit && this->transactionWrote);
+    }
 };
 
 } // namespace auburnrail
--- a/libs/proxy/include/proxy/StatementRun.h
+++ b/libs/proxy/include/proxy/StatementRun.h
@@ -19,6 +19,10 @@
 /// read outside a transaction is also retried when its connection was lost. A statement that may
 /// have run and changed data is never sent twice.
 ///
+/// A change of data is sent only while this entry holds its lease and the server is the primary of
+/// the present term. A commit that was under way when that ended is acknowledged for at most
+/// ACKNOWLEDGEMENT_GRACE after it was sent; control relies on this limit in a failover.
+///
 /// Contains decisions only; everything else goes through the hooks. Not thread-safe: must be
 /// created and started on the session's executor, and runs only there.
 class StatementRun : public std::enable_shared_from_this<StatementRun>
@@ -55,6 +59,8 @@
     auto prepareNext() -> void;
     auto beginTransaction() -> void;
     auto runStatement() -> void;
+    /// Ends or restarts a change of data whose server may have been replaced.
+    auto refuseChange(const std::string &reason) -> void;
     auto handleResponse(StatementResponse response) -> void;
 
     /// Sends the statement or a request of the proxy itself; `onResponse` receives the response.
@@ -76,6 +82,10 @@
     [[nodiscard]] auto serverRequest() const -> ServerRequest;
     [[nodiscard]] auto timeLeft() const -> Duration;
     [[nodiscard]] auto hasTimeToRun() const -> bool;
+    /// Whether a change of data may be sent on the connection now.
+    [[nodiscard]] auto mayChangeData() const -> bool;
+    /// Whether a successful response to the statement acknowledges a commit.
+    [[nodiscard]] auto acknowledgesCommit() const -> bool;
 
     const StatementHooks hooks;
     const StatementRequest statementRequest;
--- a/libs/proxy/src/ProxyServer.cpp
+++ b/libs/proxy/src/ProxyServer.cpp
@@ -121,6 +121,12 @@
             StatementHooks{
                 .executor = connection->executor(),
                 .holdsLease = this->hooks.holdsLease,
+                .isCurrentPrimary =
+                    [this](const std::string &group, const PooledConnection &serverConnection) {
+                        const auto view = this->groupView(group);
+                        return view.serving && view.primary == serverConnection.handle.endpoint
+                               && view.term == serverConnection.term;
+                    },
                 .awaitLease = this->hooks.awaitLease,
                 .place = [this](const PlacementRequest &request,
                                 TimePoint now) { return this->placement.place(request, now); },
--- a/libs/proxy/src/StatementRun.cpp
+++ b/libs/proxy/src/StatementRun.cpp
@@ -1,5 +1,7 @@
 #include <proxy/StatementRun.h>
 
+#include <lease/LeaseTiming.h>
+
 #include <algorithm>
 #include <cassert>
 #include <utility>
@@ -12,8 +14,8 @@
     , statementRequest(std::move(requestToRun))
     , done(std::move(doneHook))
 {
-    assert(this->hooks.holdsLease && this->hooks.awaitLease && this->hooks.place
-           && this->hooks.lease && this->hooks.release && this->hooks.observe
+    assert(this->hooks.holdsLease && this->hooks.isCurrentPrimary && this->hooks.awaitLease
+           && this->hooks.place && this->hooks.lease && this->hooks.release && this->hooks.observe
            && "every hook must be set");
 }
 
@@ -195,11 +197,51 @@
     return request;
 }
 
+auto StatementRun::mayChangeData() const -> bool
+{
+    return this->hooks.holdsLease(this->hooks.executor.now())
+           && this->hooks.isCurrentPrimary(this->statementRequest.group, *this->connection);
+}
+
+auto StatementRun::acknowledgesCommit() const -> bool
+{
+    const auto &request = this->statementRequest;
+    const auto writesAlone = request.writes() && !this->transactionOpen;
+    return writesAlone
+           || (request.statement.kind == StatementKind::Commit && request.transactionWrote);
+}
+
 auto StatementRun::runStatement() -> void
 {
+    const auto now = this->hooks.executor.now();
+    if (this->statementRequest.changesData()) {
+        if (this->continuesTransaction && !this->hooks.holdsLease(now)) {
+            this->hooks.awaitLease(
+                this->statementRequest.deadline(), [self = this->shared_from_this()](bool held) {
+                    self->hooks.executor.post([self, held] {
+                        if (held)
+                            self->runStatement();
+                        else
+                            self->refuseChange("this entry is cut off from control");
+                    });
+                });
+            return;
+        }
+        if (!this->mayChangeData()) {
+            this->refuseChange("the primary is being replaced");
+            return;
+        }
+    }
     this->statementSent = true;
-    this->exchange(this->serverRequest(), [](StatementRun &run, StatementResponse response) {
+    this->exchange(this->serverRequest(), [now](StatementRun &run, StatementResponse response) {
         run.statementSent = false;
+        const auto isLate = run.hooks.executor.now() - now > ACKNOWLEDGEMENT_GRACE;
+        if (!response.failure && isLate && run.acknowledgesCommit() && !run.mayChangeData()) {
+            run.dropConnection(false);
+            run.fail(StatementError::InDoubt, "the primary was replaced before it answered",
+                     SessionState::Idle);
+            return;
+        }
         run.handleResponse(std::move(response));
     });
 }
--- a/libs/proxy/src/StatementRunOutcome.cpp
+++ b/libs/proxy/src/StatementRunOutcome.cpp
@@ -64,6 +64,23 @@
         this->attemptAfterPause(this->lastError);
 }
 
+auto StatementRun::refuseChange(const std::string &reason) -> void
+{
+    this->lastError = reason;
+    if (this->continuesTransaction) {
+        // The server rolls back when its connection is closed.
+        this->dropConnection(false);
+        const auto commits = this->statementRequest.statement.kind == StatementKind::Commit;
+        this->fail(StatementError::Aborted, reason,
+                   commits ? SessionState::Idle : SessionState::Failed);
+    } else if (this->transactionOpen) {
+        this->rollBackAndAttempt(reason);
+    } else {
+        this->dropConnection(true);
+        this->attempt();
+    }
+}
+
 auto StatementRun::retryOnConnection() -> void
 {
     const auto now = this->hooks.executor.now();
--- a/libs/proxy/tests/FakeServers.h
+++ b/libs/proxy/tests/FakeServers.h
@@ -13,8 +13,8 @@
 
 namespace auburnrail::testing {
 
-/// Emulates servers behind StatementHooks on a virtual clock. Each request takes 1 ms and ends with
-/// the next scripted outcome, or with success when none is scripted.
+/// Emulates servers behind StatementHooks on a virtual clock. Each request ends with the next
+/// scripted outcome, or with success when none is scripted.
 class FakeServers
 {
 public:
@@ -25,6 +25,10 @@
         return StatementHooks{
             .executor = this->scheduler.executor(),
             .holdsLease = [this](TimePoint) { return this->leased; },
+            .isCurrentPrimary =
+                [this](const std::string &, const PooledConnection &connection) {
+                    return connection.isPrimary && connection.term == this->term;
+                },
             .awaitLease =
                 [this](TimePoint, std::function<auto(bool)->void> done) {
                     if (this->leaseExpected)
@@ -110,6 +114,7 @@
     std::vector<std::function<auto(bool)->void>> leaseWaiters;
     int unplaceable = 0;
     std::uint64_t term = 1; ///< Of the group.
+    Duration requestTime = std::chrono::milliseconds(1);
     absl::Status leaseStatus;
     std::vector<PlacementRequest> placements;
     std::vector<ServerRequest> sent;
@@ -130,7 +135,7 @@
             this->sent.push_back(request);
             auto outcome = this->nextOutcome(request, *inTransaction);
             this->scheduler.executor().postAfter(
-                std::chrono::milliseconds(1),
+                this->requestTime,
                 [done = std::move(done), outcome = std::move(outcome)] { done(outcome); });
         };
         return connection;
--- a/libs/proxy/tests/PrimaryFleet.cpp
+++ b/libs/proxy/tests/PrimaryFleet.cpp
@@ -94,6 +94,7 @@
     return StatementHooks{
         .executor = this->executor,
         .holdsLease = [](TimePoint) { return true; },
+        .isCurrentPrimary = [](const std::string &, const PooledConnection &) { return true; },
         .awaitLease = [](TimePoint, const std::function<auto(bool)->void> &done) { done(true); },
         .place = [](const PlacementRequest &, TimePoint) -> std::optional<Placement> {
             return Placement{.endpoint = ENDPOINT, .isPrimary = true, .term = 1};
--- a/libs/proxy/tests/StatementRunTest.cpp
+++ b/libs/proxy/tests/StatementRunTest.cpp
@@ -48,6 +48,16 @@
     return failure ? std::optional(failure->error) : std::nullopt;
 }
 
+auto openTransaction(FakeServers &servers) -> PooledConnectionPointer
+{
+    auto first = requestFor(StatementKind::Read, servers);
+    first.opens = TransactionAccess::ReadWrite;
+    const auto opened = runToEnd(servers, first);
+    REQUIRE(opened);
+    REQUIRE(opened->connection != nullptr);
+    return opened->connection;
+}
+
 } // namespace
 
 TEST_CASE("a read goes to a replica with the required position")
@@ -283,6 +293,83 @@
     }
 }
 
+// Guards against commits that are lost in a failover: control promotes a replica once every entry
+// has confirmed the new term, and a commit that the old primary acknowledges later may be on no
+// replica.
+TEST_CASE("a change in an open transaction is not sent after the term has ended")
+{
+    struct Case
+    {
+        StatementKind kind;
+        bool wrote;
+        std::optional<StatementError> error;
+    };
+    for (const auto &[kind, wrote, error] :
+         {Case{StatementKind::Commit, true, StatementError::Aborted},
+          Case{StatementKind::Write, false, StatementError::Aborted},
+          Case{StatementKind::Commit, false, std::nullopt},
+          Case{StatementKind::Read, true, std::nullopt}}) {
+        INFO(nameOf(kind) << ", wrote: " << wrote);
+        auto servers = FakeServers();
+        const auto connection = openTransaction(servers);
+        servers.term = 2;
+        const auto sentBefore = servers.sent.size();
+        auto request = requestFor(kind, servers);
+        request.transactionWrote = wrote;
+        CHECK(errorOf(runToEnd(servers, request, connection)) == error);
+        CHECK(servers.sent.size() == sentBefore + (error ? 0 : 1));
+        if (error)
+            CHECK(servers.released
+                  == std::vector<std::pair<std::string, bool>>{{"primary", false}});
+    }
+}
+
+// The same for an entry that is cut off from control and doesn't learn of the new term.
+TEST_CASE("a commit in an open transaction waits for a lease and is not sent without one")
+{
+    for (const auto isExpected : {true, false}) {
+        auto servers = FakeServers();
+        const auto connection = openTransaction(servers);
+        servers.leased = false;
+        servers.leaseExpected = isExpected;
+        servers.scheduler.executor().postAfter(100ms, [&servers] { servers.grantLease(); });
+        const auto sentBefore = servers.sent.size();
+        auto request = requestFor(StatementKind::Commit, servers);
+        request.transactionWrote = true;
+        const auto error = errorOf(runToEnd(servers, request, connection));
+        CHECK(error == (isExpected ? std::nullopt : std::optional(StatementError::Aborted)));
+        CHECK(servers.sent.size() == sentBefore + (isExpected ? 1 : 0));
+    }
+}
+
+// Control waits for this time after the entries have confirmed a new term.
+TEST_CASE("a commit under way is acknowledged for a short time after the term has ended")
+{
+    for (const auto requestTime : {140ms, 160ms}) {
+        auto servers = FakeServers();
+        const auto connection = openTransaction(servers);
+        servers.requestTime = requestTime;
+        auto request = requestFor(StatementKind::Commit, servers);
+        request.transactionWrote = true;
+        servers.scheduler.executor().postAfter(5ms, [&servers] { servers.term = 2; });
+        const auto error = errorOf(runToEnd(servers, request, connection));
+        CHECK(error
+              == (requestTime < 150ms ? std::nullopt : std::optional(StatementError::InDoubt)));
+    }
+}
+
+TEST_CASE("a write whose primary is replaced while it is prepared goes to the next primary")
+{
+    auto servers = FakeServers();
+    auto request = requestFor(StatementKind::Write, servers);
+    request.values = {{"zone", "a"}};
+    servers.requestTime = 10ms;
+    servers.scheduler.executor().postAfter(5ms, [&servers] { servers.term = 2; });
+    CHECK_FALSE(errorOf(runToEnd(servers, request)));
+    CHECK(servers.count(ServerOperation::Forward) == 1);
+    CHECK(servers.released.size() == 2);
+}
+
 TEST_CASE("a transaction that a server refused to begin is begun on another server")
 {
     auto servers = FakeServers();
