Fence replicas only when nothing more can be acknowledged

Cause: control took the registered replicas for all replicas. It paused them at once and sent the old primary its order at the same time; until that arrived, or was refused, a replica that control had not heard of yet went on confirming commits that the paused ones could not receive. The old primary was then passed over although its position was ahead.

Ruled out: to prefer the old primary in every failover. Commits that were never acknowledged put it ahead whenever it is cut off from its replicas, and a primary that entries can't reach must be replaced.

Change, in groups with synchronous replicas: replicas are fenced when the old primary is fenced, or when all entries have confirmed the new term and the grace for commits under way has passed; until then they go on receiving. The old primary is fenced then too, or after entryConfirmationWait. A planned promotion keeps an old primary that is ahead of all registered replicas, and the next one waits for plannedRetryDelay. If the old primary doesn't confirm its promotion, a replica is chosen. The end of a failover has a log line.

--- a/libs/control/src/ControlTablesFailover.cpp
+++ b/libs/control/src/ControlTablesFailover.cpp
@@ -2,6 +2,10 @@
 
 #include "FailoverGap.h"
 
+#include <daemon/Logging.h>
+
+#include <absl/strings/str_cat.h>
+
 namespace auburnrail {
 
 namespace {
@@ -10,6 +14,20 @@
 /// milliseconds.
 constexpr auto PRIMARY_CHECK_INTERVAL = std::chrono::milliseconds(60);
 
+auto logFailover(const FailoverRecord &record) -> void
+{
+    const auto began = record.phases.empty() ? record.endedAt : record.phases.front().startedAt;
+    logLine(LogLevel::Info, "failover", record.completed ? "failover completed" : "failover ended",
+            {{"group", record.group},
+             {"cause", std::string(nameOf(record.cause))},
+             {"old_primary", record.oldPrimary},
+             {"new_primary", record.newPrimary},
+             {"term", absl::StrCat(record.term)},
+             {"position", absl::StrCat(record.position.term, ".", record.position.index)},
+             {"duration_ms", absl::StrCat(toMillis(record.endedAt - began))},
+             {"note", record.note}});
+}
+
 } // namespace
 
 auto ControlTables::makeFailoverHooks() -> FailoverHooks
@@ -55,6 +73,7 @@
         });
     };
     failoverHooks.failoverEnded = [this](const FailoverRecord &record) {
+        logFailover(record);
         this->failovers.add(record);
         this->countFailover(record);
     };
--- a/libs/failover/include/failover/FailoverCoordinator.h
+++ b/libs/failover/include/failover/FailoverCoordinator.h
@@ -53,7 +53,8 @@
 
     /// Starts a planned promotion. `target` is chosen among equally advanced endpoints.
     /// `kNotFound`: unknown group or endpoint; `kFailedPrecondition`: this member does not lead;
-    /// `kAlreadyExists`: a failover of the group is in progress.
+    /// `kAlreadyExists`: a failover of the group is in progress; `kUnavailable`: the last planned
+    /// promotion left the old primary in place, less than FailoverLimits::plannedRetryDelay ago.
     [[nodiscard]] auto promotePlanned(const std::string &group, const std::string &target,
                                       TimePoint now) -> absl::Status;
 
@@ -88,7 +89,7 @@
     ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
     auto issueGrant(detail::FailoverAttempt &attempt, Effects &effects) -> void;
     ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
-    auto issueFences(detail::FailoverAttempt &attempt, Effects &effects) -> void;
+    auto issueFences(detail::FailoverAttempt &attempt, TimePoint now, Effects &effects) -> void;
     ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
     auto issuePromote(detail::FailoverAttempt &attempt, TimePoint now, Effects &effects) -> void;
     ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
@@ -98,6 +99,8 @@
                              const FenceResponse &response, TimePoint now, Effects &effects)
         -> void;
     ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
+    auto entriesConfirmed(detail::FailoverAttempt &attempt, TimePoint now) -> void;
+    ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
     auto promoteWhenReady(detail::FailoverAttempt &attempt, TimePoint now, Effects &effects)
         -> void;
     ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
@@ -120,6 +123,9 @@
     /// Groups in phase `fencing` or without a primary, with the time of their last change.
     std::map<std::string, TimePoint, std::less<>> unserved ABSL_GUARDED_BY(mutex);
     std::map<std::string, detail::FailoverAttempt, std::less<>> attempts ABSL_GUARDED_BY(mutex);
+    /// Groups whose last planned promotion left the old primary in place, with the time of the
+    /// next.
+    std::map<std::string, TimePoint, std::less<>> plannedNotBefore ABSL_GUARDED_BY(mutex);
     SuspicionTable suspicions ABSL_GUARDED_BY(mutex);
 };
 
--- a/libs/failover/include/failover/FailoverLimits.h
+++ b/libs/failover/include/failover/FailoverLimits.h
@@ -1,6 +1,8 @@
 #ifndef AUBURNRAIL_FAILOVER_FAILOVERLIMITS_H
 #define AUBURNRAIL_FAILOVER_FAILOVERLIMITS_H
 
+#include <lease/LeaseTiming.h>
+
 #include <core/Time.h>
 
 #include <cstddef>
@@ -20,6 +22,14 @@
     Duration initialSettleTime = std::chrono::seconds(2);
     /// Planned promotion: how long to wait for the requested endpoint to catch up.
     Duration catchUpLimit = std::chrono::seconds(1);
+    /// With synchronous replicas: how long an entry may acknowledge commits of the old term after
+    /// it has confirmed the new one, on the leader's clock. Meanwhile the replicas receive them.
+    Duration acknowledgementGrace = ACKNOWLEDGEMENT_GRACE * (100 + LEASE_DRIFT_PERCENT) / 100;
+    /// With synchronous replicas: how long the entries have to confirm the new term before the old
+    /// primary is fenced without waiting for the rest of them.
+    Duration entryConfirmationWait = std::chrono::milliseconds(500);
+    /// Pause after a planned promotion that left the old primary in place.
+    Duration plannedRetryDelay = std::chrono::seconds(1);
     /// With synchronous replicas: how long to wait for the fence responses of all replicas after a
     /// majority has responded.
     Duration replicaFenceWait = std::chrono::milliseconds(500);
--- a/libs/failover/src/FailoverAttempt.cpp
+++ b/libs/failover/src/FailoverAttempt.cpp
@@ -33,20 +33,71 @@
                        });
 }
 
+auto FailoverAttempt::hasOldTermEnded(const FailoverLimits &limits, TimePoint now) const -> bool
+{
+    if (!this->confirmedAt)
+        return false;
+    // Without synchronous replicas entries check their lease and the term at each acknowledgement.
+    const auto grace =
+        this->view.synchronousReplicas > 0 ? limits.acknowledgementGrace : Duration::zero();
+    return now >= *this->confirmedAt + grace;
+}
+
+auto FailoverAttempt::mayFenceOldPrimary(const FailoverLimits &limits, TimePoint now) const -> bool
+{
+    return this->mayFenceReplicas(limits, now)
+           || now - this->record.phases.back().startedAt >= limits.entryConfirmationWait;
+}
+
+auto FailoverAttempt::mayFenceReplicas(const FailoverLimits &limits, TimePoint now) const -> bool
+{
+    return this->view.synchronousReplicas == 0 || this->isOldPrimaryFenced()
+           || this->hasOldTermEnded(limits, now);
+}
+
 auto FailoverAttempt::holdsEveryWrite() const -> bool
 {
     return this->view.synchronousReplicas == 0 || this->isOldPrimaryFenced()
            || this->areReplicasFenced();
 }
 
+auto FailoverAttempt::isOldPrimaryAhead() const -> bool
+{
+    const auto old = this->fences.find(this->view.primary);
+    if (old == this->fences.end())
+        return false;
+    return std::all_of(this->view.endpoints.begin(), this->view.endpoints.end(),
+                       [&](const GroupEndpoint &endpoint) {
+                           const auto found = this->fences.find(endpoint.name);
+                           return endpoint.name == old->first || found == this->fences.end()
+                                  || std::is_lt(found->second.position <=> old->second.position);
+                       });
+}
+
+auto FailoverAttempt::mayKeepOldPrimary() const -> bool
+{
+    if (this->view.synchronousReplicas == 0 || this->view.endpoints.size() == 1)
+        return true;
+    if (this->oldPrimaryFailed)
+        return false;
+    if (!this->areReplicasFenced())
+        return true;
+    const auto old = std::find_if(
+        this->view.endpoints.begin(), this->view.endpoints.end(),
+        [this](const GroupEndpoint &endpoint) { return endpoint.name == this->view.primary; });
+    const auto isPlanned =
+        this->record.cause == FailoverCause::Planned
+        // The cause that an earlier leader had is not known; a leaving primary is replaced by plan.
+        || (this->record.cause == FailoverCause::Resumed && old != this->view.endpoints.end()
+            && old->leaving);
+    return isPlanned && this->isOldPrimaryAhead();
+}
+
 auto FailoverAttempt::mostAdvanced() const -> GroupEndpoint
 {
     if (this->view.endpoints.empty())
         return GroupEndpoint();
-    // With synchronous replicas every acknowledged write is on at least one replica, so that the
-    // old primary, which may have caused the failover, need not become primary again.
-    const auto skipsOldPrimary = this->view.synchronousReplicas > 0
-                                 && this->view.endpoints.size() > 1 && this->areReplicasFenced();
+    const auto skipsOldPrimary = !this->mayKeepOldPrimary();
     const auto rankOf = [this, skipsOldPrimary](const GroupEndpoint &endpoint) {
         const auto found = this->fences.find(endpoint.name);
         const auto fenced = found != this->fences.end();
--- a/libs/failover/src/FailoverCoordinator.cpp
+++ b/libs/failover/src/FailoverCoordinator.cpp
@@ -71,6 +71,7 @@
     this->groups.erase(group);
     this->unserved.erase(group);
     this->attempts.erase(group);
+    this->plannedNotBefore.erase(group);
     this->suspicions.clear(group);
 }
 
@@ -151,6 +152,10 @@
             return absl::NotFoundError("group " + group + " has no endpoint " + target);
         if (this->attempts.contains(group))
             return absl::AlreadyExistsError("a failover of group " + group + " is under way");
+        const auto notBefore = this->plannedNotBefore.find(group);
+        if (notBefore != this->plannedNotBefore.end() && now < notBefore->second)
+            return absl::UnavailableError("the primary of group " + group
+                                          + " stayed at the last planned promotion; try again");
         this->startFailover(found->second, FailoverCause::Planned, target, now, effects);
     }
     runAll(effects);
@@ -168,7 +173,8 @@
             return;
         this->startDueFailovers(now, effects);
         for (auto &[group, attempt] : this->attempts) {
-            if (attempt.phase == FailoverPhase::WaitingForceOrConfirmation) {
+            if (attempt.phase == FailoverPhase::Fencing
+                || attempt.phase == FailoverPhase::WaitingForceOrConfirmation) {
                 waiting.emplace_back(group, attempt.id);
                 revisions.push_back(attempt.revision);
             }
@@ -180,11 +186,16 @@
     for (auto i = std::size_t(0); i < waiting.size(); ++i) {
         if (!this->hooks.isInForce(revisions[i], now))
             continue;
-        this->completeStep(waiting[i].first, waiting[i].second,
-                           FailoverPhase::WaitingForceOrConfirmation,
+        const auto &[group, attemptId] = waiting[i];
+        this->completeStep(group, attemptId, FailoverPhase::Fencing,
+                           [this, now](detail::FailoverAttempt &attempt, Effects &)
+                               ABSL_EXCLUSIVE_LOCKS_REQUIRED(this->mutex) {
+                                   this->entriesConfirmed(attempt, now);
+                               });
+        this->completeStep(group, attemptId, FailoverPhase::WaitingForceOrConfirmation,
                            [this, now](detail::FailoverAttempt &attempt, Effects &more)
                                ABSL_EXCLUSIVE_LOCKS_REQUIRED(this->mutex) {
-                                   attempt.oldTermEnded = true;
+                                   this->entriesConfirmed(attempt, now);
                                    this->promoteWhenReady(attempt, now, more);
                                });
     }
@@ -231,6 +242,12 @@
     if (completed)
         this->followAll(this->groups[record.group], effects);
     effects.emplace_back([this, record] { this->hooks.failoverEnded(record); });
+    const auto wasPlanned =
+        record.cause == FailoverCause::Planned || record.cause == FailoverCause::Resumed;
+    if (completed && wasPlanned && record.newPrimary == record.oldPrimary)
+        this->plannedNotBefore.insert_or_assign(record.group, now + this->limits.plannedRetryDelay);
+    else
+        this->plannedNotBefore.erase(record.group);
     this->suspicions.clear(record.group);
     this->attempts.erase(record.group);
 }
--- a/libs/failover/src/FailoverSteps.cpp
+++ b/libs/failover/src/FailoverSteps.cpp
@@ -28,7 +28,7 @@
     attempt.view = this->groups[attempt.record.group];
     attempt.record.term = std::max(highestTerm, attempt.view.term) + 1;
     attempt.fences.clear();
-    attempt.oldTermEnded = false;
+    attempt.confirmedAt.reset();
     if (!note.empty())
         attempt.record.note = note;
     this->enterPhase(attempt, FailoverPhase::GrantingTerm, now, effects);
@@ -50,6 +50,11 @@
         if (!attempt.record.requestedPrimary.empty()
             && attempt.record.requestedPrimary != attempt.chosen.name)
             attempt.record.note = "the wanted endpoint was behind or did not answer";
+        if (attempt.view.synchronousReplicas > 0 && attempt.isOldPrimaryAhead())
+            attempt.record.note =
+                attempt.chosen.name == attempt.view.primary
+                    ? "the old primary stays: the replicas lack entries that it has"
+                    : "the suspected old primary has entries that no replica has";
     }
     this->issueStep(attempt, now, effects);
 }
@@ -69,8 +74,15 @@
     case FailoverPhase::WaitingForceOrConfirmation:
         // While waiting for the leases, endpoints that did not respond are asked again: the old
         // primary may confirm the fence, and a more advanced endpoint may respond.
-        this->issueFences(attempt, effects);
-        attempt.nextTryAt = now + attempt.retryDelay(this->limits);
+        this->issueFences(attempt, now, effects);
+        if (attempt.mayFenceOldPrimary(this->limits, now)) {
+            attempt.nextTryAt = now + attempt.retryDelay(this->limits);
+        } else {
+            attempt.tries = 0;
+            attempt.nextTryAt = attempt.confirmedAt
+                                    ? *attempt.confirmedAt + this->limits.acknowledgementGrace
+                                    : now + this->limits.entryConfirmationWait;
+        }
         if (attempt.phase == FailoverPhase::WaitingForceOrConfirmation && attempt.tries > 1)
             this->promoteWhenReady(attempt, now, effects);
         break;
@@ -104,7 +116,8 @@
     });
 }
 
-auto FailoverCoordinator::issueFences(FailoverAttempt &attempt, Effects &effects) -> void
+auto FailoverCoordinator::issueFences(FailoverAttempt &attempt, TimePoint now, Effects &effects)
+    -> void
 {
     const auto group = attempt.record.group;
     const auto attemptId = attempt.id;
@@ -121,6 +134,9 @@
         }
         if (fenced && !mustCatchUp)
             continue;
+        if (endpoint.name == attempt.view.primary ? !attempt.mayFenceOldPrimary(this->limits, now)
+                                                  : !attempt.mayFenceReplicas(this->limits, now))
+            continue;
         auto done = [this, group, attemptId,
                      name = endpoint.name](std::optional<FenceResponse> response, TimePoint at) {
             if (!response)
@@ -149,13 +165,28 @@
                                  "endpoint " + endpoint + " knows a later term", now, effects);
         return;
     }
+    const auto awaitedOldPrimary = !attempt.mayFenceReplicas(this->limits, now);
     attempt.fences.insert_or_assign(endpoint, response);
+    if (awaitedOldPrimary && attempt.mayFenceReplicas(this->limits, now))
+        this->issueStep(attempt, now, effects);
     if (attempt.phase == FailoverPhase::Fencing && attempt.hasMajority())
         this->enterPhase(attempt, FailoverPhase::WaitingForceOrConfirmation, now, effects);
     if (attempt.phase == FailoverPhase::WaitingForceOrConfirmation)
         this->promoteWhenReady(attempt, now, effects);
 }
 
+auto FailoverCoordinator::entriesConfirmed(FailoverAttempt &attempt, TimePoint now) -> void
+{
+    if (attempt.confirmedAt)
+        return;
+    attempt.confirmedAt = now;
+    if (attempt.view.synchronousReplicas == 0)
+        return;
+    // What could not be fenced before is fenced as soon as the last acknowledgement may have come.
+    attempt.tries = 0;
+    attempt.nextTryAt = std::min(attempt.nextTryAt, now + this->limits.acknowledgementGrace);
+}
+
 auto FailoverCoordinator::promoteWhenReady(FailoverAttempt &attempt, TimePoint now,
                                            Effects &effects) -> void
 {
@@ -165,8 +196,9 @@
     // A replica whose response is still on its way may be a better choice than the old primary.
     const auto awaitsReplicas = attempt.view.synchronousReplicas > 0 && !attempt.areReplicasFenced()
                                 && waitedFor < this->limits.replicaFenceWait;
-    if ((attempt.oldTermEnded || attempt.isOldPrimaryFenced()) && attempt.holdsEveryWrite()
-        && !mustCatchUp && !awaitsReplicas)
+    const auto acknowledgesNothing =
+        attempt.hasOldTermEnded(this->limits, now) || attempt.isOldPrimaryFenced();
+    if (acknowledgesNothing && attempt.holdsEveryWrite() && !mustCatchUp && !awaitsReplicas)
         this->enterPhase(attempt, FailoverPhase::Promoting, now, effects);
 }
 
@@ -174,6 +206,7 @@
     -> void
 {
     if (attempt.tries > this->limits.maxPromoteTries) {
+        attempt.oldPrimaryFailed |= attempt.chosen.name == attempt.view.primary;
         this->restartWithNewTerm(
             attempt, attempt.record.term,
             "endpoint " + attempt.chosen.name + " did not confirm its promotion", now, effects);
--- a/libs/failover/tests/FailoverContractTest.cpp
+++ b/libs/failover/tests/FailoverContractTest.cpp
@@ -1,5 +1,7 @@
 #include "GroupSimulation.h"
 
+#include <lease/LeaseTiming.h>
+
 #include <catch2/catch.hpp>
 
 namespace auburnrail {
@@ -82,6 +84,55 @@
      "a", 3},
 };
 
+/// Writes that the old primary acknowledges because a replica that control hasn't heard of confirms
+/// each one at once. The registered replicas receive them a little later, unless they are fenced.
+class WritesWithUnknownReplica
+{
+public:
+    static constexpr auto INTERVAL = 5ms;
+    static constexpr auto REPLICATION_DELAY = 20ms;
+
+    explicit WritesWithUnknownReplica(GroupSimulation &simulatedGroup)
+        : group(simulatedGroup)
+    {
+        this->writeNext();
+    }
+
+    Position acknowledged;
+
+private:
+    auto writeNext() -> void
+    {
+        auto &primary = this->group.endpoints["a"];
+        // The entries pass on acknowledgements for a short time after they have confirmed the term.
+        const auto acknowledgesUntil = this->group.inForceAt == TimePoint::max()
+                                           ? TimePoint::max()
+                                           : this->group.inForceAt + ACKNOWLEDGEMENT_GRACE / 2;
+        if (!primary.primary || this->group.scheduler.now() >= acknowledgesUntil)
+            return;
+        ++primary.position.index;
+        this->acknowledged = primary.position;
+        for (const auto *name : {"b", "c"}) {
+            this->group.scheduler.executor().postAfter(
+                REPLICATION_DELAY, [this, name, position = primary.position] {
+                    if (!this->group.endpoints[name].fenced)
+                        this->group.endpoints[name].position = position;
+                });
+        }
+        this->group.scheduler.executor().postAfter(INTERVAL, [this] { this->writeNext(); });
+    }
+
+    GroupSimulation &group;
+};
+
+/// A group with a synchronous replica whose primary is about to leave.
+auto makeLeavingPrimary(GroupSimulation &group) -> void
+{
+    group.view.synchronousReplicas = 1;
+    group.view.endpoints[0].leaving = true;
+    group.coordinator->groupChanged(group.view, group.scheduler.now());
+}
+
 } // namespace
 
 // Guards against a failover that never completes, replaces a healthy primary, or leaves two
@@ -251,6 +302,67 @@
     CHECK(group.endpoints["c"].position.index >= 11);
 }
 
+// Guards against acknowledged writes that are lost in a planned change of primary because the
+// replicas were fenced while the old primary and a replica that has not registered yet went on.
+TEST_CASE("replicas are fenced only when nothing more is acknowledged")
+{
+    for (const auto refusesOrders : {false, true}) {
+        INFO("old primary refuses orders: " << refusesOrders);
+        auto group = GroupSimulation();
+        makeLeavingPrimary(group);
+        group.leaseWait = 60ms;
+        group.endpoints["a"].refusesOrders = refusesOrders;
+        const auto writes = WritesWithUnknownReplica(group);
+        group.runFor(100ms);
+        REQUIRE(group.coordinator->promotePlanned("logs", "b", group.scheduler.now()).ok());
+        group.runFor(3s);
+        REQUIRE(group.view.phase == GroupPhase::Serving);
+        CHECK(group.view.primary == "b");
+        REQUIRE(group.records.size() == 1);
+        CHECK(writes.acknowledged.index > 20);
+        CHECK(group.records[0].position >= writes.acknowledged);
+    }
+}
+
+// Guards against the loss of writes that only the old primary and an unregistered replica have.
+TEST_CASE("a planned promotion keeps a primary that is ahead of all registered replicas")
+{
+    auto group = GroupSimulation();
+    makeLeavingPrimary(group);
+    group.leaseWait = 60ms;
+    group.endpoints["b"].deaf = true;
+    group.endpoints["c"].deaf = true;
+    REQUIRE(group.coordinator->promotePlanned("logs", "b", group.scheduler.now()).ok());
+    group.runFor(1700ms);
+    CHECK(group.view.phase == GroupPhase::Serving);
+    CHECK(group.view.primary == "a");
+    CHECK(group.endpoints["a"].primary);
+    // The next one waits, so that the group serves in between.
+    CHECK(group.coordinator->promotePlanned("logs", "b", group.scheduler.now()).code()
+          == absl::StatusCode::kUnavailable);
+    group.runFor(1s);
+    group.endpoints["b"].deaf = false;
+    REQUIRE(group.coordinator->promotePlanned("logs", "b", group.scheduler.now()).ok());
+    group.runFor(2s);
+    CHECK(group.view.primary == "b");
+    CHECK(group.endpoints["b"].position.index == 12);
+}
+
+// Guards against a group that stays without a primary because the old one can't be promoted again.
+TEST_CASE("a replica is promoted when the old primary doesn't confirm its own promotion")
+{
+    auto group = GroupSimulation();
+    makeLeavingPrimary(group);
+    group.leaseWait = 60ms;
+    group.endpoints["b"].deaf = true;
+    group.endpoints["c"].deaf = true;
+    group.crashOnPromotion = "a";
+    REQUIRE(group.coordinator->promotePlanned("logs", "b", group.scheduler.now()).ok());
+    group.runFor(7s);
+    CHECK(group.view.phase == GroupPhase::Serving);
+    CHECK(group.view.primary == "b");
+}
+
 TEST_CASE("of equally advanced replicas one that is not leaving is promoted")
 {
     auto group = GroupSimulation();
--- a/libs/failover/tests/GroupSimulation.h
+++ b/libs/failover/tests/GroupSimulation.h
@@ -21,6 +21,9 @@
         Position position{.term = 1, .index = 10};
         bool primary = false;
         bool reachable = true;
+        bool refusesOrders = false; ///< It serves, but has no connection left for control.
+        bool deaf = false;          ///< It receives nothing from a primary.
+        bool fenced = false; ///< It has been fenced and not promoted or told to follow since.
         std::string following;
         std::set<std::uint64_t> promotedInTerms;
     };
@@ -89,12 +92,17 @@
                 [this](const GroupEndpoint &endpoint, const std::string &, std::uint64_t term,
                        auto done) {
                     this->callEndpoint(endpoint.name, [term, done, this](Endpoint &state) {
+                        if (state.refusesOrders) {
+                            done(std::nullopt, this->scheduler.now());
+                            return;
+                        }
                         const auto accepted =
                             term > state.term || (term == state.term && !state.primary);
                         const auto wasPrimary = state.primary;
                         if (accepted) {
                             state.term = term;
                             state.primary = false;
+                            state.fenced = true;
                         }
                         const auto response =
                             FenceResponse{accepted, state.position, state.term, wasPrimary};
@@ -110,6 +118,7 @@
                         endpoint.name, [this, term, done, name = endpoint.name](Endpoint &state) {
                             if (term == state.term) {
                                 state.primary = true;
+                                state.fenced = false;
                                 state.promotedInTerms.insert(term);
                             }
                             if (name == this->crashOnPromotion)
@@ -141,7 +150,10 @@
                             return;
                         state.term = term;
                         state.primary = false;
+                        state.fenced = false;
                         state.following = primary.name;
+                        if (state.deaf)
+                            return;
                         state.position = this->endpoints[primary.name].position;
                     });
                 },
