Ask replicas that register during a failover for their position

Callers can lose acknowledged commits when a primary ends: a failover without an answer of the old primary waits for leases, up to 2.1 s, and a replica that registered in that time was not fenced. The promotion took the most advanced of the others.

Cause: the endpoints of an attempt were updated in the phases before the wait only.

Change: the endpoints are updated while the attempt waits, too; the newcomer is asked at the next try, and the promotion waits for it like for the others.

Test: "a replica that registers during the failover is asked for its position" fails on the sources of ("b" == "n").

--- a/libs/failover/src/FailoverCoordinator.cpp
+++ b/libs/failover/src/FailoverCoordinator.cpp
@@ -55,7 +55,8 @@
                 attempt.record.newPrimary = view.primary;
             // Endpoints and their addresses may change while the attempt waits for a majority.
             if (attempt.phase == FailoverPhase::GrantingTerm
-                || attempt.phase == FailoverPhase::Fencing)
+                || attempt.phase == FailoverPhase::Fencing
+                || attempt.phase == FailoverPhase::WaitingForceOrConfirmation)
                 attempt.view.endpoints = view.endpoints;
             // A higher term was granted by another leader: this attempt, planned or not, ends.
             if (completed || view.term > attempt.record.term)
--- a/libs/failover/tests/FailoverContractTest.cpp
+++ b/libs/failover/tests/FailoverContractTest.cpp
@@ -363,6 +363,24 @@
     CHECK(group.view.primary == "b");
 }
 
+// Guards against a promotion that passes over a replica which registered while the leases expired.
+TEST_CASE("a replica that registers during the failover is asked for its position")
+{
+    auto group = GroupSimulation();
+    group.view.synchronousReplicas = 1;
+    group.coordinator->groupChanged(group.view, group.scheduler.now());
+    isolatePrimary(group);
+    group.runFor(2500ms);
+    REQUIRE(group.view.phase == GroupPhase::Fencing);
+    group.endpoints["n"] = GroupSimulation::Endpoint();
+    group.endpoints["n"].position.index = 12;
+    group.view.endpoints.push_back({"n", "4"});
+    group.coordinator->groupChanged(group.view, group.scheduler.now());
+    group.runFor(4s);
+    CHECK(group.view.phase == GroupPhase::Serving);
+    CHECK(group.view.primary == "n");
+}
+
 TEST_CASE("of equally advanced replicas one that is not leaving is promoted")
 {
     auto group = GroupSimulation();
