Confirm a departure that may be a previous process's by silence

Cause: a departure doesn't say which process departs. EndpointRegistrar applied it to the one that had announced itself last; when a partition had held it up, that was the next process of the same name. It was removed, and all its later announcements counted as outdated, though each was answered with 200.

Ruled out: to order departures by start time and sequence; they carry neither.

Change: a departure takes effect at once only if the present process has announced that it leaves. Else it takes effect when the endpoint stays silent for DEPARTURE_CONFIRMATION_S, also for a primary, whose replacement a late departure used to start. A departure that changes nothing yet has a log line.

--- a/libs/control/include/control/EndpointRegistrar.h
+++ b/libs/control/include/control/EndpointRegistrar.h
@@ -28,6 +28,9 @@
 {
 public:
     static constexpr auto REPEAT_INTERVAL_MS = std::chrono::milliseconds(500);
+    /// A departure that may be that of an earlier process takes effect when the endpoint doesn't
+    /// announce itself for this long. Three announcements come in this time.
+    static constexpr auto DEPARTURE_CONFIRMATION_S = std::chrono::seconds(4);
     /// How long the last announcement of an endpoint is remembered, to recognise delayed ones after
     /// it has gone.
     static constexpr auto RETENTION_S = std::chrono::seconds(120);
@@ -43,7 +46,7 @@
     auto beginLeadership(TimePoint now) -> void;
 
     /// Commands that remove endpoints that have timed out, except for primaries, which only a
-    /// failover replaces.
+    /// failover replaces, and those that confirm departures.
     [[nodiscard]] auto removalsOfUnresponsive(const FleetObjects &state, TimePoint now)
         -> std::vector<CommandBody>;
 
@@ -52,6 +55,16 @@
 
     ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
     auto isOutdated(const Announcement &announcement, TimePoint now) -> bool;
+    /// Handles a final departure. It doesn't identify the process that departs.
+    ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
+    auto departed(const Announcement &announcement, const FleetObjects &state, TimePoint now)
+        -> std::vector<CommandBody>;
+    /// Whether the final departure is certainly that of the endpoint's present process.
+    ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
+    [[nodiscard]] auto isOwnDeparture(const Endpoint &known) const -> bool;
+    ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
+    auto confirmDeparture(const Endpoint &endpoint, const FleetObjects &state, TimePoint now)
+        -> std::vector<CommandBody>;
     ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
     auto withoutRepeated(std::vector<CommandBody> commands, const std::string &endpoint,
                          TimePoint now) -> std::vector<CommandBody>;
--- a/libs/control/include/control/detail/LastAnnouncement.h
+++ b/libs/control/include/control/detail/LastAnnouncement.h
@@ -4,6 +4,7 @@
 #include <core/Time.h>
 
 #include <cstdint>
+#include <optional>
 
 namespace auburnrail::detail {
 
@@ -12,8 +13,12 @@
 {
     std::uint64_t startedAt = 0;
     std::uint64_t sequence = 0;
+    bool leaving = false;
     bool gone = false;
     TimePoint at;
+    /// When a final departure came from a process that had not announced that it leaves, or from an
+    /// earlier one.
+    std::optional<TimePoint> unconfirmedDepartureAt;
 };
 
 } // namespace auburnrail::detail
--- a/libs/control/src/ControlTables.cpp
+++ b/libs/control/src/ControlTables.cpp
@@ -165,6 +165,11 @@
                  {"sequence", std::to_string(announcement.sequence)},
                  {"changes", std::to_string(commands.size())}});
     }
+    if (announcement.gone && commands.empty()) {
+        logLine(LogLevel::Info, "endpoint", "departure changes nothing yet",
+                {{"endpoint", announcement.endpoint},
+                 {"known", state.find<Endpoint>(announcement.endpoint) ? "true" : "false"}});
+    }
     if (!announcement.leaving) {
         for (auto &body : commands)
             this->submitInternal(std::move(body));
--- a/libs/control/src/EndpointRegistrar.cpp
+++ b/libs/control/src/EndpointRegistrar.cpp
@@ -60,12 +60,16 @@
     });
 }
 
-auto departureCommands(const Announcement &announcement, const Endpoint &known,
-                       const FleetObjects &state) -> std::vector<CommandBody>
+auto isPrimary(const Endpoint &endpoint, const FleetObjects &state) -> bool
 {
-    const auto *group = state.find<Group>(known.group);
-    const auto isPrimary = group != nullptr && group->primary == known.name;
-    if (announcement.gone && !isPrimary)
+    const auto *group = state.find<Group>(endpoint.group);
+    return group != nullptr && group->primary == endpoint.name;
+}
+
+auto departureCommands(bool isGone, const Endpoint &known, const FleetObjects &state)
+    -> std::vector<CommandBody>
+{
+    if (isGone && !isPrimary(known, state))
         return {DeleteObject{ObjectKind::Endpoint, known.name}};
     if (!known.leaving)
         return {LeaveEndpoint{known.name}};
@@ -82,36 +86,67 @@
 auto EndpointRegistrar::isOutdated(const Announcement &announcement, TimePoint now) -> bool
 {
     auto &last = this->lastAnnouncements[announcement.endpoint];
-    // A final departure doesn't identify the process; it refers to the one that announced itself
-    // last.
-    if (announcement.gone) {
-        last.gone = true;
-        last.at = now;
-        return false;
-    }
     const auto isOlder = announcement.startedAt < last.startedAt
                          || (announcement.startedAt == last.startedAt
                              && (last.gone || announcement.sequence < last.sequence));
     if (isOlder && last.at != TimePoint())
         return true;
-    last = detail::LastAnnouncement{
-        .startedAt = announcement.startedAt, .sequence = announcement.sequence, .at = now};
+    last = detail::LastAnnouncement{.startedAt = announcement.startedAt,
+                                    .sequence = announcement.sequence,
+                                    .leaving = announcement.leaving,
+                                    .at = now};
     return false;
 }
 
+auto EndpointRegistrar::isOwnDeparture(const Endpoint &known) const -> bool
+{
+    const auto found = this->lastAnnouncements.find(known.name);
+    const auto isHeard = found != this->lastAnnouncements.end() && found->second.at != TimePoint();
+    return isHeard ? found->second.leaving : known.leaving;
+}
+
+auto EndpointRegistrar::departed(const Announcement &announcement, const FleetObjects &state,
+                                 TimePoint now) -> std::vector<CommandBody>
+{
+    const auto *known = state.find<Endpoint>(announcement.endpoint);
+    auto &last = this->lastAnnouncements[announcement.endpoint];
+    if (known != nullptr && !this->isOwnDeparture(*known)) {
+        last.unconfirmedDepartureAt = now;
+        return {};
+    }
+    last.gone = true;
+    last.at = now;
+    return known == nullptr ? std::vector<CommandBody>() : departureCommands(true, *known, state);
+}
+
+auto EndpointRegistrar::confirmDeparture(const Endpoint &endpoint, const FleetObjects &state,
+                                         TimePoint now) -> std::vector<CommandBody>
+{
+    const auto found = this->lastAnnouncements.find(endpoint.name);
+    if (found == this->lastAnnouncements.end() || !found->second.unconfirmedDepartureAt
+        || now - *found->second.unconfirmedDepartureAt < DEPARTURE_CONFIRMATION_S)
+        return {};
+    // Otherwise a delayed announcement would register the endpoint again.
+    found->second.gone = true;
+    return this->withoutRepeated(departureCommands(true, endpoint, state), endpoint.name, now);
+}
+
 auto EndpointRegistrar::commandsFor(const Announcement &announcement, const FleetObjects &state,
                                     TimePoint now) -> std::vector<CommandBody>
 {
     const RankedLock lock(this->mutex);
+    if (announcement.gone)
+        return this->withoutRepeated(this->departed(announcement, state, now),
+                                     announcement.endpoint, now);
     if (this->isOutdated(announcement, now))
         return {};
     const auto *known = state.find<Endpoint>(announcement.endpoint);
-    if (known != nullptr && !announcement.gone && announcement.startedAt < known->startedAt)
+    if (known != nullptr && announcement.startedAt < known->startedAt)
         return {};
     auto commands = std::vector<CommandBody>();
     if (announcement.leaving) {
         if (known != nullptr)
-            commands = departureCommands(announcement, *known, state);
+            commands = departureCommands(false, *known, state);
     } else if (!isRegistered(announcement, state)) {
         if (isOlderAtAddress(announcement, state))
             return {};
@@ -164,10 +199,12 @@
             const auto lastSeenAt = found == this->lastAnnouncements.end()
                                         ? this->leaderSince
                                         : std::max(this->leaderSince, found->second.at);
-            const auto *group = state.find<Group>(endpoint.group);
-            const auto isPrimary = group != nullptr && group->primary == endpoint.name;
-            if (!isPrimary && now - lastSeenAt > this->settings.endpointTimeout)
+            if (!isPrimary(endpoint, state) && now - lastSeenAt > this->settings.endpointTimeout) {
                 commands.emplace_back(DeleteObject{ObjectKind::Endpoint, endpoint.name});
+                return;
+            }
+            for (auto &command : this->confirmDeparture(endpoint, state, now))
+                commands.push_back(std::move(command));
         });
     return commands;
 }
--- a/libs/control/tests/EndpointRegistrarTest.cpp
+++ b/libs/control/tests/EndpointRegistrarTest.cpp
@@ -21,6 +21,14 @@
                         .sequence = sequence};
 }
 
+auto departure(const std::string &name) -> Announcement
+{
+    auto gone = announcement(name, 0, 0);
+    gone.leaving = true;
+    gone.gone = true;
+    return gone;
+}
+
 /// A registrar and the state that results from its commands.
 struct RegistrarFixture
 {
@@ -111,6 +119,62 @@
     CHECK(fixture.receive(announcement("e1", 5, 3)) == 0);
 }
 
+// Guards against a live replica that is dropped: a partition held up the departure of its previous
+// process, and all later announcements counted as outdated.
+TEST_CASE("a late departure of a previous process doesn't remove the present one")
+{
+    auto fixture = RegistrarFixture();
+    REQUIRE(fixture.receive(announcement("e1", 5, 1)) == 1);
+    auto leaving = announcement("e1", 5, 2);
+    leaving.leaving = true;
+    REQUIRE(fixture.receive(leaving) == 1);
+    REQUIRE(fixture.receive(announcement("e1", 8, 1)) == 1);
+    CHECK(fixture.receive(departure("e1")) == 0);
+    for (auto sequence = std::uint64_t(2); sequence < 8; ++sequence) {
+        CHECK(fixture.receive(announcement("e1", 8, sequence)) == 0);
+        fixture.apply(fixture.registrar.removalsOfUnresponsive(fixture.objects, fixture.now));
+        REQUIRE(fixture.objects.find<Endpoint>("e1") != nullptr);
+    }
+    auto moved = announcement("e1", 8, 9);
+    moved.zone = "z2";
+    CHECK(fixture.receive(moved) == 1);
+}
+
+// The same when the registration of the present process is not committed yet.
+TEST_CASE("a late departure doesn't remove a process whose registration is under way")
+{
+    auto fixture = RegistrarFixture();
+    auto old = announcement("e1", 5, 1);
+    REQUIRE(fixture.receive(old) == 1);
+    old.leaving = true;
+    old.sequence = 2;
+    REQUIRE(fixture.receive(old) == 1);
+    fixture.now += 1s;
+    const auto commands =
+        fixture.registrar.commandsFor(announcement("e1", 8, 1), fixture.objects, fixture.now);
+    CHECK(fixture.receive(departure("e1")) == 0);
+    fixture.apply(commands);
+    REQUIRE(fixture.objects.find<Endpoint>("e1") != nullptr);
+    CHECK(fixture.objects.find<Endpoint>("e1")->startedAt == 8);
+}
+
+// Guards against an endpoint that stays registered because its last announcements were lost.
+TEST_CASE("a departure without notice takes effect when the endpoint stays silent")
+{
+    auto fixture = RegistrarFixture();
+    REQUIRE(fixture.receive(announcement("e1", 5, 1)) == 1);
+    CHECK(fixture.receive(departure("e1")) == 0);
+    const auto isRemoved = [&fixture](Duration after) {
+        return !fixture.registrar.removalsOfUnresponsive(fixture.objects, fixture.now + after)
+                    .empty();
+    };
+    CHECK_FALSE(isRemoved(3900ms));
+    fixture.apply(fixture.registrar.removalsOfUnresponsive(fixture.objects, fixture.now + 4100ms));
+    CHECK(fixture.objects.find<Endpoint>("e1") == nullptr);
+    CHECK(fixture.receive(announcement("e1", 5, 2)) == 0);
+    CHECK(fixture.receive(announcement("e1", 8, 1)) == 1);
+}
+
 TEST_CASE("the announced primary is adopted while the group has had none")
 {
     auto fixture = RegistrarFixture();
