--- a/libs/control/include/control/EndpointRegistrar.h
+++ b/libs/control/include/control/EndpointRegistrar.h
@@ -61,7 +61,7 @@
         -> std::vector<CommandBody>;
     /// Whether the final departure is certainly that of the endpoint's present process.
     ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
-    [[nodiscard]] auto isOwnDeparture(const Endpoint &known) const -> bool;
+    auto isOwnDeparture(const Endpoint &known) const -> bool;
     ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
     auto confirmDeparture(const Endpoint &endpoint, const FleetObjects &state, TimePoint now)
         -> std::vector<CommandBody>;
