Wait for every replica when the old primary can't be promoted again

Callers could lose acknowledged commits: when the old primary was chosen, didn't confirm its promotion, and another replica did not respond, a replica that lacked what those two have was promoted.

Change: the exception holds only when all replicas are fenced.

--- a/libs/failover/src/FailoverAttempt.cpp
+++ b/libs/failover/src/FailoverAttempt.cpp
@@ -78,10 +78,10 @@
 {
     if (this->view.synchronousReplicas == 0 || this->view.endpoints.size() == 1)
         return true;
-    if (this->oldPrimaryFailed)
-        return false;
     if (!this->areReplicasFenced())
         return true;
+    if (this->oldPrimaryFailed)
+        return false;
     const auto old = std::find_if(
         this->view.endpoints.begin(), this->view.endpoints.end(),
         [this](const GroupEndpoint &endpoint) { return endpoint.name == this->view.primary; });
--- a/libs/failover/tests/FailoverContractTest.cpp
+++ b/libs/failover/tests/FailoverContractTest.cpp
@@ -363,6 +363,27 @@
     CHECK(group.view.primary == "b");
 }
 
+// Guards against the loss of writes that an unreachable replica and the old primary have.
+TEST_CASE("no replica is promoted in place of a failed old primary while another doesn't respond")
+{
+    auto group = GroupSimulation();
+    makeLeavingPrimary(group);
+    group.leaseWait = 60ms;
+    group.endpoints["b"].reachable = false;
+    group.endpoints["c"].deaf = true;
+    group.crashOnPromotion = "a";
+    REQUIRE(group.coordinator->promotePlanned("logs", "c", group.scheduler.now()).ok());
+    for (auto promotion = 0; promotion < 2; ++promotion) {
+        group.endpoints["a"].reachable = true;
+        group.runFor(5s);
+        CHECK(group.view.phase == GroupPhase::Fencing);
+        CHECK(group.endpoints["c"].promotedInTerms.empty());
+    }
+    group.endpoints["b"].reachable = true;
+    group.runFor(5s);
+    CHECK(group.view.primary == "b");
+}
+
 // Guards against a promotion that passes over a replica which registered while the leases expired.
 TEST_CASE("a replica that registers during the failover is asked for its position")
 {
--- a/libs/proxy/include/proxy/StatementRun.h
+++ b/libs/proxy/include/proxy/StatementRun.h
@@ -59,6 +59,8 @@
     auto prepareNext() -> void;
     auto beginTransaction() -> void;
     auto runStatement() -> void;
+    /// Handles a change of data that may not be sent now: waits for a lease, or refuses it.
+    auto deferChange() -> void;
     /// Ends or restarts a change of data whose server may have been replaced.
     auto refuseChange(const std::string &reason) -> void;
     auto handleResponse(StatementResponse response) -> void;
--- a/libs/proxy/src/StatementRun.cpp
+++ b/libs/proxy/src/StatementRun.cpp
@@ -211,26 +211,30 @@
            || (request.statement.kind == StatementKind::Commit && request.transactionWrote);
 }
 
+auto StatementRun::deferChange() -> void
+{
+    // Only an open transaction is bound to its connection; others start again and wait there.
+    if (!this->continuesTransaction || this->hooks.holdsLease(this->hooks.executor.now())) {
+        this->refuseChange("the primary is being replaced");
+        return;
+    }
+    this->hooks.awaitLease(this->statementRequest.deadline(),
+                           [self = this->shared_from_this()](bool held) {
+                               self->hooks.executor.post([self, held] {
+                                   if (held)
+                                       self->runStatement();
+                                   else
+                                       self->refuseChange("this entry is cut off from control");
+                               });
+                           });
+}
+
 auto StatementRun::runStatement() -> void
 {
     const auto now = this->hooks.executor.now();
-    if (this->statementRequest.changesData()) {
-        if (this->continuesTransaction && !this->hooks.holdsLease(now)) {
-            this->hooks.awaitLease(
-                this->statementRequest.deadline(), [self = this->shared_from_this()](bool held) {
-                    self->hooks.executor.post([self, held] {
-                        if (held)
-                            self->runStatement();
-                        else
-                            self->refuseChange("this entry is cut off from control");
-                    });
-                });
-            return;
-        }
-        if (!this->mayChangeData()) {
-            this->refuseChange("the primary is being replaced");
-            return;
-        }
+    if (this->statementRequest.changesData() && !this->mayChangeData()) {
+        this->deferChange();
+        return;
     }
     this->statementSent = true;
     this->exchange(this->serverRequest(), [now](StatementRun &run, StatementResponse response) {
