--- a/libs/control/include/control/EndpointRegistrar.h
+++ b/libs/control/include/control/EndpointRegistrar.h
@@ -59,12 +59,6 @@
     ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
     auto departed(const Announcement &announcement, const FleetObjects &state, TimePoint now)
         -> std::vector<CommandBody>;
-    /// Whether the final departure is certainly that of the endpoint's present process.
-    ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
-    auto isOwnDeparture(const Endpoint &known) const -> bool;
-    ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
-    auto confirmDeparture(const Endpoint &endpoint, const FleetObjects &state, TimePoint now)
-        -> std::vector<CommandBody>;
     ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
     auto withoutRepeated(std::vector<CommandBody> commands, const std::string &endpoint,
                          TimePoint now) -> std::vector<CommandBody>;
--- a/libs/control/src/EndpointRegistrar.cpp
+++ b/libs/control/src/EndpointRegistrar.cpp
@@ -48,24 +48,23 @@
     return older;
 }
 
+auto isPrimary(const Endpoint &endpoint, const FleetObjects &state) -> bool
+{
+    const auto *group = state.find<Group>(endpoint.group);
+    return group != nullptr && group->primary == endpoint.name;
+}
+
 auto removeOthersAtAddress(const Announcement &announcement, const FleetObjects &state,
                            std::vector<CommandBody> &commands) -> void
 {
     state.table<Endpoint>().forEach([&](const Endpoint &other) {
         if (other.address != announcement.address || other.name == announcement.endpoint)
             return;
-        const auto *group = state.find<Group>(other.group);
-        if (group == nullptr || group->primary != other.name)
+        if (!isPrimary(other, state))
             commands.emplace_back(DeleteObject{ObjectKind::Endpoint, other.name});
     });
 }
 
-auto isPrimary(const Endpoint &endpoint, const FleetObjects &state) -> bool
-{
-    const auto *group = state.find<Group>(endpoint.group);
-    return group != nullptr && group->primary == endpoint.name;
-}
-
 auto departureCommands(bool isGone, const Endpoint &known, const FleetObjects &state)
     -> std::vector<CommandBody>
 {
@@ -76,6 +75,13 @@
     return {};
 }
 
+/// Whether an unconfirmed departure is confirmed by the silence that followed it.
+auto isDepartureDue(const detail::LastAnnouncement &last, TimePoint now) -> bool
+{
+    return last.unconfirmedDepartureAt
+           && now - *last.unconfirmedDepartureAt >= EndpointRegistrar::DEPARTURE_CONFIRMATION_S;
+}
+
 } // namespace
 
 EndpointRegistrar::EndpointRegistrar(EndpointRegistrarSettings registrarSettings)
@@ -98,19 +104,15 @@
     return false;
 }
 
-auto EndpointRegistrar::isOwnDeparture(const Endpoint &known) const -> bool
-{
-    const auto found = this->lastAnnouncements.find(known.name);
-    const auto isHeard = found != this->lastAnnouncements.end() && found->second.at != TimePoint();
-    return isHeard ? found->second.leaving : known.leaving;
-}
-
 auto EndpointRegistrar::departed(const Announcement &announcement, const FleetObjects &state,
                                  TimePoint now) -> std::vector<CommandBody>
 {
     const auto *known = state.find<Endpoint>(announcement.endpoint);
     auto &last = this->lastAnnouncements[announcement.endpoint];
-    if (known != nullptr && !this->isOwnDeparture(*known)) {
+    // Only the present process is certain to be the one that departs if it has announced that.
+    const auto hasAnnounced = last.at != TimePoint();
+    const auto isOwn = known == nullptr || (hasAnnounced ? last.leaving : known->leaving);
+    if (!isOwn) {
         last.unconfirmedDepartureAt = now;
         return {};
     }
@@ -119,18 +121,6 @@
     return known == nullptr ? std::vector<CommandBody>() : departureCommands(true, *known, state);
 }
 
-auto EndpointRegistrar::confirmDeparture(const Endpoint &endpoint, const FleetObjects &state,
-                                         TimePoint now) -> std::vector<CommandBody>
-{
-    const auto found = this->lastAnnouncements.find(endpoint.name);
-    if (found == this->lastAnnouncements.end() || !found->second.unconfirmedDepartureAt
-        || now - *found->second.unconfirmedDepartureAt < DEPARTURE_CONFIRMATION_S)
-        return {};
-    // Otherwise a delayed announcement would register the endpoint again.
-    found->second.gone = true;
-    return this->withoutRepeated(departureCommands(true, endpoint, state), endpoint.name, now);
-}
-
 auto EndpointRegistrar::commandsFor(const Announcement &announcement, const FleetObjects &state,
                                     TimePoint now) -> std::vector<CommandBody>
 {
@@ -203,7 +193,12 @@
                 commands.emplace_back(DeleteObject{ObjectKind::Endpoint, endpoint.name});
                 return;
             }
-            for (auto &command : this->confirmDeparture(endpoint, state, now))
+            if (found == this->lastAnnouncements.end() || !isDepartureDue(found->second, now))
+                return;
+            // Otherwise a delayed announcement would register the endpoint again.
+            found->second.gone = true;
+            for (auto &command : this->withoutRepeated(departureCommands(true, endpoint, state),
+                                                       endpoint.name, now))
                 commands.push_back(std::move(command));
         });
     return commands;
--- a/libs/control/tests/EndpointRegistrarTest.cpp
+++ b/libs/control/tests/EndpointRegistrarTest.cpp
@@ -111,10 +111,7 @@
     leaving.leaving = true;
     CHECK(fixture.receive(leaving) == 1);
     CHECK(fixture.objects.find<Endpoint>("e1")->leaving);
-    auto gone = announcement("e1", 0, 0);
-    gone.leaving = true;
-    gone.gone = true;
-    CHECK(fixture.receive(gone) == 1);
+    CHECK(fixture.receive(departure("e1")) == 1);
     CHECK(fixture.objects.find<Endpoint>("e1") == nullptr);
     CHECK(fixture.receive(announcement("e1", 5, 3)) == 0);
 }
--- a/libs/failover/include/failover/FailoverGroup.h
+++ b/libs/failover/include/failover/FailoverGroup.h
@@ -4,6 +4,7 @@
 #include <failover/GroupEndpoint.h>
 #include <state/GroupPhase.h>
 
+#include <algorithm>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -22,6 +23,15 @@
     /// Number of replicas that must have a write before the primary acknowledges it; 0 means
     /// that the entries wait for a majority instead.
     std::uint32_t synchronousReplicas = 0;
+
+    /// The endpoint with this name, or null.
+    [[nodiscard]] auto find(const std::string &endpoint) const -> const GroupEndpoint *
+    {
+        const auto found = std::find_if(
+            this->endpoints.begin(), this->endpoints.end(),
+            [&](const GroupEndpoint &candidate) { return candidate.name == endpoint; });
+        return found == this->endpoints.end() ? nullptr : &*found;
+    }
 };
 
 } // namespace auburnrail
--- a/libs/failover/src/FailoverAttempt.cpp
+++ b/libs/failover/src/FailoverAttempt.cpp
@@ -82,14 +82,11 @@
         return true;
     if (this->oldPrimaryFailed)
         return false;
-    const auto old = std::find_if(
-        this->view.endpoints.begin(), this->view.endpoints.end(),
-        [this](const GroupEndpoint &endpoint) { return endpoint.name == this->view.primary; });
+    const auto *old = this->view.find(this->view.primary);
     const auto isPlanned =
         this->record.cause == FailoverCause::Planned
         // The cause that an earlier leader had is not known; a leaving primary is replaced by plan.
-        || (this->record.cause == FailoverCause::Resumed && old != this->view.endpoints.end()
-            && old->leaving);
+        || (this->record.cause == FailoverCause::Resumed && old != nullptr && old->leaving);
     return isPlanned && this->isOldPrimaryAhead();
 }
 
--- a/libs/failover/src/FailoverCoordinator.cpp
+++ b/libs/failover/src/FailoverCoordinator.cpp
@@ -2,7 +2,6 @@
 
 #include <core/RankedLock.h>
 
-#include <algorithm>
 #include <cassert>
 
 namespace auburnrail {
@@ -15,14 +14,6 @@
         effect();
 }
 
-auto findEndpoint(const FailoverGroup &view, const std::string &name) -> const GroupEndpoint *
-{
-    const auto found =
-        std::find_if(view.endpoints.begin(), view.endpoints.end(),
-                     [&](const GroupEndpoint &endpoint) { return endpoint.name == name; });
-    return found == view.endpoints.end() ? nullptr : &*found;
-}
-
 } // namespace
 
 FailoverCoordinator::FailoverCoordinator(const FailoverLimits &failoverLimits,
@@ -127,8 +118,8 @@
         if (!this->leading || found == this->groups.end())
             return;
         const auto &view = found->second;
-        const auto *outdated = findEndpoint(view, endpoint);
-        const auto *primary = findEndpoint(view, view.primary);
+        const auto *outdated = view.find(endpoint);
+        const auto *primary = view.find(view.primary);
         if (view.phase != GroupPhase::Serving || term >= view.term || endpoint == view.primary
             || outdated == nullptr || primary == nullptr)
             return;
@@ -149,7 +140,7 @@
         const auto found = this->groups.find(group);
         if (!this->leading)
             return absl::FailedPreconditionError("this control member does not lead");
-        if (found == this->groups.end() || findEndpoint(found->second, target) == nullptr)
+        if (found == this->groups.end() || found->second.find(target) == nullptr)
             return absl::NotFoundError("group " + group + " has no endpoint " + target);
         if (this->attempts.contains(group))
             return absl::AlreadyExistsError("a failover of group " + group + " is under way");
@@ -255,7 +246,7 @@
 
 auto FailoverCoordinator::followAll(const FailoverGroup &view, Effects &effects) -> void
 {
-    const auto *primary = findEndpoint(view, view.primary);
+    const auto *primary = view.find(view.primary);
     if (primary == nullptr)
         return;
     for (const auto &endpoint : view.endpoints) {
--- a/libs/failover/src/FailoverSteps.cpp
+++ b/libs/failover/src/FailoverSteps.cpp
@@ -79,9 +79,7 @@
             attempt.nextTryAt = now + attempt.retryDelay(this->limits);
         } else {
             attempt.tries = 0;
-            attempt.nextTryAt = attempt.confirmedAt
-                                    ? *attempt.confirmedAt + this->limits.acknowledgementGrace
-                                    : now + this->limits.entryConfirmationWait;
+            attempt.nextTryAt = now + this->limits.entryConfirmationWait;
         }
         if (attempt.phase == FailoverPhase::WaitingForceOrConfirmation && attempt.tries > 1)
             this->promoteWhenReady(attempt, now, effects);
--- a/libs/failover/tests/GroupSimulation.h
+++ b/libs/failover/tests/GroupSimulation.h
@@ -205,6 +205,12 @@
     std::vector<std::unique_ptr<FailoverCoordinator>> endedCoordinators;
 };
 
+/// Makes the primary unreachable for control and the entries.
+inline auto isolatePrimary(GroupSimulation &group) -> void
+{
+    group.endpoints["a"].reachable = false;
+}
+
 } // namespace auburnrail
 
 #endif
--- a/libs/proxy/include/proxy/StatementRequest.h
+++ b/libs/proxy/include/proxy/StatementRequest.h
@@ -69,8 +69,13 @@
     /// Whether the statement contributes to a change of data, or commits one.
     [[nodiscard]] auto changesData() const -> bool
     {
-        return this->writes()
-               || (this->statement.kind == StatementKind::Commit && this->transactionWrote);
+        return this->writes() || this->commitsWrites();
+    }
+
+    /// Whether the statement commits a transaction that contains a write.
+    [[nodiscard]] auto commitsWrites() const -> bool
+    {
+        return this->statement.kind == StatementKind::Commit && this->transactionWrote;
     }
 };
 
--- a/libs/proxy/include/proxy/StatementRun.h
+++ b/libs/proxy/include/proxy/StatementRun.h
@@ -44,9 +44,12 @@
     auto startInTransaction(PooledConnectionPointer transactionConnection) -> void;
 
 private:
+    using OnLease = std::function<auto(StatementRun &, bool held)->void>;
     using OnResponse = std::function<auto(StatementRun &, StatementResponse)->void>;
 
     auto attempt() -> void;
+    /// Waits until this entry holds a lease, none is expected or the deadline has passed.
+    auto awaitLease(const OnLease &onLease) -> void;
     auto leaseAwaited(bool held) -> void;
     auto attemptAfterPause(const std::string &reason) -> void;
     /// The pause before the next retry.
@@ -75,6 +78,8 @@
     /// refused request had no effect.
     auto refused(const StatementFailure &failure) -> void;
 
+    /// Reports the transaction as rolled back; its connection has been closed.
+    auto abortTransaction() -> void;
     auto rollBackAndAttempt(const std::string &reason) -> void;
     auto dropConnection(bool reusable) -> void;
     auto finish(StatementResponse response, bool keepsConnection) -> void;
--- a/libs/proxy/src/ProxyServer.cpp
+++ b/libs/proxy/src/ProxyServer.cpp
@@ -123,9 +123,8 @@
                 .holdsLease = this->hooks.holdsLease,
                 .isCurrentPrimary =
                     [this](const std::string &group, const PooledConnection &serverConnection) {
-                        const auto view = this->groupView(group);
-                        return view.serving && view.primary == serverConnection.handle.endpoint
-                               && view.term == serverConnection.term;
+                        return this->groupView(group).isServedBy(serverConnection.handle.endpoint,
+                                                                 serverConnection.term);
                     },
                 .awaitLease = this->hooks.awaitLease,
                 .place = [this](const PlacementRequest &request,
--- a/libs/proxy/src/ServerConnections.cpp
+++ b/libs/proxy/src/ServerConnections.cpp
@@ -148,7 +148,7 @@
         return;
     const auto group = this->hooks.groupOf(endpoint);
     const auto view = this->hooks.groupView(group);
-    if (view.serving && view.primary == endpoint && view.term == connection.term)
+    if (view.isServedBy(endpoint, connection.term))
         this->positions.record(group, view.term, position, outcome.sentAt);
 }
 
--- a/libs/proxy/src/StatementRun.cpp
+++ b/libs/proxy/src/StatementRun.cpp
@@ -8,6 +8,12 @@
 
 namespace auburnrail {
 
+namespace {
+
+constexpr auto NO_LEASE = "this entry is cut off from control";
+
+} // namespace
+
 StatementRun::StatementRun(StatementHooks statementHooks, StatementRequest requestToRun,
                            Done doneHook)
     : hooks(std::move(statementHooks))
@@ -66,10 +72,7 @@
     }
     // Without a lease this entry may not have learned that the primary was replaced.
     if (!this->hooks.holdsLease(now)) {
-        this->hooks.awaitLease(
-            this->statementRequest.deadline(), [self = this->shared_from_this()](bool held) {
-                self->hooks.executor.post([self, held] { self->leaseAwaited(held); });
-            });
+        this->awaitLease([](StatementRun &run, bool held) { run.leaseAwaited(held); });
         return;
     }
     const auto chosen = this->hooks.place(this->placementRequest(), now);
@@ -86,9 +89,17 @@
         });
 }
 
+auto StatementRun::awaitLease(const OnLease &onLease) -> void
+{
+    this->hooks.awaitLease(
+        this->statementRequest.deadline(), [self = this->shared_from_this(), onLease](bool held) {
+            self->hooks.executor.post([self, onLease, held] { onLease(*self, held); });
+        });
+}
+
 auto StatementRun::leaseAwaited(bool held) -> void
 {
-    this->lastError = "this entry is cut off from control";
+    this->lastError = NO_LEASE;
     if (held)
         this->attempt();
     else
@@ -205,10 +216,8 @@
 
 auto StatementRun::acknowledgesCommit() const -> bool
 {
-    const auto &request = this->statementRequest;
-    const auto writesAlone = request.writes() && !this->transactionOpen;
-    return writesAlone
-           || (request.statement.kind == StatementKind::Commit && request.transactionWrote);
+    const auto writesAlone = this->statementRequest.writes() && !this->transactionOpen;
+    return writesAlone || this->statementRequest.commitsWrites();
 }
 
 auto StatementRun::deferChange() -> void
@@ -218,15 +227,12 @@
         this->refuseChange("the primary is being replaced");
         return;
     }
-    this->hooks.awaitLease(this->statementRequest.deadline(),
-                           [self = this->shared_from_this()](bool held) {
-                               self->hooks.executor.post([self, held] {
-                                   if (held)
-                                       self->runStatement();
-                                   else
-                                       self->refuseChange("this entry is cut off from control");
-                               });
-                           });
+    this->awaitLease([](StatementRun &run, bool held) {
+        if (held)
+            run.runStatement();
+        else
+            run.refuseChange(NO_LEASE);
+    });
 }
 
 auto StatementRun::runStatement() -> void
--- a/libs/proxy/src/StatementRunOutcome.cpp
+++ b/libs/proxy/src/StatementRunOutcome.cpp
@@ -68,11 +68,8 @@
 {
     this->lastError = reason;
     if (this->continuesTransaction) {
-        // The server rolls back when its connection is closed.
         this->dropConnection(false);
-        const auto commits = this->statementRequest.statement.kind == StatementKind::Commit;
-        this->fail(StatementError::Aborted, reason,
-                   commits ? SessionState::Idle : SessionState::Failed);
+        this->abortTransaction();
     } else if (this->transactionOpen) {
         this->rollBackAndAttempt(reason);
     } else {
@@ -114,18 +111,15 @@
     this->lastError = std::string(nameOf(outcome.phase)) + ": " + outcome.error;
     this->dropConnection(false);
     const auto timedOut = outcome.phase == ServerPhase::TimedOut;
-    const auto commits = this->statementRequest.statement.kind == StatementKind::Commit;
     const auto mayHaveRun = this->statementSent && outcome.phase != ServerPhase::NotSent;
     this->statementSent = false;
-    if (mayHaveRun && commits && this->statementRequest.transactionWrote) {
+    if (mayHaveRun && this->statementRequest.commitsWrites()) {
         this->fail(StatementError::InDoubt, "the answer to the commit is missing",
                    SessionState::Idle);
         return;
     }
     if (this->continuesTransaction) {
-        // The server rolls back when its connection is closed; a commit of reads has no effect.
-        this->fail(StatementError::Aborted, this->lastError,
-                   commits ? SessionState::Idle : SessionState::Failed);
+        this->abortTransaction();
         return;
     }
     const auto opened = std::exchange(this->transactionOpen, false);
@@ -144,6 +138,14 @@
     this->attemptAfterPause(this->lastError);
 }
 
+auto StatementRun::abortTransaction() -> void
+{
+    // The server rolls back when its connection is closed; a commit of reads has no effect.
+    const auto commits = this->statementRequest.statement.kind == StatementKind::Commit;
+    this->fail(StatementError::Aborted, this->lastError,
+               commits ? SessionState::Idle : SessionState::Failed);
+}
+
 auto StatementRun::dropConnection(bool reusable) -> void
 {
     this->hooks.release(std::exchange(this->connection, nullptr), reusable);
--- a/libs/proxy/tests/StatementRunTest.cpp
+++ b/libs/proxy/tests/StatementRunTest.cpp
@@ -1,63 +1,15 @@
-#include "FakeServers.h"
-
-#include <proxy/StatementRun.h>
-
-#include <catch2/catch.hpp>
+#include "StatementRunFixture.h"
 
 namespace auburnrail {
 
 namespace {
 
+using testing::errorOf;
 using testing::FakeServers;
+using testing::requestFor;
+using testing::runToEnd;
 using namespace std::chrono_literals;
 
-auto requestFor(StatementKind kind, const FakeServers &servers) -> StatementRequest
-{
-    auto request = StatementRequest();
-    request.statement = ClientStatement{.id = "s1", .kind = kind, .text = "READ a"};
-    if (kind == StatementKind::Write)
-        request.statement.text = "WRITE a 1";
-    if (kind == StatementKind::Commit)
-        request.statement.text = "COMMIT";
-    request.policy.consistency = ReadConsistency::BoundedStaleness;
-    request.policy.statementTimeout = 1s;
-    request.group = "g";
-    request.organisation = "o";
-    request.arrivedAt = servers.scheduler.now();
-    return request;
-}
-
-auto runToEnd(FakeServers &servers, const StatementRequest &request,
-              const PooledConnectionPointer &connection = nullptr) -> std::optional<StatementResult>
-{
-    auto result = std::optional<StatementResult>();
-    const auto run = std::make_shared<StatementRun>(
-        servers.hooks(), request, [&result](StatementResult ended) { result = std::move(ended); });
-    if (connection == nullptr)
-        run->start();
-    else
-        run->startInTransaction(connection);
-    servers.scheduler.runFor(5s);
-    return result;
-}
-
-auto errorOf(const std::optional<StatementResult> &result) -> std::optional<StatementError>
-{
-    REQUIRE(result);
-    const auto &failure = result->response.failure;
-    return failure ? std::optional(failure->error) : std::nullopt;
-}
-
-auto openTransaction(FakeServers &servers) -> PooledConnectionPointer
-{
-    auto first = requestFor(StatementKind::Read, servers);
-    first.opens = TransactionAccess::ReadWrite;
-    const auto opened = runToEnd(servers, first);
-    REQUIRE(opened);
-    REQUIRE(opened->connection != nullptr);
-    return opened->connection;
-}
-
 } // namespace
 
 TEST_CASE("a read goes to a replica with the required position")
@@ -246,140 +198,4 @@
     CHECK(result->response.failure->detail == "not run in time: the admission took too long");
 }
 
-TEST_CASE("a transaction keeps its connection until it ends")
-{
-    auto servers = FakeServers();
-    auto request = requestFor(StatementKind::Read, servers);
-    request.opens = TransactionAccess::ReadWrite;
-    const auto opened = runToEnd(servers, request);
-    CHECK_FALSE(errorOf(opened));
-    REQUIRE(opened->connection != nullptr);
-    CHECK(servers.released.empty());
-    const auto ended =
-        runToEnd(servers, requestFor(StatementKind::Commit, servers), opened->connection);
-    CHECK_FALSE(errorOf(ended));
-    // Logs have to name the server of each statement of a transaction.
-    CHECK(ended->endpoint == "primary");
-    CHECK(ended->attempts == 1);
-    CHECK(ended->connection == nullptr);
-    CHECK(servers.released.size() == 1);
-}
-
-// Guards against a commit that took effect but is reported as rolled back.
-TEST_CASE("a connection lost in a transaction aborts it, or leaves its commit in doubt")
-{
-    struct Case
-    {
-        StatementKind kind;
-        bool wrote;
-        StatementError error;
-    };
-    for (const auto &[kind, wrote, error] :
-         {Case{StatementKind::Read, true, StatementError::Aborted},
-          Case{StatementKind::Write, true, StatementError::Aborted},
-          Case{StatementKind::Commit, true, StatementError::InDoubt},
-          Case{StatementKind::Commit, false, StatementError::Aborted}}) {
-        INFO(nameOf(kind) << ", wrote: " << wrote);
-        auto servers = FakeServers();
-        auto first = requestFor(StatementKind::Read, servers);
-        first.opens = TransactionAccess::ReadWrite;
-        const auto opened = runToEnd(servers, first);
-        REQUIRE(opened->connection != nullptr);
-        auto request = requestFor(kind, servers);
-        request.transactionWrote = wrote;
-        servers.script(ServerOperation::Forward, FakeServers::lost());
-        CHECK(errorOf(runToEnd(servers, request, opened->connection)) == error);
-        CHECK(servers.released == std::vector<std::pair<std::string, bool>>{{"primary", false}});
-    }
-}
-
-// Guards against commits that are lost in a failover: control promotes a replica once every entry
-// has confirmed the new term, and a commit that the old primary acknowledges later may be on no
-// replica.
-TEST_CASE("a change in an open transaction is not sent after the term has ended")
-{
-    struct Case
-    {
-        StatementKind kind;
-        bool wrote;
-        std::optional<StatementError> error;
-    };
-    for (const auto &[kind, wrote, error] :
-         {Case{StatementKind::Commit, true, StatementError::Aborted},
-          Case{StatementKind::Write, false, StatementError::Aborted},
-          Case{StatementKind::Commit, false, std::nullopt},
-          Case{StatementKind::Read, true, std::nullopt}}) {
-        INFO(nameOf(kind) << ", wrote: " << wrote);
-        auto servers = FakeServers();
-        const auto connection = openTransaction(servers);
-        servers.term = 2;
-        const auto sentBefore = servers.sent.size();
-        auto request = requestFor(kind, servers);
-        request.transactionWrote = wrote;
-        CHECK(errorOf(runToEnd(servers, request, connection)) == error);
-        CHECK(servers.sent.size() == sentBefore + (error ? 0 : 1));
-        if (error)
-            CHECK(servers.released
-                  == std::vector<std::pair<std::string, bool>>{{"primary", false}});
-    }
-}
-
-// The same for an entry that is cut off from control and doesn't learn of the new term.
-TEST_CASE("a commit in an open transaction waits for a lease and is not sent without one")
-{
-    for (const auto isExpected : {true, false}) {
-        auto servers = FakeServers();
-        const auto connection = openTransaction(servers);
-        servers.leased = false;
-        servers.leaseExpected = isExpected;
-        servers.scheduler.executor().postAfter(100ms, [&servers] { servers.grantLease(); });
-        const auto sentBefore = servers.sent.size();
-        auto request = requestFor(StatementKind::Commit, servers);
-        request.transactionWrote = true;
-        const auto error = errorOf(runToEnd(servers, request, connection));
-        CHECK(error == (isExpected ? std::nullopt : std::optional(StatementError::Aborted)));
-        CHECK(servers.sent.size() == sentBefore + (isExpected ? 1 : 0));
-    }
-}
-
-// Control waits for this time after the entries have confirmed a new term.
-TEST_CASE("a commit under way is acknowledged for a short time after the term has ended")
-{
-    for (const auto requestTime : {140ms, 160ms}) {
-        auto servers = FakeServers();
-        const auto connection = openTransaction(servers);
-        servers.requestTime = requestTime;
-        auto request = requestFor(StatementKind::Commit, servers);
-        request.transactionWrote = true;
-        servers.scheduler.executor().postAfter(5ms, [&servers] { servers.term = 2; });
-        const auto error = errorOf(runToEnd(servers, request, connection));
-        CHECK(error
-              == (requestTime < 150ms ? std::nullopt : std::optional(StatementError::InDoubt)));
-    }
-}
-
-TEST_CASE("a write whose primary is replaced while it is prepared goes to the next primary")
-{
-    auto servers = FakeServers();
-    auto request = requestFor(StatementKind::Write, servers);
-    request.values = {{"zone", "a"}};
-    servers.requestTime = 10ms;
-    servers.scheduler.executor().postAfter(5ms, [&servers] { servers.term = 2; });
-    CHECK_FALSE(errorOf(runToEnd(servers, request)));
-    CHECK(servers.count(ServerOperation::Forward) == 1);
-    CHECK(servers.released.size() == 2);
-}
-
-TEST_CASE("a transaction that a server refused to begin is begun on another server")
-{
-    auto servers = FakeServers();
-    auto request = requestFor(StatementKind::Read, servers);
-    request.opens = TransactionAccess::ReadOnly;
-    servers.script(ServerOperation::BeginReadOnly, FakeServers::refused(StatementError::Lagging));
-    const auto result = runToEnd(servers, request);
-    CHECK_FALSE(errorOf(result));
-    CHECK(result->endpoint == "primary");
-    CHECK(servers.count(ServerOperation::BeginReadOnly) == 2);
-}
-
 } // namespace auburnrail
--- a/libs/request/include/request/GroupView.h
+++ b/libs/request/include/request/GroupView.h
@@ -14,6 +14,12 @@
     std::string primary;  ///< Name of the primary endpoint.
     bool serving = false; ///< False during a failover.
 
+    /// Whether the group is served by this primary in this term.
+    [[nodiscard]] auto isServedBy(const std::string &endpoint, std::uint64_t inTerm) const -> bool
+    {
+        return this->serving && this->primary == endpoint && this->term == inTerm;
+    }
+
     auto operator==(const GroupView &) const -> bool = default;
 };
 
