Draw secure random numbers without a descriptor for each thread

Cause: makeSecureRandom() kept a std::random_device for each thread, and each of them keeps /dev/urandom open. The leader has a thread for each connection of an entry, 223 and more, and a process may have 200 descriptors of files outside its data directory. Every draw of a thread that came later failed for good, and whatever draws an id for a command failed with it: heartbeats with news of endpoints, announcements, the configuration. The HTTP server reported no exception of a handler, so that no log line told of it.

Change: getrandom() in place of the device. An exception of a HTTP handler gets a log line, and a response that promises nothing.

--- a/libs/core/src/RandomSource.cpp
+++ b/libs/core/src/RandomSource.cpp
@@ -1,7 +1,10 @@
 #include <core/RandomSource.h>
 
+#include <cerrno>
 #include <memory>
-#include <random>
+#include <system_error>
+
+#include <sys/random.h>
 
 namespace auburnrail {
 
@@ -19,10 +22,12 @@
 
 auto makeSecureRandom() -> RandomSource
 {
+    // A system call, because an open /dev/urandom would cost each thread a descriptor.
     return []() -> std::uint64_t {
-        thread_local auto device = std::random_device("/dev/urandom");
-        const auto high = static_cast<std::uint64_t>(device());
-        return (high << 32U) | device();
+        auto value = std::uint64_t(0);
+        if (getrandom(&value, sizeof(value), 0) != static_cast<ssize_t>(sizeof(value)))
+            throw std::system_error(errno, std::generic_category(), "getrandom");
+        return value;
     };
 }
 
--- a/libs/http/src/detail/RequestFactory.cpp
+++ b/libs/http/src/detail/RequestFactory.cpp
@@ -1,5 +1,7 @@
 #include "RequestFactory.h"
 
+#include <daemon/Logging.h>
+
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPRequestHandler.h>
 #include <Poco/Net/HTTPServerRequest.h>
@@ -17,6 +19,7 @@
 
 constexpr auto STATUS_PAYLOAD_TOO_LARGE = 413;
 constexpr auto STATUS_BAD_REQUEST = 400;
+constexpr auto STATUS_INTERNAL_ERROR = 500;
 constexpr auto READ_CHUNK_BYTES = std::size_t(16384);
 
 /// Counts a request as active for the length of a scope.
@@ -97,11 +100,25 @@
                                                 .closeConnection = true});
             return;
         }
-        this->answer(response, this->state->hooks.handle(
-                                   toHttpRequest(request, *this->state, std::move(*body))));
+        this->answer(response,
+                     this->handle(toHttpRequest(request, *this->state, std::move(*body))));
     }
 
 private:
+    [[nodiscard]] auto handle(const HttpRequest &request) -> HttpResponse
+    {
+        try {
+            return this->state->hooks.handle(request);
+        } catch (const std::exception &error) {
+            logLine(
+                LogLevel::Error, "http", "request failed",
+                {{"method", request.method}, {"target", request.target}, {"error", error.what()}});
+            return HttpResponse{.status = STATUS_INTERNAL_ERROR,
+                                .body = R"({"outcome":"unknown","reason":"internal-error"})",
+                                .closeConnection = true};
+        }
+    }
+
     auto answer(Poco::Net::HTTPServerResponse &response, const HttpResponse &content) -> void
     {
         response.setStatus(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(content.status));
