--- a/libs/control/benchmarks/HeartbeatBenchmarks.cpp
+++ b/libs/control/benchmarks/HeartbeatBenchmarks.cpp
@@ -82,7 +82,9 @@
     for (auto _ : state) {
         auto &heartbeat = heartbeats[next++ % entries];
         ++heartbeat.shares.sequence;
-        benchmark::DoNotOptimize(leader.service.respond(heartbeat));
+        leader.service.respond(heartbeat, [](const HeartbeatAnswer &answer) {
+            benchmark::DoNotOptimize(answer.entries);
+        });
     }
 }
 BENCHMARK(answerHeartbeats)->ArgsProduct({{100, 500, 1000, 2300}, {1, 10, 33, 100}});
--- a/libs/control/include/control/ControlLoadLog.h
+++ b/libs/control/include/control/ControlLoadLog.h
@@ -30,7 +30,7 @@
     TimePoint nextLine;
     ShareLedgerActivity previous;
     std::uint64_t previousHeartbeats = 0;
-    std::uint64_t previousWakeUps = 0;
+    std::uint64_t previousReleased = 0;
     Duration previousProcessorTime{};
 };
 
--- a/libs/control/include/control/ControlNode.h
+++ b/libs/control/include/control/ControlNode.h
@@ -65,6 +65,9 @@
     [[nodiscard]] auto startRunner() -> absl::Status;
     auto retryStart(const absl::Status &reason) -> void;
     auto send(Message message) -> void;
+    auto addMember(const MemberName &name) -> void;
+    /// Where the member's log is reached; nothing when that can't be known.
+    [[nodiscard]] auto addressOf(const MemberName &name) const -> std::optional<std::string>;
     [[nodiscard]] auto startTransport() -> absl::Status;
     auto scheduleTick() -> void;
 
--- a/libs/control/include/control/HeartbeatService.h
+++ b/libs/control/include/control/HeartbeatService.h
@@ -7,6 +7,9 @@
 #include <heartbeat/Heartbeat.h>
 #include <heartbeat/HeartbeatAnswer.h>
 
+#include <functional>
+#include <string>
+
 namespace auburnrail {
 
 /// Handles the heartbeats of entries: renews leases, grants shares, processes announcements and
@@ -17,11 +20,27 @@
     /// `controlTables` must outlive this object.
     explicit HeartbeatService(ControlTables &controlTables);
 
-    /// Handles one heartbeat; may block for the hold limit that it states.
-    [[nodiscard]] auto respond(const Heartbeat &heartbeat) -> HeartbeatAnswer;
+    /// Gets the answer to a heartbeat. Runs on any thread.
+    using Done = std::function<auto(const HeartbeatAnswer &)->void>;
+
+    /// Handles one heartbeat. Calls `done` at once or within the hold limit that it states.
+    auto respond(const Heartbeat &heartbeat, const Done &done) -> void;
 
 private:
-    [[nodiscard]] auto compose(const Heartbeat &heartbeat) -> HeartbeatAnswer;
+    /// What the answer to an accepted heartbeat depends on.
+    struct Accepted
+    {
+        LeaseId lease;
+        HolderId holder;
+        std::string zone;
+        Revision appliedRevision = 0;
+        bool mayGrantShares = false;
+        TimePoint at;
+    };
+
+    auto accept(const Heartbeat &heartbeat, TimePoint now) -> Accepted;
+    [[nodiscard]] auto compose(const Accepted &heartbeat) -> HeartbeatAnswer;
+    auto send(const HeartbeatAnswer &answer, const Done &done) -> void;
     auto processReports(const Heartbeat &heartbeat, TimePoint now) -> void;
 
     ControlTables &tables;
--- a/libs/control/src/ControlLoadLog.cpp
+++ b/libs/control/src/ControlLoadLog.cpp
@@ -35,7 +35,7 @@
     this->nextLine = now + INTERVAL_S;
     const auto activity = this->tables.ledger.activity();
     const auto heartbeats = this->tables.metrics.heartbeatCount();
-    const auto wakeUps = this->tables.heldResponses.wakeUps();
+    const auto released = this->tables.heldResponses.earlyReleases();
     const auto processor = processorTime();
     if (this->tables.isLeading(now)) {
         logLine(
@@ -46,12 +46,12 @@
              {"share_claims", absl::StrCat(activity.claims - this->previous.claims)},
              {"early_responses",
               absl::StrCat(activity.notifications - this->previous.notifications)},
-             {"wake_ups", absl::StrCat(wakeUps - this->previousWakeUps)},
+             {"released_early", absl::StrCat(released - this->previousReleased)},
              {"processor_ms", absl::StrCat(toMillis(processor - this->previousProcessorTime))}});
     }
     this->previous = activity;
     this->previousHeartbeats = heartbeats;
-    this->previousWakeUps = wakeUps;
+    this->previousReleased = released;
     this->previousProcessorTime = processor;
 }
 
--- a/libs/control/src/ControlNode.cpp
+++ b/libs/control/src/ControlNode.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 /// Each call to an endpoint blocks one worker.
-constexpr auto WORKER_COUNT = std::size_t(16);
+constexpr auto WORKER_LIMIT = std::size_t(16);
 constexpr auto TICK_INTERVAL = std::chrono::milliseconds(20);
 /// Shorter than an election, so that every change of leader is logged.
 constexpr auto MEMBERSHIP_CHECK_INTERVAL = std::chrono::milliseconds(200);
@@ -76,8 +76,8 @@
 ControlNode::ControlNode(const ControlSettings &controlSettings, EndpointRoleHooks roleHooks)
     : settings(controlSettings)
     , endpointHooks(std::move(roleHooks))
-    , workers(WORKER_COUNT)
-    , diskWorker(1)
+    , workers(WORKER_LIMIT, {.refused = threadRefusalLogger("control")})
+    , diskWorker(1, {.refused = threadRefusalLogger("storage")})
     , tables(workers.executor(), makeSecureRandom(), makeTableHooks(), toTablesSettings(settings))
     , transport(ConsensusTransportSettings{.address = settings.consensusAddress},
                 ConsensusTransportHooks{.received =
@@ -90,14 +90,15 @@
     , tokens(tables)
     , configurations(tables)
     , entries(settings.entriesAddress,
-              ControlServerHooks{.heartbeat =
-                                     [this](const Heartbeat &heartbeat) {
-                                         return this->heartbeats.respond(heartbeat);
-                                     },
-                                 .takeTokens =
-                                     [this](const TokenRequest &request) {
-                                         return this->tokens.respond(request);
-                                     }})
+              ControlServerHooks{
+                  .heartbeat =
+                      [this](const Heartbeat &heartbeat, const HeartbeatService::Done &done) {
+                          this->heartbeats.respond(heartbeat, done);
+                      },
+                  .takeTokens =
+                      [this](const TokenRequest &request) {
+                          return this->tokens.respond(request);
+                      }})
     , operators(settings, tables,
                 ControlOperatorsHooks{.nodeStatus =
                                           [this] {
@@ -159,16 +160,36 @@
 
 auto ControlNode::send(Message message) -> void
 {
-    // A member that joined later is not in the settings, but its name contains its IP address.
-    if (this->settings.membersByIp && !this->transport.knows(message.to.name)) {
-        const auto address = withPortOf(message.to.name, this->settings.consensusAddress);
-        const auto status = this->transport.addMember(message.to.name, address);
-        if (!status.ok())
-            logLine(LogLevel::Warning, "consensus", std::string(status.message()));
-    }
+    if (!this->transport.knows(message.to.name))
+        this->addMember(message.to.name);
     this->transport.send(std::move(message));
 }
 
+auto ControlNode::addMember(const MemberName &name) -> void
+{
+    const auto address = this->addressOf(name);
+    if (!address)
+        return;
+    // Without room for its thread, the member is added with the next message to it.
+    const auto status = this->transport.addMember(name, *address);
+    if (!status.ok()) {
+        logLine(LogLevel::Warning, "consensus", "can't send to a member",
+                {{"member", name}, {"error", std::string(status.message())}});
+    }
+}
+
+auto ControlNode::addressOf(const MemberName &name) const -> std::optional<std::string>
+{
+    for (const auto &member : this->settings.members) {
+        if (member.name == name)
+            return member.address;
+    }
+    // A member that joined later is not in the settings, but its name contains its IP address.
+    if (this->settings.membersByIp)
+        return withPortOf(name, this->settings.consensusAddress);
+    return std::nullopt;
+}
+
 auto ControlNode::frontEndHooks() -> ControlFrontEndHooks
 {
     return ControlFrontEndHooks{
@@ -209,7 +230,8 @@
     for (const auto &member : this->settings.members) {
         if (member.name == this->settings.member)
             continue;
-        if (auto status = this->transport.addMember(member.name, member.address); !status.ok())
+        auto status = this->transport.addMember(member.name, member.address);
+        if (!status.ok() && !absl::IsResourceExhausted(status))
             return status;
     }
     return absl::OkStatus();
--- a/libs/control/src/ControlTables.cpp
+++ b/libs/control/src/ControlTables.cpp
@@ -77,6 +77,7 @@
                                  [this](TimePoint now) {
                                      return this->hooks.isLeaderWithQuorum(now);
                                  }})
+    , heldResponses(this->executor)
     , ledger(QuotaTiming(), ShareLedgerHooks{.grantReady =
                                                  [this](const HolderId &holder) {
                                                      this->heldResponses.sharesChanged(holder);
@@ -301,6 +302,7 @@
 auto ControlTables::tick(TimePoint now) -> void
 {
     this->leases.advance(now);
+    this->heldResponses.expire(now);
     this->ledger.expire(now);
     this->failover.tick(now);
     if (now >= this->nextMaintenance) {
--- a/libs/control/src/HeartbeatService.cpp
+++ b/libs/control/src/HeartbeatService.cpp
@@ -8,8 +8,8 @@
 
 namespace {
 
-/// Upper bound of the hold limit that an entry may request. A quarter of the lease leaves time to
-/// renew after a lost response.
+/// Upper bound of the hold limit that an entry may request. Leaves an entry that renews its lease
+/// with each response more than a second to find another leader when this one falls silent.
 constexpr auto MAX_HOLD = LEASE_DURATION / 4;
 
 } // namespace
@@ -20,23 +20,39 @@
 {
 }
 
-auto HeartbeatService::respond(const Heartbeat &heartbeat) -> HeartbeatAnswer
+auto HeartbeatService::respond(const Heartbeat &heartbeat, const Done &done) -> void
 {
-    auto response = this->compose(heartbeat);
-    this->tables.metrics.countHeartbeat(response.lease.status);
-    return response;
+    const auto now = this->tables.executor.now();
+    const auto id = LeaseId{heartbeat.instance, heartbeat.incarnation};
+    // Also renewed on arrival, because changes wait until each entry has reported their revision.
+    const auto lease = this->tables.leases.renew(id, heartbeat.appliedRevision, now);
+    if (lease.status != LeaseStatus::Granted) {
+        auto answer = HeartbeatAnswer();
+        answer.lease = lease;
+        answer.leader = this->tables.hooks.leader();
+        this->send(answer, done);
+        return;
+    }
+    const auto accepted = this->accept(heartbeat, now);
+    // Not held before the entry has reported to this leadership: a new leader grants shares only
+    // after every entry has reported, which it does after its first response.
+    const auto isKnown = heartbeat.shares.leadership == this->tables.ledger.leadership();
+    const auto holdLimit =
+        isKnown || !accepted.mayGrantShares ? heartbeat.holdLimit : Duration::zero();
+    this->tables.heldResponses.hold(
+        accepted.holder, accepted.appliedRevision,
+        now + std::clamp<Duration>(holdLimit, Duration::zero(), MAX_HOLD),
+        [this, accepted, done] { this->send(this->compose(accepted), done); });
 }
 
-auto HeartbeatService::compose(const Heartbeat &heartbeat) -> HeartbeatAnswer
+auto HeartbeatService::send(const HeartbeatAnswer &answer, const Done &done) -> void
+{
+    this->tables.metrics.countHeartbeat(answer.lease.status);
+    done(answer);
+}
+
+auto HeartbeatService::accept(const Heartbeat &heartbeat, TimePoint now) -> Accepted
 {
-    auto response = HeartbeatAnswer();
-    response.leader = this->tables.hooks.leader();
-    const auto id = LeaseId{heartbeat.instance, heartbeat.incarnation};
-    // Also renewed on arrival, because changes wait until each entry has reported their revision.
-    auto now = this->tables.executor.now();
-    response.lease = this->tables.leases.renew(id, heartbeat.appliedRevision, now);
-    if (response.lease.status != LeaseStatus::Granted)
-        return response;
     const auto mayGrantShares = this->tables.mayGrantShares(heartbeat.instance, now);
     if (mayGrantShares)
         std::ignore = this->tables.ledger.report(heartbeat.shares, now);
@@ -46,23 +62,31 @@
                                             .appliedRevision = heartbeat.appliedRevision,
                                             .lastSeenAt = now});
     this->processReports(heartbeat, now);
-    // Not held before the entry has reported to this leadership: a new leader grants shares only
-    // after every entry has reported, which it does after its first response.
-    const auto isKnown = heartbeat.shares.leadership == this->tables.ledger.leadership();
-    const auto holdLimit = isKnown || !mayGrantShares ? heartbeat.holdLimit : Duration();
-    this->tables.heldResponses.hold(heartbeat.shares.holder, heartbeat.appliedRevision,
-                                    now + std::clamp<Duration>(holdLimit, Duration(), MAX_HOLD));
-    now = this->tables.executor.now();
+    return Accepted{.lease = {heartbeat.instance, heartbeat.incarnation},
+                    .holder = heartbeat.shares.holder,
+                    .zone = heartbeat.zone,
+                    .appliedRevision = heartbeat.appliedRevision,
+                    .mayGrantShares = mayGrantShares,
+                    .at = now};
+}
+
+auto HeartbeatService::compose(const Accepted &heartbeat) -> HeartbeatAnswer
+{
+    const auto now = this->tables.executor.now();
+    auto answer = HeartbeatAnswer();
+    answer.leader = this->tables.hooks.leader();
     const auto update = this->updates.since(heartbeat.appliedRevision);
-    response.update = update.changes;
-    response.snapshot = update.snapshot;
-    response.entries = static_cast<std::uint32_t>(this->tables.leases.size());
-    response.zoneEntries =
+    answer.update = update.changes;
+    answer.snapshot = update.snapshot;
+    answer.entries = static_cast<std::uint32_t>(this->tables.leases.size());
+    answer.zoneEntries =
         static_cast<std::uint32_t>(this->tables.entries.countInZone(heartbeat.zone, now));
-    response.lease = this->tables.leases.renew(id, heartbeat.appliedRevision, now);
-    if (mayGrantShares && response.lease.status == LeaseStatus::Granted)
-        response.shares = this->tables.ledger.grant(heartbeat.shares.holder, now);
-    return response;
+    answer.lease = this->tables.leases.renew(heartbeat.lease, heartbeat.appliedRevision, now);
+    if (answer.lease.status != LeaseStatus::Granted)
+        return answer;
+    if (heartbeat.mayGrantShares)
+        answer.shares = this->tables.ledger.grant(heartbeat.holder, now);
+    return answer;
 }
 
 auto HeartbeatService::processReports(const Heartbeat &heartbeat, TimePoint now) -> void
--- a/libs/control/src/HeldResponses.cpp
+++ b/libs/control/src/HeldResponses.cpp
@@ -3,50 +3,77 @@
 #include <core/RankedLock.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace auburnrail {
 
-auto HeldResponses::hold(const HolderId &holder, Revision revision, TimePoint deadline) -> void
+HeldResponses::HeldResponses(Executor responseExecutor)
+    : executor(std::move(responseExecutor))
 {
-    auto wait = Wait();
-    wait.revision = revision;
-    const RankedLock lock(this->mutex);
-    const auto row = this->waits.emplace(holder, &wait);
-    while (!this->closed && this->reached <= revision && !this->holdersToNotify.contains(holder)) {
-        if (!wait.changed.waitUntil(this->mutex, deadline))
-            break;
-        ++this->wakeUpCount;
+}
+
+auto HeldResponses::hold(const HolderId &holder, Revision revision, TimePoint deadline,
+                         Task release) -> void
+{
+    {
+        const RankedLock lock(this->mutex);
+        const auto isChanged = this->holdersToNotify.erase(holder) > 0;
+        if (!this->closed && this->reached <= revision && !isChanged
+            && deadline > this->executor.now()) {
+            const auto row =
+                this->waits.emplace(holder, Wait{revision, deadline, std::move(release)});
+            this->deadlines.insert(row);
+            return;
+        }
     }
-    this->waits.erase(row);
-    this->holdersToNotify.erase(holder);
+    release();
 }
 
 auto HeldResponses::revisionReached(Revision revision) -> void
 {
     const RankedLock lock(this->mutex);
     this->reached = std::max(this->reached, revision);
-    for (const auto &[holder, wait] : this->waits) {
-        if (wait->revision < this->reached)
-            wait->changed.notifyAll();
-    }
+    this->releaseEarly(
+        [reached = this->reached](const Wait &wait) { return wait.revision < reached; });
 }
 
 auto HeldResponses::sharesChanged(const HolderId &holder) -> void
 {
     const RankedLock lock(this->mutex);
-    if (!this->holdersToNotify.insert(holder).second)
-        return;
     const auto [first, last] = this->waits.equal_range(holder);
-    for (auto row = first; row != last; ++row)
-        row->second->changed.notifyAll();
+    if (first == last) {
+        this->holdersToNotify.insert(holder);
+        return;
+    }
+    for (auto row = first; row != last;) {
+        ++this->earlyReleaseCount;
+        this->release(row++);
+    }
+    this->scheduleReleased();
+}
+
+auto HeldResponses::releaseAll(TimePoint now) -> void
+{
+    const RankedLock lock(this->mutex);
+    if (this->allReleasedAt && now < *this->allReleasedAt + RELEASE_ALL_INTERVAL_MS)
+        return;
+    this->allReleasedAt = now;
+    this->releaseEarly([](const Wait &) { return true; });
+}
+
+auto HeldResponses::expire(TimePoint now) -> void
+{
+    const RankedLock lock(this->mutex);
+    while (!this->deadlines.empty() && (*this->deadlines.begin())->second.deadline <= now)
+        this->release(*this->deadlines.begin());
+    this->scheduleReleased();
 }
 
 auto HeldResponses::close() -> void
 {
     const RankedLock lock(this->mutex);
     this->closed = true;
-    for (const auto &[holder, wait] : this->waits)
-        wait->changed.notifyAll();
+    this->releaseEarly([](const Wait &) { return true; });
 }
 
 auto HeldResponses::size() -> std::size_t
@@ -55,10 +82,50 @@
     return this->waits.size();
 }
 
-auto HeldResponses::wakeUps() -> std::uint64_t
+auto HeldResponses::earlyReleases() -> std::uint64_t
 {
     const RankedLock lock(this->mutex);
-    return this->wakeUpCount;
+    return this->earlyReleaseCount;
+}
+
+auto HeldResponses::release(Waits::iterator row) -> void
+{
+    const auto [first, last] = this->deadlines.equal_range(row);
+    this->deadlines.erase(std::find(first, last, row));
+    this->released.push_back(std::move(row->second.release));
+    this->waits.erase(row);
+}
+
+auto HeldResponses::releaseEarly(const std::function<auto(const Wait &)->bool> &isDue) -> void
+{
+    for (auto row = this->waits.begin(); row != this->waits.end();) {
+        const auto current = row++;
+        if (!isDue(current->second))
+            continue;
+        ++this->earlyReleaseCount;
+        this->release(current);
+    }
+    this->scheduleReleased();
+}
+
+auto HeldResponses::scheduleReleased() -> void
+{
+    if (this->released.empty() || this->isScheduled)
+        return;
+    this->isScheduled = true;
+    this->executor.post([this] { this->runReleased(); });
+}
+
+auto HeldResponses::runReleased() -> void
+{
+    auto tasks = std::vector<Task>();
+    {
+        const RankedLock lock(this->mutex);
+        this->isScheduled = false;
+        tasks.swap(this->released);
+    }
+    for (const auto &task : tasks)
+        task();
 }
 
 } // namespace auburnrail
--- a/libs/control/tests/BurnMergeTest.cpp
+++ b/libs/control/tests/BurnMergeTest.cpp
@@ -52,7 +52,7 @@
                            .startMillis = WALL_MILLIS / MINUTE_MILLIS * MINUTE_MILLIS
                                           - minutesAgo * MINUTE_MILLIS,
                            .rows = {{BurnKey{"up", "logs", "o", ReasonCode::NoPrimary}, count}}}};
-        std::ignore = this->service.respond(heartbeat);
+        this->service.respond(heartbeat, [](const HeartbeatAnswer &) {});
     }
 
     auto countOf(const std::string &objective) -> BurnCount
--- a/libs/control/tests/HeldResponsesTest.cpp
+++ b/libs/control/tests/HeldResponsesTest.cpp
@@ -1,13 +1,10 @@
 #include <control/HeldResponses.h>
 
-#include <core/MonotonicClock.h>
+#include <core/VirtualScheduler.h>
 
 #include <catch2/catch.hpp>
 
-#include <atomic>
-#include <functional>
-#include <thread>
-#include <vector>
+#include <string>
 
 namespace auburnrail {
 
@@ -16,27 +13,22 @@
 namespace {
 
 constexpr auto HOLDERS = 20;
+constexpr auto REVISION = Revision(5);
 
-/// Holds one response of each holder on a thread of its own.
+/// Holds one response of each holder for a minute.
 class Held
 {
 public:
     Held()
+        : responses(scheduler.executor())
     {
-        for (auto index = 0; index < HOLDERS; ++index) {
-            this->threads.emplace_back([this, index] {
-                this->responses.hold(holder(index), 5, monotonicNow() + 60s);
-                ++this->released;
-            });
-        }
-        await([this] { return this->responses.size() == HOLDERS; });
+        for (auto index = 0; index < HOLDERS; ++index)
+            this->hold(index, scheduler.now() + 60s);
     }
 
-    ~Held()
+    auto hold(int index, TimePoint deadline) -> void
     {
-        this->responses.close();
-        for (auto &thread : this->threads)
-            thread.join();
+        this->responses.hold(holder(index), REVISION, deadline, [this] { ++this->released; });
     }
 
     [[nodiscard]] static auto holder(int index) -> HolderId
@@ -44,53 +36,96 @@
         return HolderId{"entry-" + std::to_string(index), 1};
     }
 
-    /// Waits up to 20 s for `condition`.
-    static auto await(const std::function<auto()->bool> &condition) -> void
+    /// Runs what was released.
+    auto run() -> void
     {
-        const auto end = monotonicNow() + 20s;
-        while (!condition() && monotonicNow() < end)
-            std::this_thread::sleep_for(5ms);
+        this->scheduler.runFor(0ms);
     }
 
+    VirtualScheduler scheduler;
     HeldResponses responses;
-    std::atomic<int> released = 0;
-
-private:
-    std::vector<std::thread> threads;
+    int released = 0;
 };
 
 } // namespace
 
 // Guards against a leader whose processor time goes into waking up threads: a change for one entry
 // woke the thread of every entry.
-TEST_CASE("a change for one holder wakes up its response only")
+TEST_CASE("a change for one holder releases its response only")
 {
     auto held = Held();
     for (auto i = 0; i < 100; ++i)
         held.responses.sharesChanged(Held::holder(3));
-    Held::await([&held] { return held.released == 1; });
+    held.run();
     CHECK(held.released == 1);
     CHECK(held.responses.size() == HOLDERS - 1);
-    CHECK(held.responses.wakeUps() == 1);
+    CHECK(held.responses.earlyReleases() == 1);
 }
 
 TEST_CASE("a new revision releases all responses, one that is known releases none")
 {
     auto held = Held();
-    held.responses.revisionReached(5);
+    held.responses.revisionReached(REVISION);
+    held.run();
     CHECK(held.responses.size() == HOLDERS);
-    CHECK(held.responses.wakeUps() == 0);
-    held.responses.revisionReached(6);
-    Held::await([&held] { return held.released == HOLDERS; });
+    CHECK(held.responses.earlyReleases() == 0);
+    held.responses.revisionReached(REVISION + 1);
+    held.run();
     CHECK(held.released == HOLDERS);
 }
 
 TEST_CASE("a change that comes before the response is held releases it at once")
 {
-    auto responses = HeldResponses();
-    responses.sharesChanged(Held::holder(1));
-    responses.hold(Held::holder(1), 0, monotonicNow() + 60s);
-    CHECK(responses.wakeUps() == 0);
+    auto held = Held();
+    held.responses.sharesChanged(Held::holder(HOLDERS));
+    held.hold(HOLDERS, held.scheduler.now() + 60s);
+    CHECK(held.released == 1);
+    CHECK(held.responses.earlyReleases() == 0);
+    CHECK(held.responses.size() == HOLDERS);
+}
+
+// Guards against a lease that runs out because its renewal is held for too long.
+TEST_CASE("responses are released at their deadline, in its order")
+{
+    auto held = Held();
+    held.hold(HOLDERS, held.scheduler.now() + 200ms);
+    held.hold(HOLDERS + 1, held.scheduler.now() + 100ms);
+    held.responses.expire(held.scheduler.now() + 99ms);
+    held.run();
+    CHECK(held.released == 0);
+    held.responses.expire(held.scheduler.now() + 100ms);
+    held.run();
+    CHECK(held.released == 1);
+    held.responses.expire(held.scheduler.now() + 200ms);
+    held.run();
+    CHECK(held.released == 2);
+    CHECK(held.responses.size() == HOLDERS);
+}
+
+// Guards against an entry that suspects a primary alone and makes all others send without pause.
+TEST_CASE("releases of all responses keep their distance")
+{
+    auto held = Held();
+    held.responses.releaseAll(held.scheduler.now());
+    held.run();
+    CHECK(held.released == HOLDERS);
+    held.hold(0, held.scheduler.now() + 60s);
+    held.responses.releaseAll(held.scheduler.now() + HeldResponses::RELEASE_ALL_INTERVAL_MS - 1ms);
+    held.run();
+    CHECK(held.released == HOLDERS);
+    held.responses.releaseAll(held.scheduler.now() + HeldResponses::RELEASE_ALL_INTERVAL_MS);
+    held.run();
+    CHECK(held.released == HOLDERS + 1);
+}
+
+TEST_CASE("closing releases what is held, and nothing is held after it")
+{
+    auto held = Held();
+    held.responses.close();
+    held.run();
+    CHECK(held.released == HOLDERS);
+    held.hold(0, held.scheduler.now() + 60s);
+    CHECK(held.released == HOLDERS + 1);
 }
 
 } // namespace auburnrail
--- a/libs/core/include/core/TaskQueue.h
+++ b/libs/core/include/core/TaskQueue.h
@@ -29,6 +29,9 @@
     /// Blocks until a task is ready or due and takes it; nothing after close().
     [[nodiscard]] auto take() -> std::optional<Task>;
 
+    /// Whether tasks wait and every thread is busy.
+    [[nodiscard]] auto lacksThread() -> bool;
+
     /// Ends every take(); tasks that were not taken are dropped.
     auto close() -> void;
 
--- a/libs/core/include/core/WorkerPool.h
+++ b/libs/core/include/core/WorkerPool.h
@@ -2,7 +2,9 @@
 #define AUBURNRAIL_CORE_WORKERPOOL_H
 
 #include <core/Executor.h>
+#include <core/RankedMutex.h>
 #include <core/TaskQueue.h>
+#include <core/WorkerPoolHooks.h>
 
 #include <cstddef>
 #include <thread>
@@ -10,13 +12,16 @@
 
 namespace auburnrail {
 
-/// Fixed set of threads that run posted tasks, and delayed tasks when they are due. Idle workers
-/// wait on a condition. Safe from any thread.
+/// Threads that run posted tasks, and delayed tasks when they are due. There is one from the start;
+/// another is started when all are busy and more tasks wait, up to a limit. A pool that gets no
+/// further thread goes on with those that it has. Idle workers wait on a condition. Safe from any
+/// thread.
 class WorkerPool
 {
 public:
-    /// Starts `threadCount` workers; at least one.
-    explicit WorkerPool(std::size_t threadCount);
+    /// Starts the first worker, and waits until the system has room for it. `threadLimit` is at
+    /// least one.
+    explicit WorkerPool(std::size_t threadLimit, WorkerPoolHooks poolHooks = {});
     WorkerPool(const WorkerPool &) = delete;
     auto operator=(const WorkerPool &) -> WorkerPool & = delete;
 
@@ -29,11 +34,22 @@
     /// Lets running tasks end, drops the others and joins the workers. Not to be called by a task.
     auto stop() -> void;
 
+    /// Number of workers started so far.
+    [[nodiscard]] auto threadCount() -> std::size_t;
+
 private:
     auto run() -> void;
 
+    /// Starts another worker, unless the limit is reached or the system has no room for it.
+    auto grow() -> void;
+
+    const std::size_t limit;
+    const WorkerPoolHooks hooks;
     TaskQueue queue;
-    std::vector<std::thread> workers;
+    RankedMutex mutex{LockRank::WorkerPool};
+    std::vector<std::thread> workers ABSL_GUARDED_BY(mutex);
+    std::size_t startedWorkers ABSL_GUARDED_BY(mutex) = 0; ///< Including one that is being started.
+    bool stopping ABSL_GUARDED_BY(mutex) = false;
 };
 
 } // namespace auburnrail
--- a/libs/core/src/TaskQueue.cpp
+++ b/libs/core/src/TaskQueue.cpp
@@ -85,6 +85,13 @@
     return true;
 }
 
+auto TaskQueue::lacksThread() -> bool
+{
+    const RankedLock lock(this->mutex);
+    const auto isAnyFree = this->timerThreadWaits || this->idleThreads > 0;
+    return !this->closed && !isAnyFree && (!this->ready.empty() || this->timers.nextDue());
+}
+
 auto TaskQueue::close() -> void
 {
     const RankedLock lock(this->mutex);
--- a/libs/core/src/WorkerPool.cpp
+++ b/libs/core/src/WorkerPool.cpp
@@ -1,16 +1,22 @@
 #include <core/MonotonicClock.h>
+#include <core/RankedLock.h>
 #include <core/WorkerPool.h>
 
 #include <cassert>
+#include <utility>
 
 namespace auburnrail {
 
-WorkerPool::WorkerPool(std::size_t threadCount)
+WorkerPool::WorkerPool(std::size_t threadLimit, WorkerPoolHooks poolHooks)
+    : limit(threadLimit)
+    , hooks(std::move(poolHooks))
 {
-    assert(threadCount > 0 && "threadCount must be at least 1");
-    this->workers.reserve(threadCount);
-    for (auto index = std::size_t(0); index < threadCount; ++index)
-        this->workers.emplace_back([this] { this->run(); });
+    assert(threadLimit > 0 && "threadLimit must be at least 1");
+    auto first =
+        startRequiredThread([this] { this->run(); }, this->hooks.refused, this->hooks.startThread);
+    const RankedLock lock(this->mutex);
+    this->workers.push_back(std::move(first));
+    ++this->startedWorkers;
 }
 
 WorkerPool::~WorkerPool()
@@ -22,9 +28,17 @@
 {
     return Executor{
         .now = monotonicNow,
-        .post = [this](Task task) { this->queue.post(std::move(task)); },
-        .postAfter = [this](Duration delay,
-                            Task task) { return this->queue.postAfter(delay, std::move(task)); },
+        .post =
+            [this](Task task) {
+                this->queue.post(std::move(task));
+                this->grow();
+            },
+        .postAfter =
+            [this](Duration delay, Task task) {
+                const auto id = this->queue.postAfter(delay, std::move(task));
+                this->grow();
+                return id;
+            },
         .cancel = [this](TimerId id) { this->queue.cancel(id); },
     };
 }
@@ -32,16 +46,55 @@
 auto WorkerPool::stop() -> void
 {
     this->queue.close();
-    for (auto &worker : this->workers) {
-        if (worker.joinable())
-            worker.join();
+    auto ending = std::vector<std::thread>();
+    {
+        const RankedLock lock(this->mutex);
+        this->stopping = true;
+        ending.swap(this->workers);
     }
+    for (auto &worker : ending)
+        worker.join();
+}
+
+auto WorkerPool::threadCount() -> std::size_t
+{
+    const RankedLock lock(this->mutex);
+    return this->startedWorkers;
 }
 
 auto WorkerPool::run() -> void
 {
-    while (const auto task = this->queue.take())
+    while (const auto task = this->queue.take()) {
+        this->grow();
         (*task)();
+    }
+}
+
+auto WorkerPool::grow() -> void
+{
+    if (!this->queue.lacksThread())
+        return;
+    {
+        const RankedLock lock(this->mutex);
+        if (this->stopping || this->startedWorkers == this->limit)
+            return;
+        ++this->startedWorkers;
+    }
+    auto worker = this->hooks.startThread([this] { this->run(); });
+    if (!worker.ok() && this->hooks.refused)
+        this->hooks.refused(worker.status());
+    {
+        const RankedLock lock(this->mutex);
+        if (!worker.ok()) {
+            --this->startedWorkers;
+            return;
+        }
+        if (!this->stopping) {
+            this->workers.push_back(*std::move(worker));
+            return;
+        }
+    }
+    worker->join(); // The queue is closed, so that it ends at once.
 }
 
 } // namespace auburnrail
--- a/libs/daemon/include/daemon/Logging.h
+++ b/libs/daemon/include/daemon/Logging.h
@@ -3,6 +3,8 @@
 
 #include <daemon/LogLevel.h>
 
+#include <core/StartThread.h>
+
 #include <functional>
 #include <string>
 #include <string_view>
@@ -31,6 +33,10 @@
 auto logComposedLine(LogLevel level, std::string_view logger, std::string_view message,
                      const std::function<auto()->LogFields> &compose) -> void;
 
+/// Logs threads that the system has no room for, which the component goes on without. `logger` must
+/// outlive the returned function.
+[[nodiscard]] auto threadRefusalLogger(std::string_view logger) -> ThreadRefused;
+
 } // namespace auburnrail
 
 #endif
--- a/libs/daemon/src/Logging.cpp
+++ b/libs/daemon/src/Logging.cpp
@@ -12,6 +12,10 @@
 #include <log4cxx/logmanager.h>
 #include <log4cxx/mdc.h>
 
+#include <memory>
+#include <system_error>
+#include <tuple>
+
 namespace auburnrail {
 
 namespace {
@@ -40,6 +44,22 @@
     return log4cxx::Level::getInfo();
 }
 
+/// The queue has a thread, which it starts at once.
+auto startQueue() -> std::shared_ptr<log4cxx::AsyncAppender>
+{
+    auto queue = std::shared_ptr<log4cxx::AsyncAppender>();
+    const auto attempt = [&queue]() -> absl::Status {
+        try {
+            queue = std::make_shared<log4cxx::AsyncAppender>();
+            return absl::OkStatus();
+        } catch (const std::system_error &error) {
+            return absl::ResourceExhaustedError(error.what());
+        }
+    };
+    std::ignore = untilThreadStarts(attempt, {});
+    return queue;
+}
+
 } // namespace
 
 auto setUpLogging(LogLevel level) -> void
@@ -48,7 +68,7 @@
     layout->setPrettyPrint(false);
     const auto appender = std::make_shared<log4cxx::ConsoleAppender>(
         layout, log4cxx::ConsoleAppender::getSystemOut());
-    const auto queue = std::make_shared<log4cxx::AsyncAppender>();
+    const auto queue = startQueue();
     queue->addAppender(appender);
     queue->setBufferSize(QUEUED_LINES);
     queue->setBlocking(false);
@@ -89,4 +109,12 @@
         log4cxx::MDC::remove(std::string(field.first));
 }
 
+auto threadRefusalLogger(std::string_view logger) -> ThreadRefused
+{
+    return [logger](const absl::Status &status) {
+        logLine(LogLevel::Error, logger, "no room for another thread",
+                {{"error", std::string(status.message())}});
+    };
+}
+
 } // namespace auburnrail
--- a/libs/entry/include/entry/TokenLoopHooks.h
+++ b/libs/entry/include/entry/TokenLoopHooks.h
@@ -19,8 +19,10 @@
     /// Name of the member that granted the lease last; empty before the first.
     std::function<auto()->std::string> leader;
 
-    /// Sends a request to a control member and waits for the response.
-    std::function<auto(const std::string &member, const TokenRequest &request, Duration timeLimit)
+    /// Sends a request to a control member and waits for the response, for as long as `isWanted`
+    /// returns true.
+    std::function<auto(const std::string &member, const TokenRequest &request, Duration timeLimit,
+                       const std::function<auto()->bool> &isWanted)
                       ->absl::StatusOr<TokenResponse>>
         send;
 };
--- a/libs/entry/src/EntryNode.cpp
+++ b/libs/entry/src/EntryNode.cpp
@@ -1,5 +1,6 @@
 #include <entry/EntryNode.h>
 
+#include <daemon/Logging.h>
 #include <wire/ControlClient.h>
 
 #include <future>
@@ -10,7 +11,7 @@
 namespace {
 
 /// Each probe, await and opening of a connection blocks one worker.
-constexpr auto WORKER_COUNT = std::size_t(32);
+constexpr auto WORKER_LIMIT = std::size_t(32);
 constexpr auto EXPIRY_INTERVAL = std::chrono::milliseconds(10);
 constexpr auto DRAIN_CHECK_INTERVAL = std::chrono::milliseconds(20);
 
@@ -68,13 +69,15 @@
 auto makeTokenHooks(const EntrySettings &settings, HeartbeatLoop &heartbeats) -> TokenLoopHooks
 {
     const auto clients = std::make_shared<ControlClients>(settings);
-    return TokenLoopHooks{.leader = [&heartbeats] { return heartbeats.leader(); },
-                          .send = [clients](const std::string &name, const TokenRequest &request,
-                                            Duration timeLimit) -> absl::StatusOr<TokenResponse> {
-                              const auto client = clients->find(name);
-                              return client.ok() ? (*client)->takeTokens(request, timeLimit)
-                                                 : client.status();
-                          }};
+    return TokenLoopHooks{
+        .leader = [&heartbeats] { return heartbeats.leader(); },
+        .send = [clients](
+                    const std::string &name, const TokenRequest &request, Duration timeLimit,
+                    const std::function<auto()->bool> &isWanted) -> absl::StatusOr<TokenResponse> {
+            const auto client = clients->find(name);
+            return client.ok() ? (*client)->takeTokens(request, timeLimit, isWanted)
+                               : client.status();
+        }};
 }
 
 } // namespace
@@ -82,7 +85,7 @@
 EntryNode::EntryNode(EntrySettings entrySettings, const std::string &clusterSecret,
                      const SessionCodecs &sessionCodecs)
     : settings(std::move(entrySettings))
-    , workers(WORKER_COUNT)
+    , workers(WORKER_LIMIT, {.refused = threadRefusalLogger("entry")})
     , tables(makeIdentity(settings, clusterSecret, makeSecureRandom()), workers.executor(),
              makeSecureRandom(), !settings.sessionsAddress.empty())
     , statements(tables.metrics)
@@ -121,7 +124,8 @@
         .report = [this](const StatementReport &report) { this->statements.add(report); },
         .countConnection =
             [this](ServerConnectionEvent event) { this->connectionLog.count(event); },
-        .random = makeSecureRandom()};
+        .random = makeSecureRandom(),
+        .threadRefused = threadRefusalLogger("sessions")};
     auto server = std::make_unique<ProxyServer>(
         ProxyServerSettings{.zone = this->settings.zone,
                             .address = this->settings.sessionsAddress,
--- a/libs/entry/src/HeartbeatLoop.cpp
+++ b/libs/entry/src/HeartbeatLoop.cpp
@@ -3,6 +3,7 @@
 #include <daemon/Logging.h>
 
 #include <core/RankedLock.h>
+#include <core/StartThread.h>
 
 #include <algorithm>
 #include <cassert>
@@ -12,11 +13,12 @@
 
 namespace {
 
-/// Longest time the leader may hold a response. Also the longest wait of an organisation's first
-/// request at this entry for a share, since no report can be sent while a response is held.
-constexpr auto RESPONSE_HOLD = std::chrono::milliseconds(250);
+/// Longest time the leader may hold a response while there is nothing to tell. Also the longest
+/// wait until a new demand of an organisation is reported; its requests get single tokens
+/// meanwhile.
+constexpr auto RESPONSE_HOLD = std::chrono::milliseconds(750);
 /// Time-out of a response; leaves time to try another member within the lease.
-constexpr auto RESPONSE_TIME_LIMIT = std::chrono::milliseconds(900);
+constexpr auto RESPONSE_TIME_LIMIT = std::chrono::milliseconds(1100);
 /// How long a response of a primary shows that it is reachable. Two probes of a small fleet.
 constexpr auto EVIDENCE_LIFETIME = std::chrono::milliseconds(1000);
 /// The same for a member that did not respond shortly before, which is asked not to hold its
@@ -55,7 +57,7 @@
 
 auto HeartbeatLoop::start() -> void
 {
-    this->thread = std::thread([this] { this->run(); });
+    this->thread = startRequiredThread([this] { this->run(); }, threadRefusalLogger("lease"));
 }
 
 auto HeartbeatLoop::stop() -> void
--- a/libs/entry/src/TokenLoop.cpp
+++ b/libs/entry/src/TokenLoop.cpp
@@ -1,8 +1,10 @@
 #include <entry/TokenLoop.h>
 
 #include <daemon/Logging.h>
+#include <lease/LeaseTiming.h>
 
 #include <core/RankedLock.h>
+#include <core/StartThread.h>
 
 #include <cassert>
 
@@ -10,8 +12,9 @@
 
 namespace {
 
-/// Tokens that arrive later than their lifetime are lost, so a longer wait is of no use.
-constexpr auto RESPONSE_TIME_LIMIT = std::chrono::milliseconds(450);
+/// A leader that does not respond within a lease is gone. A shorter limit makes a busy leader do
+/// more: what it granted is lost with the connection, and is asked for again on a new one.
+constexpr auto RESPONSE_TIME_LIMIT = LEASE_DURATION;
 
 } // namespace
 
@@ -29,7 +32,7 @@
 
 auto TokenLoop::start() -> void
 {
-    this->thread = std::thread([this] { this->run(); });
+    this->thread = startRequiredThread([this] { this->run(); }, threadRefusalLogger("quota"));
 }
 
 auto TokenLoop::stop() -> void
@@ -75,8 +78,12 @@
 auto TokenLoop::sendRequest(const TokenRequest &request) -> void
 {
     const auto member = this->hooks.leader();
-    const auto response = member.empty() ? absl::UnavailableError("no control leader is known")
-                                         : this->hooks.send(member, request, RESPONSE_TIME_LIMIT);
+    const auto isLeader = [this, &member] {
+        return this->hooks.leader() == member;
+    };
+    const auto response = member.empty()
+                              ? absl::UnavailableError("no control leader is known")
+                              : this->hooks.send(member, request, RESPONSE_TIME_LIMIT, isLeader);
     const auto now = this->tables.executor.now();
     if (!response.ok()) {
         logComposedLine(LogLevel::Warning, "quota", "request for tokens failed", [&] {
--- a/libs/http/src/HttpServer.cpp
+++ b/libs/http/src/HttpServer.cpp
@@ -3,6 +3,8 @@
 #include "detail/ConnectionFactory.h"
 #include "detail/ServerState.h"
 
+#include <daemon/Logging.h>
+
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPServerParams.h>
 #include <Poco/Net/ServerSocket.h>
@@ -29,13 +31,15 @@
         : settings(std::move(serverSettings))
         , state(std::make_shared<detail::ServerState>(std::move(hooks), settings.maxBodyBytes,
                                                       settings.workerThreads))
-        , threads(1, static_cast<int>(settings.workerThreads) + 1)
     {
     }
 
+    /// `kResourceExhausted` when the system has no room for a thread.
+    auto tryStart() -> absl::Status;
+
     HttpServerSettings settings;
     std::shared_ptr<detail::ServerState> state;
-    Poco::ThreadPool threads;
+    std::unique_ptr<Poco::ThreadPool> threads;
     std::unique_ptr<Poco::Net::TCPServer> server;
     std::uint16_t port = 0;
 };
@@ -52,31 +56,43 @@
     this->stop();
 }
 
-auto HttpServer::start() -> absl::Status
+auto HttpServer::Impl::tryStart() -> absl::Status
 {
     try {
+        this->threads = std::make_unique<Poco::ThreadPool>(
+            1, static_cast<int>(this->settings.workerThreads) + 1);
         auto socket = Poco::Net::ServerSocket();
-        socket.bind(Poco::Net::SocketAddress(this->impl->settings.address), true, false);
+        socket.bind(Poco::Net::SocketAddress(this->settings.address), true, false);
         socket.listen(ACCEPT_BACKLOG);
-        this->impl->port = socket.address().port();
+        this->port = socket.address().port();
         auto params = Poco::AutoPtr<Poco::Net::HTTPServerParams>(new Poco::Net::HTTPServerParams);
-        params->setMaxThreads(static_cast<int>(this->impl->settings.workerThreads));
+        params->setMaxThreads(static_cast<int>(this->settings.workerThreads));
         params->setMaxQueued(MAX_QUEUED_CONNECTIONS);
         params->setTimeout(Poco::Timespan(SILENCE_LIMIT_S, 0));
         params->setKeepAlive(true);
         params->setMaxKeepAliveRequests(0);
         params->setKeepAliveTimeout(Poco::Timespan(3600, 0));
-        this->impl->server = std::make_unique<Poco::Net::TCPServer>(
-            new detail::ConnectionFactory(params, this->impl->state), this->impl->threads, socket,
-            params);
-        this->impl->server->start();
+        this->server = std::make_unique<Poco::Net::TCPServer>(
+            new detail::ConnectionFactory(params, this->state), *this->threads, socket, params);
+        this->server->start();
         return absl::OkStatus();
+    } catch (const Poco::SystemException &error) {
+        // What POCO throws when a thread can't be started.
+        this->server.reset();
+        return absl::ResourceExhaustedError("can't serve " + this->settings.address + ": "
+                                            + error.displayText());
     } catch (const Poco::Exception &error) {
-        return absl::UnavailableError("can't listen on " + this->impl->settings.address + ": "
+        return absl::UnavailableError("can't listen on " + this->settings.address + ": "
                                       + error.displayText());
     }
 }
 
+auto HttpServer::start() -> absl::Status
+{
+    return untilThreadStarts([this] { return this->impl->tryStart(); },
+                             threadRefusalLogger("http"));
+}
+
 auto HttpServer::stopAccepting() -> void
 {
     this->impl->state->draining = true;
@@ -90,7 +106,7 @@
         return;
     this->stopAccepting();
     this->impl->state->closeIdleConnections();
-    this->impl->threads.joinAll();
+    this->impl->threads->joinAll();
     this->impl->server.reset();
 }
 
--- a/libs/net/include/net/IoPool.h
+++ b/libs/net/include/net/IoPool.h
@@ -2,6 +2,7 @@
 #define AUBURNRAIL_NET_IOPOOL_H
 
 #include <core/Executor.h>
+#include <core/StartThread.h>
 
 #include <cstddef>
 #include <memory>
@@ -16,13 +17,14 @@
 class OpenStreams;
 }
 
-/// Fixed set of threads that handle socket events, posted tasks and timers. A connection without
+/// Small set of threads that handle socket events, posted tasks and timers. A connection without
 /// traffic occupies no thread; a thread without work waits in the kernel. Safe from any thread.
 class IoPool
 {
 public:
-    /// Starts `threadCount` threads; at least one.
-    explicit IoPool(std::size_t threadCount);
+    /// Starts `threadCount` threads, at least one. Waits until the system has room for the first;
+    /// goes on with fewer when it has none for the others. `refused` may be empty.
+    explicit IoPool(std::size_t threadCount, const ThreadRefused &refused = {});
     IoPool(const IoPool &) = delete;
     auto operator=(const IoPool &) -> IoPool & = delete;
 
--- a/libs/net/src/IoPool.cpp
+++ b/libs/net/src/IoPool.cpp
@@ -31,12 +31,23 @@
     std::vector<std::thread> threads;
 };
 
-IoPool::IoPool(std::size_t threadCount)
+IoPool::IoPool(std::size_t threadCount, const ThreadRefused &refused)
 {
     assert(threadCount > 0 && "threadCount must be at least 1");
     this->impl = std::make_unique<Impl>(threadCount);
-    for (auto index = std::size_t(0); index < threadCount; ++index)
-        this->impl->threads.emplace_back([this] { this->impl->context.run(); });
+    const auto run = [context = &this->impl->context] {
+        context->run();
+    };
+    this->impl->threads.push_back(startRequiredThread(run, refused));
+    while (this->impl->threads.size() < threadCount) {
+        auto thread = startThread(run);
+        if (!thread.ok()) {
+            if (refused)
+                refused(thread.status());
+            return;
+        }
+        this->impl->threads.push_back(*std::move(thread));
+    }
 }
 
 IoPool::~IoPool()
--- a/libs/proxy/include/proxy/ProxyServerHooks.h
+++ b/libs/proxy/include/proxy/ProxyServerHooks.h
@@ -12,6 +12,7 @@
 #include <state/FleetObjects.h>
 
 #include <core/RandomSource.h>
+#include <core/StartThread.h>
 #include <core/Time.h>
 
 #include <functional>
@@ -39,6 +40,7 @@
     /// Counts what happens to connections to servers; may be empty.
     std::function<auto(ServerConnectionEvent event)->void> countConnection;
     RandomSource random;
+    ThreadRefused threadRefused; ///< May be empty.
 };
 
 } // namespace auburnrail
--- a/libs/proxy/src/ProxyServer.cpp
+++ b/libs/proxy/src/ProxyServer.cpp
@@ -37,7 +37,7 @@
                          EndpointTable &endpointTable)
     : settings(std::move(serverSettings))
     , hooks(std::move(serverHooks))
-    , pool(settings.threads)
+    , pool(settings.threads, hooks.threadRefused)
     , executor(pool.executor())
     , endpoints(endpointTable)
     , serverConnections(pool, endpoints, positions, makeServerConnectionsHooks())
--- a/libs/wire/include/wire/ConsensusTransport.h
+++ b/libs/wire/include/wire/ConsensusTransport.h
@@ -32,7 +32,8 @@
     [[nodiscard]] auto start() -> absl::Status;
 
     /// Makes a member reachable at `address` (IP:port); replaces an earlier address.
-    /// `kInvalidArgument` when the address can't be parsed.
+    /// `kInvalidArgument` when the address can't be parsed, `kResourceExhausted` when the system
+    /// has no room for the member's thread.
     [[nodiscard]] auto addMember(const MemberName &name, const std::string &address)
         -> absl::Status;
 
--- a/libs/wire/include/wire/ControlClient.h
+++ b/libs/wire/include/wire/ControlClient.h
@@ -10,6 +10,7 @@
 
 #include <absl/status/statusor.h>
 
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -32,7 +33,9 @@
         -> absl::StatusOr<HeartbeatAnswer>;
 
     /// Asks for single tokens; the same time limit and errors as heartbeat().
-    [[nodiscard]] auto takeTokens(const TokenRequest &request, Duration timeout)
+    /// Ends early, also with `kUnavailable`, soon after `isWanted` has become false.
+    [[nodiscard]] auto takeTokens(const TokenRequest &request, Duration timeout,
+                                  const std::function<auto()->bool> &isWanted)
         -> absl::StatusOr<TokenResponse>;
 
 private:
--- a/libs/wire/include/wire/ControlServer.h
+++ b/libs/wire/include/wire/ControlServer.h
@@ -5,13 +5,14 @@
 
 #include <absl/status/status.h>
 
+#include <cstdint>
 #include <memory>
 #include <string>
 
 namespace auburnrail {
 
-/// Receives the heartbeats of entries and their requests for tokens. Each connection has a thread,
-/// on which the hook may wait.
+/// Receives the heartbeats of entries and their requests for tokens. Its threads don't grow with
+/// the connections, nor with the answers that are held back.
 class ControlServer
 {
 public:
@@ -29,6 +30,9 @@
     /// Ends every connection and joins the threads. Handlers under way must return soon.
     auto stop() -> void;
 
+    /// Port in use after start().
+    [[nodiscard]] auto port() const -> std::uint16_t;
+
 private:
     struct Impl;
 
--- a/libs/wire/include/wire/ControlServerHooks.h
+++ b/libs/wire/include/wire/ControlServerHooks.h
@@ -10,10 +10,14 @@
 
 namespace auburnrail {
 
-/// Handlers of a ControlServer. Each call runs on the thread of its connection and may wait.
+/// Handlers of a ControlServer. They run on its few threads, so they must not wait.
 struct ControlServerHooks
 {
-    std::function<auto(const Heartbeat &heartbeat)->HeartbeatAnswer> heartbeat;
+    /// May call `done` later, on any thread, to hold the answer back.
+    std::function<auto(const Heartbeat &heartbeat,
+                       std::function<auto(const HeartbeatAnswer &)->void> done)
+                      ->void>
+        heartbeat;
     std::function<auto(const TokenRequest &request)->TokenResponse> takeTokens;
 };
 
--- a/libs/wire/src/ConsensusTransport.cpp
+++ b/libs/wire/src/ConsensusTransport.cpp
@@ -3,8 +3,8 @@
 #include "WireLimits.h"
 
 #include "detail/ConsensusHandler.h"
+#include "detail/FrameServer.h"
 #include "detail/MemberSender.h"
-#include "detail/StartSignal.h"
 
 #include <core/RankedLock.h>
 
@@ -12,23 +12,21 @@
 #include <Poco/Net/SocketAddress.h>
 #include <thrift/TOutput.h>
 #include <thrift/protocol/TCompactProtocol.h>
-#include <thrift/server/TThreadedServer.h>
 #include <thrift/transport/TBufferTransports.h>
-#include <thrift/transport/TServerSocket.h>
 
 #include <cassert>
 #include <map>
-#include <thread>
 #include <utility>
 
 namespace auburnrail {
 
 namespace {
 
-using apache::thrift::protocol::TCompactProtocolFactory;
-using apache::thrift::server::TThreadedServer;
-using apache::thrift::transport::TFramedTransportFactory;
-using apache::thrift::transport::TServerSocket;
+using apache::thrift::protocol::TCompactProtocol;
+using apache::thrift::transport::TMemoryBuffer;
+
+/// Messages of one member are handled in their order; two threads serve the others meanwhile.
+constexpr auto THREAD_COUNT = std::size_t(2);
 
 auto parseAddress(const std::string &address) -> absl::StatusOr<Poco::Net::SocketAddress>
 {
@@ -47,9 +45,8 @@
     ConsensusTransportHooks hooks;
     RankedMutex mutex{LockRank::Connection};
     std::map<MemberName, std::shared_ptr<detail::MemberSender>> senders ABSL_GUARDED_BY(mutex);
-    std::shared_ptr<TServerSocket> socket;
-    std::unique_ptr<TThreadedServer> server;
-    std::thread serverThread;
+    std::unique_ptr<wire::ConsensusProcessor> processor;
+    std::unique_ptr<detail::FrameServer> server;
 };
 
 ConsensusTransport::ConsensusTransport(ConsensusTransportSettings settings,
@@ -74,34 +71,24 @@
     const auto address = parseAddress(this->impl->settings.address);
     if (!address.ok())
         return address.status();
-    this->impl->socket =
-        std::make_shared<TServerSocket>(address->host().toString(), address->port());
-    this->impl->socket->setKeepAlive(true);
-    this->impl->server = std::make_unique<TThreadedServer>(
-        std::make_shared<wire::ConsensusProcessor>(
-            std::make_shared<detail::ConsensusHandler>(this->impl->hooks.received)),
-        this->impl->socket, std::make_shared<TFramedTransportFactory>(),
-        std::make_shared<TCompactProtocolFactory>(detail::NO_STRING_LIMIT,
-                                                  detail::MAX_CONTAINER_ITEMS));
-    auto signal = std::make_shared<detail::StartSignal>();
-    this->impl->server->setServerEventHandler(signal);
-    auto started = signal->future();
-    this->impl->serverThread = std::thread([server = this->impl->server.get(), signal] {
-        try {
-            server->serve();
-        } catch (const std::exception &) {
-            signal->fail();
-        }
-    });
-    try {
-        started.get();
-        return absl::OkStatus();
-    } catch (const std::exception &error) {
-        this->impl->serverThread.join();
+    this->impl->processor = std::make_unique<wire::ConsensusProcessor>(
+        std::make_shared<detail::ConsensusHandler>(this->impl->hooks.received));
+    this->impl->server = std::make_unique<detail::FrameServer>(
+        "consensus", this->impl->settings.address, THREAD_COUNT,
+        [processor = this->impl->processor.get()](std::string request, const detail::FrameReply &) {
+            // Messages between members have no response.
+            const auto input =
+                std::make_shared<TMemoryBuffer>(reinterpret_cast<std::uint8_t *>(request.data()),
+                                                static_cast<std::uint32_t>(request.size()));
+            const auto output = std::make_shared<TMemoryBuffer>();
+            processor->process(std::make_shared<TCompactProtocol>(input, detail::NO_STRING_LIMIT,
+                                                                  detail::MAX_CONTAINER_ITEMS),
+                               std::make_shared<TCompactProtocol>(output), nullptr);
+        });
+    auto status = this->impl->server->start();
+    if (!status.ok())
         this->impl->server.reset();
-        return absl::UnavailableError("can't listen on " + this->impl->settings.address + ": "
-                                      + error.what());
-    }
+    return status;
 }
 
 auto ConsensusTransport::addMember(const MemberName &name, const std::string &address)
@@ -112,6 +99,8 @@
         return parsed.status();
     auto sender = std::make_shared<detail::MemberSender>(parsed->host().toString(), parsed->port(),
                                                          this->impl->settings, this->impl->hooks);
+    if (auto status = sender->start(); !status.ok())
+        return status;
     {
         const RankedLock lock(this->impl->mutex);
         std::swap(this->impl->senders[name], sender);
@@ -150,14 +139,13 @@
         sender->stop();
     if (this->impl->server) {
         this->impl->server->stop();
-        this->impl->serverThread.join();
         this->impl->server.reset();
     }
 }
 
 auto ConsensusTransport::port() const -> std::uint16_t
 {
-    return this->impl->socket ? static_cast<std::uint16_t>(this->impl->socket->getPort()) : 0;
+    return this->impl->server ? this->impl->server->port() : 0;
 }
 
 } // namespace auburnrail
--- a/libs/wire/src/ControlClient.cpp
+++ b/libs/wire/src/ControlClient.cpp
@@ -6,15 +6,28 @@
 
 #include <Control.h>
 
+#include <core/MonotonicClock.h>
+
 #include <Poco/Net/SocketAddress.h>
 #include <thrift/protocol/TCompactProtocol.h>
 #include <thrift/transport/TBufferTransports.h>
 #include <thrift/transport/TSocket.h>
 
+#include <poll.h>
+
 #include <functional>
 
 namespace auburnrail {
 
+namespace {
+
+using apache::thrift::transport::TTransportException;
+
+/// How soon a wait for a response ends when it is not wanted any more.
+constexpr auto WANTED_CHECK_INTERVAL = std::chrono::milliseconds(100);
+
+} // namespace
+
 struct ControlClient::Impl
 {
     explicit Impl(const std::string &address)
@@ -50,6 +63,20 @@
         }
     }
 
+    /// Returns when a response begins to arrive; throws at the time-out and when the response is
+    /// not wanted any more.
+    auto awaitResponse(Duration timeout, const std::function<auto()->bool> &isWanted) const -> void
+    {
+        const auto end = monotonicNow() + timeout;
+        auto descriptor = pollfd{.fd = this->socket->getSocketFD(), .events = POLLIN, .revents = 0};
+        while (::poll(&descriptor, 1, static_cast<int>(toMillis(WANTED_CHECK_INTERVAL))) <= 0) {
+            if (!isWanted())
+                throw TTransportException(TTransportException::INTERRUPTED, "not wanted any more");
+            if (monotonicNow() >= end)
+                throw TTransportException(TTransportException::TIMED_OUT, "no response");
+        }
+    }
+
     std::shared_ptr<apache::thrift::transport::TSocket> socket;
     std::shared_ptr<apache::thrift::transport::TTransport> transport;
     std::unique_ptr<thriftgen::ControlClient> client;
@@ -75,13 +102,16 @@
     return detail::fromMessage(answer);
 }
 
-auto ControlClient::takeTokens(const TokenRequest &request, Duration timeout)
+auto ControlClient::takeTokens(const TokenRequest &request, Duration timeout,
+                               const std::function<auto()->bool> &isWanted)
     -> absl::StatusOr<TokenResponse>
 {
     auto response = thriftgen::TokenResponseMessage();
     const auto status =
-        this->impl->call(timeout, [&response, &request](thriftgen::ControlClient &client) {
-            client.takeTokens(response, detail::toMessage(request));
+        this->impl->call(timeout, [&, impl = this->impl.get()](thriftgen::ControlClient &client) {
+            client.send_takeTokens(detail::toMessage(request));
+            impl->awaitResponse(timeout, isWanted);
+            client.recv_takeTokens(response);
         });
     if (!status.ok())
         return status;
--- a/libs/wire/src/ControlServer.cpp
+++ b/libs/wire/src/ControlServer.cpp
@@ -4,26 +4,24 @@
 #include "TokenCodec.h"
 #include "WireLimits.h"
 
+#include "detail/FrameServer.h"
+
 #include <Control.h>
 
-#include <Poco/Exception.h>
-#include <Poco/Net/SocketAddress.h>
 #include <thrift/protocol/TCompactProtocol.h>
-#include <thrift/server/TThreadedServer.h>
 #include <thrift/transport/TBufferTransports.h>
-#include <thrift/transport/TServerSocket.h>
-
-#include <future>
-#include <thread>
 
 namespace auburnrail {
 
 namespace {
 
-/// Ends a thread whose entry has vanished without closing its connection.
-constexpr auto IDLE_CONNECTION_LIMIT_MS = 30000;
+/// Enough for requests of which some wait for a lock; held responses wait without a thread.
+constexpr auto THREAD_COUNT = std::size_t(4);
+
+using apache::thrift::protocol::TCompactProtocol;
+using apache::thrift::transport::TMemoryBuffer;
 
-class ControlHandler : public thriftgen::ControlIf
+class ControlHandler : public thriftgen::ControlCobSvIf
 {
 public:
     explicit ControlHandler(ControlServerHooks serverHooks)
@@ -31,17 +29,19 @@
     {
     }
 
-    auto heartbeat(thriftgen::HeartbeatAnswerMessage &answer,
+    auto heartbeat(std::function<void(thriftgen::HeartbeatAnswerMessage const &)> done,
                    const thriftgen::HeartbeatMessage &message) -> void override
     {
-        answer =
-            detail::toMessage(this->hooks.heartbeat(detail::fromMessage(message)), this->payloads);
+        this->hooks.heartbeat(detail::fromMessage(message),
+                              [this, done = std::move(done)](const HeartbeatAnswer &answer) {
+                                  done(detail::toMessage(answer, this->payloads));
+                              });
     }
 
-    auto takeTokens(thriftgen::TokenResponseMessage &response,
+    auto takeTokens(std::function<void(thriftgen::TokenResponseMessage const &)> done,
                     const thriftgen::TokenRequestMessage &request) -> void override
     {
-        response = detail::toMessage(this->hooks.takeTokens(detail::fromMessage(request)));
+        done(detail::toMessage(this->hooks.takeTokens(detail::fromMessage(request))));
     }
 
 private:
@@ -49,33 +49,48 @@
     detail::HeartbeatPayloads payloads;
 };
 
-/// Tells the starting thread that the server listens.
-class ListenSignal : public apache::thrift::server::TServerEventHandler
+auto protocolOver(const std::shared_ptr<TMemoryBuffer> &buffer) -> std::shared_ptr<TCompactProtocol>
 {
-public:
-    auto preServe() -> void override
-    {
-        this->listening.set_value(absl::OkStatus());
-    }
-
-    std::promise<absl::Status> listening;
-};
+    return std::make_shared<TCompactProtocol>(buffer, detail::NO_STRING_LIMIT,
+                                              detail::MAX_CONTAINER_ITEMS);
+}
 
 } // namespace
 
 struct ControlServer::Impl
 {
-    std::string address;
-    ControlServerHooks hooks;
-    std::shared_ptr<apache::thrift::server::TThreadedServer> server;
-    std::thread thread;
+    Impl(std::string address, ControlServerHooks hooks)
+        : processor(std::make_shared<ControlHandler>(std::move(hooks)))
+        , server("entries", std::move(address), THREAD_COUNT,
+                 [this](const std::string &request, const detail::FrameReply &reply) {
+                     this->handle(request, reply);
+                 })
+    {
+    }
+
+    auto handle(const std::string &request, const detail::FrameReply &reply) -> void
+    {
+        const auto input = std::make_shared<TMemoryBuffer>();
+        input->resetBuffer(reinterpret_cast<std::uint8_t *>(const_cast<char *>(request.data())),
+                           static_cast<std::uint32_t>(request.size()), TMemoryBuffer::COPY);
+        const auto output = std::make_shared<TMemoryBuffer>();
+        const auto written = protocolOver(output);
+        // The processor refers to `written` until it has written the response.
+        this->processor.process(
+            [output, written, reply](bool isAnswered) {
+                if (isAnswered)
+                    reply(output->getBufferAsString());
+            },
+            protocolOver(input), written);
+    }
+
+    thriftgen::ControlAsyncProcessor processor;
+    detail::FrameServer server;
 };
 
 ControlServer::ControlServer(std::string address, ControlServerHooks serverHooks)
-    : impl(std::make_unique<Impl>())
+    : impl(std::make_unique<Impl>(std::move(address), std::move(serverHooks)))
 {
-    this->impl->address = std::move(address);
-    this->impl->hooks = std::move(serverHooks);
 }
 
 ControlServer::~ControlServer()
@@ -85,46 +100,17 @@
 
 auto ControlServer::start() -> absl::Status
 {
-    try {
-        const auto own = Poco::Net::SocketAddress(this->impl->address);
-        auto socket = std::make_shared<apache::thrift::transport::TServerSocket>(
-            own.host().toString(), own.port());
-        socket->setRecvTimeout(IDLE_CONNECTION_LIMIT_MS);
-        socket->setSendTimeout(IDLE_CONNECTION_LIMIT_MS);
-        this->impl->server = std::make_shared<apache::thrift::server::TThreadedServer>(
-            std::make_shared<thriftgen::ControlProcessor>(
-                std::make_shared<ControlHandler>(this->impl->hooks)),
-            socket, std::make_shared<apache::thrift::transport::TFramedTransportFactory>(),
-            std::make_shared<apache::thrift::protocol::TCompactProtocolFactory>(
-                detail::NO_STRING_LIMIT, detail::MAX_CONTAINER_ITEMS));
-    } catch (const Poco::Exception &error) {
-        return absl::UnavailableError("can't listen on " + this->impl->address + ": "
-                                      + error.displayText());
-    }
-    auto signal = std::make_shared<ListenSignal>();
-    auto listening = signal->listening.get_future();
-    this->impl->server->setServerEventHandler(signal);
-    this->impl->thread = std::thread([server = this->impl->server, signal] {
-        try {
-            server->serve();
-        } catch (const apache::thrift::TException &error) {
-            signal->listening.set_value(absl::UnavailableError(error.what()));
-        }
-    });
-    auto status = listening.get();
-    if (status.ok())
-        return status;
-    this->impl->thread.join();
-    return absl::UnavailableError("can't listen on " + this->impl->address + ": "
-                                  + std::string(status.message()));
+    return this->impl->server.start();
 }
 
 auto ControlServer::stop() -> void
 {
-    if (!this->impl->thread.joinable())
-        return;
-    this->impl->server->stop();
-    this->impl->thread.join();
+    this->impl->server.stop();
+}
+
+auto ControlServer::port() const -> std::uint16_t
+{
+    return this->impl->server.port();
 }
 
 } // namespace auburnrail
--- a/libs/wire/src/detail/MemberSender.cpp
+++ b/libs/wire/src/detail/MemberSender.cpp
@@ -5,6 +5,7 @@
 #include <Consensus.h>
 #include <core/MonotonicClock.h>
 #include <core/RankedLock.h>
+#include <core/StartThread.h>
 
 #include <thrift/protocol/TCompactProtocol.h>
 #include <thrift/transport/TBufferTransports.h>
@@ -26,7 +27,6 @@
     , settings(limits)
     , hooks(callbacks)
     , backoff(limits.minBackoff)
-    , thread([this] { this->run(); })
 {
 }
 
@@ -35,6 +35,14 @@
     this->stop();
 }
 
+auto MemberSender::start() -> absl::Status
+{
+    auto started = startThread([this] { this->run(); });
+    if (started.ok())
+        this->thread = *std::move(started);
+    return started.status();
+}
+
 auto MemberSender::enqueue(Message message) -> void
 {
     auto dueAt = monotonicNow();
--- a/libs/wire/src/detail/MemberSender.h
+++ b/libs/wire/src/detail/MemberSender.h
@@ -7,6 +7,8 @@
 #include <core/RankedCondition.h>
 #include <core/RankedMutex.h>
 
+#include <absl/status/status.h>
+
 #include <cstdint>
 #include <deque>
 #include <memory>
@@ -31,6 +33,9 @@
     auto operator=(const MemberSender &) -> MemberSender & = delete;
     ~MemberSender();
 
+    /// Starts the thread. `kResourceExhausted` when the system has no room for it.
+    [[nodiscard]] auto start() -> absl::Status;
+
     /// Adds a message; drops the oldest one when the queue is full.
     auto enqueue(Message message) -> void;
 
--- a/libs/wire/src/gen/Control.cpp
+++ b/libs/wire/src/gen/Control.cpp
@@ -5,6 +5,7 @@
  *  @generated
  */
 #include "Control.h"
+#include "thrift/async/TAsyncChannel.h"
 
 namespace auburnrail { namespace thriftgen {
 
@@ -195,6 +196,20 @@
   return xfer;
 }
 
+uint32_t Control_heartbeat_presult::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Control_heartbeat_presult");
+
+  xfer += oprot->writeFieldBegin("success", ::apache::thrift::protocol::T_STRUCT, 0);
+  xfer += (*(this->success)).write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
 
 Control_takeTokens_args::~Control_takeTokens_args() noexcept {
 }
@@ -382,6 +397,20 @@
   return xfer;
 }
 
+uint32_t Control_takeTokens_presult::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Control_takeTokens_presult");
+
+  xfer += oprot->writeFieldBegin("success", ::apache::thrift::protocol::T_STRUCT, 0);
+  xfer += (*(this->success)).write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
 void ControlClient::heartbeat(HeartbeatAnswerMessage& _return, const HeartbeatMessage& message)
 {
   send_heartbeat(message);
@@ -800,5 +829,305 @@
   } // end while(true)
 }
 
+void ControlCobClient::heartbeat(::std::function<void(ControlCobClient* client)> cob, const HeartbeatMessage& message)
+{
+  send_heartbeat(message);
+  channel_->sendAndRecvMessage(::std::bind(cob, this), otrans_.get(), itrans_.get());
+}
+
+void ControlCobClient::send_heartbeat(const HeartbeatMessage& message)
+{
+  int32_t cseqid = 0;
+  otrans_->resetBuffer();
+  oprot_->writeMessageBegin("heartbeat", ::apache::thrift::protocol::T_CALL, cseqid);
+
+  Control_heartbeat_pargs args;
+  args.message = &message;
+  args.write(oprot_);
+
+  oprot_->writeMessageEnd();
+  oprot_->getTransport()->writeEnd();
+  oprot_->getTransport()->flush();
+}
+
+void ControlCobClient::recv_heartbeat(HeartbeatAnswerMessage& _return)
+{
+
+  int32_t rseqid = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TMessageType mtype;
+  bool completed = false;
+
+  try {
+    iprot_->readMessageBegin(fname, mtype, rseqid);
+    if (mtype == ::apache::thrift::protocol::T_EXCEPTION) {
+      ::apache::thrift::TApplicationException x;
+      x.read(iprot_);
+      iprot_->readMessageEnd();
+      iprot_->getTransport()->readEnd();
+      completed = true;
+      completed__(true);
+      throw x;
+    }
+    if (mtype != ::apache::thrift::protocol::T_REPLY) {
+      iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+      iprot_->readMessageEnd();
+      iprot_->getTransport()->readEnd();
+      completed = true;
+      completed__(false);
+    }
+    if (fname.compare("heartbeat") != 0) {
+      iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+      iprot_->readMessageEnd();
+      iprot_->getTransport()->readEnd();
+      completed = true;
+      completed__(false);
+    }
+    Control_heartbeat_presult result;
+    result.success = &_return;
+    result.read(iprot_);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+
+    if (result.__isset.success) {
+      // _return pointer has now been filled
+      completed = true;
+      completed__(true);
+      return;
+    }
+    completed = true;
+    completed__(true);
+    throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "heartbeat failed: unknown result");
+  } catch (...) {
+    if (!completed) {
+      completed__(false);
+    }
+    throw;
+  }
+}
+
+void ControlCobClient::takeTokens(::std::function<void(ControlCobClient* client)> cob, const TokenRequestMessage& request)
+{
+  send_takeTokens(request);
+  channel_->sendAndRecvMessage(::std::bind(cob, this), otrans_.get(), itrans_.get());
+}
+
+void ControlCobClient::send_takeTokens(const TokenRequestMessage& request)
+{
+  int32_t cseqid = 0;
+  otrans_->resetBuffer();
+  oprot_->writeMessageBegin("takeTokens", ::apache::thrift::protocol::T_CALL, cseqid);
+
+  Control_takeTokens_pargs args;
+  args.request = &request;
+  args.write(oprot_);
+
+  oprot_->writeMessageEnd();
+  oprot_->getTransport()->writeEnd();
+  oprot_->getTransport()->flush();
+}
+
+void ControlCobClient::recv_takeTokens(TokenResponseMessage& _return)
+{
+
+  int32_t rseqid = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TMessageType mtype;
+  bool completed = false;
+
+  try {
+    iprot_->readMessageBegin(fname, mtype, rseqid);
+    if (mtype == ::apache::thrift::protocol::T_EXCEPTION) {
+      ::apache::thrift::TApplicationException x;
+      x.read(iprot_);
+      iprot_->readMessageEnd();
+      iprot_->getTransport()->readEnd();
+      completed = true;
+      completed__(true);
+      throw x;
+    }
+    if (mtype != ::apache::thrift::protocol::T_REPLY) {
+      iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+      iprot_->readMessageEnd();
+      iprot_->getTransport()->readEnd();
+      completed = true;
+      completed__(false);
+    }
+    if (fname.compare("takeTokens") != 0) {
+      iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+      iprot_->readMessageEnd();
+      iprot_->getTransport()->readEnd();
+      completed = true;
+      completed__(false);
+    }
+    Control_takeTokens_presult result;
+    result.success = &_return;
+    result.read(iprot_);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+
+    if (result.__isset.success) {
+      // _return pointer has now been filled
+      completed = true;
+      completed__(true);
+      return;
+    }
+    completed = true;
+    completed__(true);
+    throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "takeTokens failed: unknown result");
+  } catch (...) {
+    if (!completed) {
+      completed__(false);
+    }
+    throw;
+  }
+}
+
+void ControlAsyncProcessor::dispatchCall(::std::function<void(bool ok)> cob, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, const std::string& fname, int32_t seqid) {
+  ProcessMap::iterator pfn;
+  pfn = processMap_.find(fname);
+  if (pfn == processMap_.end()) {
+    iprot->skip(::apache::thrift::protocol::T_STRUCT);
+    iprot->readMessageEnd();
+    iprot->getTransport()->readEnd();
+    ::apache::thrift::TApplicationException x(::apache::thrift::TApplicationException::UNKNOWN_METHOD, "Invalid method name: '"+fname+"'");
+    oprot->writeMessageBegin(fname, ::apache::thrift::protocol::T_EXCEPTION, seqid);
+    x.write(oprot);
+    oprot->writeMessageEnd();
+    oprot->getTransport()->writeEnd();
+    oprot->getTransport()->flush();
+    return cob(true);
+  }
+  (this->*(pfn->second))(cob, seqid, iprot, oprot);
+  return;
+}
+
+void ControlAsyncProcessor::process_heartbeat(::std::function<void(bool ok)> cob, int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot)
+{
+  Control_heartbeat_args args;
+  void* ctx = nullptr;
+  if (this->eventHandler_.get() != nullptr) {
+    ctx = this->eventHandler_->getContext("Control.heartbeat", nullptr);
+  }
+  ::apache::thrift::TProcessorContextFreer freer(this->eventHandler_.get(), ctx, "Control.heartbeat");
+
+  try {
+    if (this->eventHandler_.get() != nullptr) {
+      this->eventHandler_->preRead(ctx, "Control.heartbeat");
+    }
+    args.read(iprot);
+    iprot->readMessageEnd();
+    uint32_t bytes = iprot->getTransport()->readEnd();
+    if (this->eventHandler_.get() != nullptr) {
+      this->eventHandler_->postRead(ctx, "Control.heartbeat", bytes);
+    }
+  }
+  catch (const std::exception&) {
+    if (this->eventHandler_.get() != nullptr) {
+      this->eventHandler_->handlerError(ctx, "Control.heartbeat");
+    }
+    return cob(false);
+  }
+  freer.unregister();
+  void (ControlAsyncProcessor::*return_fn)(::std::function<void(bool ok)> cob, int32_t seqid, ::apache::thrift::protocol::TProtocol* oprot, void* ctx, const HeartbeatAnswerMessage& _return) =
+    &ControlAsyncProcessor::return_heartbeat;
+  iface_->heartbeat(
+      ::std::bind(return_fn, this, cob, seqid, oprot, ctx, ::std::placeholders::_1),
+      args.message);
+}
+
+void ControlAsyncProcessor::return_heartbeat(::std::function<void(bool ok)> cob, int32_t seqid, ::apache::thrift::protocol::TProtocol* oprot, void* ctx, const HeartbeatAnswerMessage& _return)
+{
+  Control_heartbeat_presult result;
+  result.success = const_cast<HeartbeatAnswerMessage*>(&_return);
+  result.__isset.success = true;
+
+  if (this->eventHandler_.get() != nullptr) {
+    ctx = this->eventHandler_->getContext("Control.heartbeat", nullptr);
+  }
+  ::apache::thrift::TProcessorContextFreer freer(this->eventHandler_.get(), ctx, "Control.heartbeat");
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->preWrite(ctx, "Control.heartbeat");
+  }
+
+  oprot->writeMessageBegin("heartbeat", ::apache::thrift::protocol::T_REPLY, seqid);
+  result.write(oprot);
+  oprot->writeMessageEnd();
+  uint32_t bytes = oprot->getTransport()->writeEnd();
+  oprot->getTransport()->flush();
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->postWrite(ctx, "Control.heartbeat", bytes);
+  }
+  return cob(true);
+}
+
+void ControlAsyncProcessor::process_takeTokens(::std::function<void(bool ok)> cob, int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot)
+{
+  Control_takeTokens_args args;
+  void* ctx = nullptr;
+  if (this->eventHandler_.get() != nullptr) {
+    ctx = this->eventHandler_->getContext("Control.takeTokens", nullptr);
+  }
+  ::apache::thrift::TProcessorContextFreer freer(this->eventHandler_.get(), ctx, "Control.takeTokens");
+
+  try {
+    if (this->eventHandler_.get() != nullptr) {
+      this->eventHandler_->preRead(ctx, "Control.takeTokens");
+    }
+    args.read(iprot);
+    iprot->readMessageEnd();
+    uint32_t bytes = iprot->getTransport()->readEnd();
+    if (this->eventHandler_.get() != nullptr) {
+      this->eventHandler_->postRead(ctx, "Control.takeTokens", bytes);
+    }
+  }
+  catch (const std::exception&) {
+    if (this->eventHandler_.get() != nullptr) {
+      this->eventHandler_->handlerError(ctx, "Control.takeTokens");
+    }
+    return cob(false);
+  }
+  freer.unregister();
+  void (ControlAsyncProcessor::*return_fn)(::std::function<void(bool ok)> cob, int32_t seqid, ::apache::thrift::protocol::TProtocol* oprot, void* ctx, const TokenResponseMessage& _return) =
+    &ControlAsyncProcessor::return_takeTokens;
+  iface_->takeTokens(
+      ::std::bind(return_fn, this, cob, seqid, oprot, ctx, ::std::placeholders::_1),
+      args.request);
+}
+
+void ControlAsyncProcessor::return_takeTokens(::std::function<void(bool ok)> cob, int32_t seqid, ::apache::thrift::protocol::TProtocol* oprot, void* ctx, const TokenResponseMessage& _return)
+{
+  Control_takeTokens_presult result;
+  result.success = const_cast<TokenResponseMessage*>(&_return);
+  result.__isset.success = true;
+
+  if (this->eventHandler_.get() != nullptr) {
+    ctx = this->eventHandler_->getContext("Control.takeTokens", nullptr);
+  }
+  ::apache::thrift::TProcessorContextFreer freer(this->eventHandler_.get(), ctx, "Control.takeTokens");
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->preWrite(ctx, "Control.takeTokens");
+  }
+
+  oprot->writeMessageBegin("takeTokens", ::apache::thrift::protocol::T_REPLY, seqid);
+  result.write(oprot);
+  oprot->writeMessageEnd();
+  uint32_t bytes = oprot->getTransport()->writeEnd();
+  oprot->getTransport()->flush();
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->postWrite(ctx, "Control.takeTokens", bytes);
+  }
+  return cob(true);
+}
+
+::std::shared_ptr< ::apache::thrift::async::TAsyncProcessor > ControlAsyncProcessorFactory::getProcessor(const ::apache::thrift::TConnectionInfo& connInfo) {
+  ::apache::thrift::ReleaseHandler< ControlCobSvIfFactory > cleanup(handlerFactory_);
+  ::std::shared_ptr< ControlCobSvIf > handler(handlerFactory_->getHandler(connInfo), cleanup);
+  ::std::shared_ptr< ::apache::thrift::async::TAsyncProcessor > processor(new ControlAsyncProcessor(handler));
+  return processor;
+}
+
 }} // namespace
 
--- a/libs/wire/src/gen/Control.h
+++ b/libs/wire/src/gen/Control.h
@@ -7,7 +7,13 @@
 #ifndef Control_H
 #define Control_H
 
+#include <thrift/transport/TBufferTransports.h>
+#include <functional>
+namespace apache { namespace thrift { namespace async {
+class TAsyncChannel;
+}}}
 #include <thrift/TDispatchProcessor.h>
+#include <thrift/async/TAsyncDispatchProcessor.h>
 #include <thrift/async/TConcurrentClientSyncInfo.h>
 #include <memory>
 #include "Control_types.h"
@@ -166,6 +172,7 @@
   _Control_heartbeat_presult__isset __isset;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
 
 };
 
@@ -274,6 +281,7 @@
   _Control_takeTokens_presult__isset __isset;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
 
 };
 
@@ -424,6 +432,125 @@
   std::shared_ptr< ::apache::thrift::async::TConcurrentClientSyncInfo> sync_;
 };
 
+class ControlCobClient;
+
+class ControlCobClIf {
+ public:
+  virtual ~ControlCobClIf() {}
+  virtual void heartbeat(::std::function<void(ControlCobClient* client)> cob, const HeartbeatMessage& message) = 0;
+  virtual void takeTokens(::std::function<void(ControlCobClient* client)> cob, const TokenRequestMessage& request) = 0;
+};
+
+class ControlCobSvIf {
+ public:
+  virtual ~ControlCobSvIf() {}
+  virtual void heartbeat(::std::function<void(HeartbeatAnswerMessage const& _return)> cob, const HeartbeatMessage& message) = 0;
+  virtual void takeTokens(::std::function<void(TokenResponseMessage const& _return)> cob, const TokenRequestMessage& request) = 0;
+};
+
+class ControlCobSvIfFactory {
+ public:
+  typedef ControlCobSvIf Handler;
+
+  virtual ~ControlCobSvIfFactory() {}
+
+  virtual ControlCobSvIf* getHandler(const ::apache::thrift::TConnectionInfo& connInfo) = 0;
+  virtual void releaseHandler(ControlCobSvIf* /* handler */) = 0;
+  };
+
+class ControlCobSvIfSingletonFactory : virtual public ControlCobSvIfFactory {
+ public:
+  ControlCobSvIfSingletonFactory(const ::std::shared_ptr<ControlCobSvIf>& iface) : iface_(iface) {}
+  virtual ~ControlCobSvIfSingletonFactory() {}
+
+  virtual ControlCobSvIf* getHandler(const ::apache::thrift::TConnectionInfo&) override {
+    return iface_.get();
+  }
+  virtual void releaseHandler(ControlCobSvIf* /* handler */) override {}
+
+ protected:
+  ::std::shared_ptr<ControlCobSvIf> iface_;
+};
+
+class ControlCobSvNull : virtual public ControlCobSvIf {
+ public:
+  virtual ~ControlCobSvNull() {}
+  void heartbeat(::std::function<void(HeartbeatAnswerMessage const& _return)> cob, const HeartbeatMessage& /* message */) override {
+    HeartbeatAnswerMessage _return;
+    return cob(_return);
+  }
+  void takeTokens(::std::function<void(TokenResponseMessage const& _return)> cob, const TokenRequestMessage& /* request */) override {
+    TokenResponseMessage _return;
+    return cob(_return);
+  }
+};
+
+class ControlCobClient : virtual public ControlCobClIf {
+ public:
+  ControlCobClient(std::shared_ptr< ::apache::thrift::async::TAsyncChannel> channel, ::apache::thrift::protocol::TProtocolFactory* protocolFactory) :
+    channel_(channel),
+    itrans_(new ::apache::thrift::transport::TMemoryBuffer()),
+    otrans_(new ::apache::thrift::transport::TMemoryBuffer()),
+    piprot_(protocolFactory->getProtocol(itrans_)),
+    poprot_(protocolFactory->getProtocol(otrans_)) {
+    iprot_ = piprot_.get();
+    oprot_ = poprot_.get();
+  }
+  ::std::shared_ptr< ::apache::thrift::async::TAsyncChannel> getChannel() {
+    return channel_;
+  }
+  virtual void completed__(bool /* success */) {}
+  void heartbeat(::std::function<void(ControlCobClient* client)> cob, const HeartbeatMessage& message) override;
+  void send_heartbeat(const HeartbeatMessage& message);
+  void recv_heartbeat(HeartbeatAnswerMessage& _return);
+  void takeTokens(::std::function<void(ControlCobClient* client)> cob, const TokenRequestMessage& request) override;
+  void send_takeTokens(const TokenRequestMessage& request);
+  void recv_takeTokens(TokenResponseMessage& _return);
+ protected:
+  ::std::shared_ptr< ::apache::thrift::async::TAsyncChannel> channel_;
+  ::std::shared_ptr< ::apache::thrift::transport::TMemoryBuffer> itrans_;
+  ::std::shared_ptr< ::apache::thrift::transport::TMemoryBuffer> otrans_;
+  std::shared_ptr< ::apache::thrift::protocol::TProtocol> piprot_;
+  std::shared_ptr< ::apache::thrift::protocol::TProtocol> poprot_;
+  ::apache::thrift::protocol::TProtocol* iprot_;
+  ::apache::thrift::protocol::TProtocol* oprot_;
+};
+
+class ControlAsyncProcessor : public ::apache::thrift::async::TAsyncDispatchProcessor {
+ protected:
+  ::std::shared_ptr<ControlCobSvIf> iface_;
+  virtual void dispatchCall(::std::function<void(bool ok)> cob, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, const std::string& fname, int32_t seqid) override;
+ private:
+  typedef  void (ControlAsyncProcessor::*ProcessFunction)(::std::function<void(bool ok)>, int32_t, ::apache::thrift::protocol::TProtocol*, ::apache::thrift::protocol::TProtocol*);
+  typedef std::map<std::string, ProcessFunction> ProcessMap;
+  ProcessMap processMap_;
+  void process_heartbeat(::std::function<void(bool ok)> cob, int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot);
+  void return_heartbeat(::std::function<void(bool ok)> cob, int32_t seqid, ::apache::thrift::protocol::TProtocol* oprot, void* ctx, const HeartbeatAnswerMessage& _return);
+  void throw_heartbeat(::std::function<void(bool ok)> cob, int32_t seqid, ::apache::thrift::protocol::TProtocol* oprot, void* ctx, ::apache::thrift::TDelayedException* _throw);
+  void process_takeTokens(::std::function<void(bool ok)> cob, int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot);
+  void return_takeTokens(::std::function<void(bool ok)> cob, int32_t seqid, ::apache::thrift::protocol::TProtocol* oprot, void* ctx, const TokenResponseMessage& _return);
+  void throw_takeTokens(::std::function<void(bool ok)> cob, int32_t seqid, ::apache::thrift::protocol::TProtocol* oprot, void* ctx, ::apache::thrift::TDelayedException* _throw);
+ public:
+  ControlAsyncProcessor(::std::shared_ptr<ControlCobSvIf> iface) :
+    iface_(iface) {
+    processMap_["heartbeat"] = &ControlAsyncProcessor::process_heartbeat;
+    processMap_["takeTokens"] = &ControlAsyncProcessor::process_takeTokens;
+  }
+
+  virtual ~ControlAsyncProcessor() {}
+};
+
+class ControlAsyncProcessorFactory : public ::apache::thrift::async::TAsyncProcessorFactory {
+ public:
+  ControlAsyncProcessorFactory(const ::std::shared_ptr< ControlCobSvIfFactory >& handlerFactory) noexcept :
+      handlerFactory_(handlerFactory) {}
+
+  ::std::shared_ptr< ::apache::thrift::async::TAsyncProcessor > getProcessor(const ::apache::thrift::TConnectionInfo& connInfo) override;
+
+ protected:
+  ::std::shared_ptr< ControlCobSvIfFactory > handlerFactory_;
+};
+
 #ifdef _MSC_VER
   #pragma warning( pop )
 #endif
