Tell changes that come close together in one response

Change: responses to outdated entries are released at once, but not more often than every 100 ms; what changes in between goes along. A failover's first change is not delayed, a second one within 100 ms waits for the rest of them; a change of configuration has 4 s to be in force everywhere.

Also: a connection that can't be accepted, mostly for lack of descriptors, gets a log line; the listener tried again before without one.

--- a/libs/control/include/control/HeldResponses.h
+++ b/libs/control/include/control/HeldResponses.h
@@ -27,16 +27,21 @@
     /// causes one with each heartbeat does not make all others send without pause.
     static constexpr auto RELEASE_ALL_INTERVAL_MS = std::chrono::milliseconds(500);
 
+    /// Shortest time between two releases because of new revisions. Changes that come closer
+    /// together are told in one response, so that the responses to a burst of them do not grow with
+    /// changes times entries.
+    static constexpr auto REVISION_INTERVAL_MS = std::chrono::milliseconds(100);
+
     /// `executor` runs what was released.
     explicit HeldResponses(Executor responseExecutor);
 
     /// Runs `release` once the state's revision is above `revision`, the holder's shares have
     /// changed, `deadline` has passed or close() was called: on this thread if that is so already,
-    /// else on the executor.
+    /// else on the executor. Further revisions are awaited for up to REVISION_INTERVAL_MS.
     auto hold(const HolderId &holder, Revision revision, TimePoint deadline, Task release) -> void;
 
-    /// Releases the responses to entries that have applied a lower revision.
-    auto revisionReached(Revision revision) -> void;
+    /// Releases the responses to entries that have applied a lower revision, now or by expire().
+    auto revisionReached(Revision revision, TimePoint now) -> void;
 
     /// Releases the response to one holder; if none is held, its next one is not held.
     auto sharesChanged(const HolderId &holder) -> void;
@@ -44,7 +49,7 @@
     /// Releases all responses, so that the entries report what they see now.
     auto releaseAll(TimePoint now) -> void;
 
-    /// Releases the responses whose deadline has passed. Called every few tens of milliseconds.
+    /// Releases the responses that are due. Called every few tens of milliseconds.
     auto expire(TimePoint now) -> void;
 
     /// Ends all current waits and makes later ones return at once.
@@ -74,6 +79,9 @@
         }
     };
 
+    [[nodiscard]] ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex) auto mayReleaseRevision(TimePoint now) const
+        -> bool;
+    ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex) auto releaseOutdated(TimePoint now) -> void;
     ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex) auto release(Waits::iterator row) -> void;
     ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
     auto releaseEarly(const std::function<auto(const Wait &)->bool> &isDue) -> void;
@@ -91,6 +99,8 @@
     std::uint64_t earlyReleaseCount ABSL_GUARDED_BY(mutex) = 0;
     std::optional<TimePoint> allReleasedAt ABSL_GUARDED_BY(mutex);
     Revision reached ABSL_GUARDED_BY(mutex) = 0;
+    bool isAnyOutdated ABSL_GUARDED_BY(mutex) = false; ///< Holds responses to lower revisions.
+    std::optional<TimePoint> revisionReleasedAt ABSL_GUARDED_BY(mutex);
     std::set<HolderId> holdersToNotify ABSL_GUARDED_BY(mutex);
     bool closed ABSL_GUARDED_BY(mutex) = false;
 };
--- a/libs/control/src/ControlNode.cpp
+++ b/libs/control/src/ControlNode.cpp
@@ -76,8 +76,8 @@
 ControlNode::ControlNode(const ControlSettings &controlSettings, EndpointRoleHooks roleHooks)
     : settings(controlSettings)
     , endpointHooks(std::move(roleHooks))
-    , workers(WORKER_LIMIT, {.refused = threadRefusalLogger("control")})
-    , diskWorker(1, {.refused = threadRefusalLogger("storage")})
+    , workers(WORKER_LIMIT, {.refused = refusalLogger("control", NO_ROOM_FOR_THREAD)})
+    , diskWorker(1, {.refused = refusalLogger("storage", NO_ROOM_FOR_THREAD)})
     , tables(workers.executor(), makeSecureRandom(), makeTableHooks(), toTablesSettings(settings))
     , transport(ConsensusTransportSettings{.address = settings.consensusAddress},
                 ConsensusTransportHooks{.received =
--- a/libs/control/src/ControlTables.cpp
+++ b/libs/control/src/ControlTables.cpp
@@ -213,7 +213,7 @@
 {
     const auto result = this->store.apply(index, payload);
     this->stateChanged(false);
-    this->heldResponses.revisionReached(index);
+    this->heldResponses.revisionReached(index, this->executor.now());
     this->pipeline.committed(index, result);
 }
 
@@ -224,7 +224,7 @@
     if (!status.ok())
         std::abort();
     this->stateChanged(true);
-    this->heldResponses.revisionReached(this->store.revision());
+    this->heldResponses.revisionReached(this->store.revision(), this->executor.now());
 }
 
 auto ControlTables::stateChanged(bool isWhole) -> void
--- a/libs/control/src/HeldResponses.cpp
+++ b/libs/control/src/HeldResponses.cpp
@@ -17,9 +17,12 @@
 {
     {
         const RankedLock lock(this->mutex);
+        const auto now = this->executor.now();
         const auto isChanged = this->holdersToNotify.erase(holder) > 0;
-        if (!this->closed && this->reached <= revision && !isChanged
-            && deadline > this->executor.now()) {
+        const auto isOutdated = revision < this->reached;
+        const auto mayWait = !isOutdated || !this->mayReleaseRevision(now);
+        if (!this->closed && mayWait && !isChanged && deadline > now) {
+            this->isAnyOutdated = this->isAnyOutdated || isOutdated;
             const auto row =
                 this->waits.emplace(holder, Wait{revision, deadline, std::move(release)});
             this->deadlines.insert(row);
@@ -29,12 +32,29 @@
     release();
 }
 
-auto HeldResponses::revisionReached(Revision revision) -> void
+auto HeldResponses::revisionReached(Revision revision, TimePoint now) -> void
 {
     const RankedLock lock(this->mutex);
+    this->isAnyOutdated = this->isAnyOutdated || revision > this->reached;
     this->reached = std::max(this->reached, revision);
+    this->releaseOutdated(now);
+}
+
+auto HeldResponses::mayReleaseRevision(TimePoint now) const -> bool
+{
+    return !this->revisionReleasedAt || now >= *this->revisionReleasedAt + REVISION_INTERVAL_MS;
+}
+
+auto HeldResponses::releaseOutdated(TimePoint now) -> void
+{
+    if (!this->isAnyOutdated || !this->mayReleaseRevision(now))
+        return;
+    this->isAnyOutdated = false;
+    const auto before = this->waits.size();
     this->releaseEarly(
         [reached = this->reached](const Wait &wait) { return wait.revision < reached; });
+    if (this->waits.size() < before)
+        this->revisionReleasedAt = now;
 }
 
 auto HeldResponses::sharesChanged(const HolderId &holder) -> void
@@ -66,6 +86,7 @@
     const RankedLock lock(this->mutex);
     while (!this->deadlines.empty() && (*this->deadlines.begin())->second.deadline <= now)
         this->release(*this->deadlines.begin());
+    this->releaseOutdated(now);
     this->scheduleReleased();
 }
 
--- a/libs/control/tests/HeldResponsesTest.cpp
+++ b/libs/control/tests/HeldResponsesTest.cpp
@@ -65,11 +65,11 @@
 TEST_CASE("a new revision releases all responses, one that is known releases none")
 {
     auto held = Held();
-    held.responses.revisionReached(REVISION);
+    held.responses.revisionReached(REVISION, held.scheduler.now());
     held.run();
     CHECK(held.responses.size() == HOLDERS);
     CHECK(held.responses.earlyReleases() == 0);
-    held.responses.revisionReached(REVISION + 1);
+    held.responses.revisionReached(REVISION + 1, held.scheduler.now());
     held.run();
     CHECK(held.released == HOLDERS);
 }
@@ -118,6 +118,32 @@
     CHECK(held.released == HOLDERS + 1);
 }
 
+// Guards against a leader that is busy with responses while many endpoints announce themselves:
+// each change was told to each entry in a response of its own.
+TEST_CASE("changes that come close together are told in one response")
+{
+    auto held = Held();
+    const auto start = held.scheduler.now();
+    held.responses.revisionReached(REVISION + 1, start);
+    held.run();
+    REQUIRE(held.released == HOLDERS);
+    // The entries send their next heartbeats, which are a revision behind by then.
+    held.responses.revisionReached(REVISION + 2, start + 10ms);
+    for (auto index = 0; index < HOLDERS; ++index)
+        held.hold(index, start + 60s);
+    held.responses.revisionReached(REVISION + 3, start + 20ms);
+    held.responses.expire(start + HeldResponses::REVISION_INTERVAL_MS - 1ms);
+    held.run();
+    CHECK(held.released == HOLDERS);
+    held.responses.expire(start + HeldResponses::REVISION_INTERVAL_MS);
+    held.run();
+    CHECK(held.released == 2 * HOLDERS);
+    // After the interval a change is told at once.
+    held.scheduler.runFor(2 * HeldResponses::REVISION_INTERVAL_MS);
+    held.hold(0, held.scheduler.now() + 60s);
+    CHECK(held.released == 2 * HOLDERS + 1);
+}
+
 TEST_CASE("closing releases what is held, and nothing is held after it")
 {
     auto held = Held();
--- a/libs/daemon/include/daemon/Logging.h
+++ b/libs/daemon/include/daemon/Logging.h
@@ -3,7 +3,7 @@
 
 #include <daemon/LogLevel.h>
 
-#include <core/StartThread.h>
+#include <absl/status/status.h>
 
 #include <functional>
 #include <string>
@@ -33,9 +33,12 @@
 auto logComposedLine(LogLevel level, std::string_view logger, std::string_view message,
                      const std::function<auto()->LogFields> &compose) -> void;
 
-/// Logs threads that the system has no room for, which the component goes on without. `logger` must
-/// outlive the returned function.
-[[nodiscard]] auto threadRefusalLogger(std::string_view logger) -> ThreadRefused;
+constexpr auto NO_ROOM_FOR_THREAD = std::string_view("no room for another thread");
+
+/// Logs that the system refused something that the component goes on without. `logger` and
+/// `message` must outlive the returned function.
+[[nodiscard]] auto refusalLogger(std::string_view logger, std::string_view message)
+    -> std::function<auto(const absl::Status &)->void>;
 
 } // namespace auburnrail
 
--- a/libs/daemon/src/Logging.cpp
+++ b/libs/daemon/src/Logging.cpp
@@ -3,6 +3,7 @@
 #include <daemon/LogBudget.h>
 
 #include <core/MonotonicClock.h>
+#include <core/StartThread.h>
 
 #include <log4cxx/asyncappender.h>
 #include <log4cxx/basicconfigurator.h>
@@ -109,11 +110,11 @@
         log4cxx::MDC::remove(std::string(field.first));
 }
 
-auto threadRefusalLogger(std::string_view logger) -> ThreadRefused
+auto refusalLogger(std::string_view logger, std::string_view message)
+    -> std::function<auto(const absl::Status &)->void>
 {
-    return [logger](const absl::Status &status) {
-        logLine(LogLevel::Error, logger, "no room for another thread",
-                {{"error", std::string(status.message())}});
+    return [logger, message](const absl::Status &status) {
+        logLine(LogLevel::Error, logger, message, {{"error", std::string(status.message())}});
     };
 }
 
--- a/libs/entry/src/EntryNode.cpp
+++ b/libs/entry/src/EntryNode.cpp
@@ -85,7 +85,7 @@
 EntryNode::EntryNode(EntrySettings entrySettings, const std::string &clusterSecret,
                      const SessionCodecs &sessionCodecs)
     : settings(std::move(entrySettings))
-    , workers(WORKER_LIMIT, {.refused = threadRefusalLogger("entry")})
+    , workers(WORKER_LIMIT, {.refused = refusalLogger("entry", NO_ROOM_FOR_THREAD)})
     , tables(makeIdentity(settings, clusterSecret, makeSecureRandom()), workers.executor(),
              makeSecureRandom(), !settings.sessionsAddress.empty())
     , statements(tables.metrics)
@@ -125,7 +125,8 @@
         .countConnection =
             [this](ServerConnectionEvent event) { this->connectionLog.count(event); },
         .random = makeSecureRandom(),
-        .threadRefused = threadRefusalLogger("sessions")};
+        .threadRefused = refusalLogger("sessions", NO_ROOM_FOR_THREAD),
+        .acceptRefused = refusalLogger("sessions", "can't accept a connection")};
     auto server = std::make_unique<ProxyServer>(
         ProxyServerSettings{.zone = this->settings.zone,
                             .address = this->settings.sessionsAddress,
--- a/libs/entry/src/HeartbeatLoop.cpp
+++ b/libs/entry/src/HeartbeatLoop.cpp
@@ -54,7 +54,8 @@
 
 auto HeartbeatLoop::start() -> void
 {
-    this->thread = startRequiredThread([this] { this->run(); }, threadRefusalLogger("lease"));
+    this->thread =
+        startRequiredThread([this] { this->run(); }, refusalLogger("lease", NO_ROOM_FOR_THREAD));
 }
 
 auto HeartbeatLoop::stop() -> void
--- a/libs/entry/src/TokenLoop.cpp
+++ b/libs/entry/src/TokenLoop.cpp
@@ -32,7 +32,8 @@
 
 auto TokenLoop::start() -> void
 {
-    this->thread = startRequiredThread([this] { this->run(); }, threadRefusalLogger("quota"));
+    this->thread =
+        startRequiredThread([this] { this->run(); }, refusalLogger("quota", NO_ROOM_FOR_THREAD));
 }
 
 auto TokenLoop::stop() -> void
--- a/libs/http/src/HttpServer.cpp
+++ b/libs/http/src/HttpServer.cpp
@@ -5,6 +5,8 @@
 
 #include <daemon/Logging.h>
 
+#include <core/StartThread.h>
+
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPServerParams.h>
 #include <Poco/Net/ServerSocket.h>
@@ -90,7 +92,7 @@
 auto HttpServer::start() -> absl::Status
 {
     return untilThreadStarts([this] { return this->impl->tryStart(); },
-                             threadRefusalLogger("http"));
+                             refusalLogger("http", NO_ROOM_FOR_THREAD));
 }
 
 auto HttpServer::stopAccepting() -> void
--- a/libs/net/include/net/StreamListener.h
+++ b/libs/net/include/net/StreamListener.h
@@ -17,8 +17,13 @@
     /// Gets each accepted connection, which is not started yet.
     using Accepted = std::function<auto(StreamConnection::Pointer)->void>;
 
-    /// `pool` must outlive this object.
-    StreamListener(IoPool &pool, std::string address, StreamLimits limits, Accepted accepted);
+    /// Told that a connection could not be accepted, mostly for lack of descriptors or memory. The
+    /// listener tries again soon.
+    using Refused = std::function<auto(const absl::Status &)->void>;
+
+    /// `pool` must outlive this object. `refused` may be empty.
+    StreamListener(IoPool &pool, std::string address, StreamLimits limits, Accepted accepted,
+                   Refused refused = {});
     StreamListener(const StreamListener &) = delete;
     auto operator=(const StreamListener &) -> StreamListener & = delete;
 
--- a/libs/net/src/StreamListener.cpp
+++ b/libs/net/src/StreamListener.cpp
@@ -26,12 +26,13 @@
         boost::asio::basic_socket_acceptor<boost::asio::ip::tcp, detail::TcpStream::Strand>;
 
     Impl(IoPool &ioPool, std::string listenAddress, const StreamLimits &streamLimits,
-         Accepted acceptedHook)
+         Accepted acceptedHook, Refused refusedHook)
         : pool(ioPool)
         , executor(ioPool.executor())
         , address(std::move(listenAddress))
         , limits(streamLimits)
         , accepted(std::move(acceptedHook))
+        , refused(std::move(refusedHook))
         , acceptor(boost::asio::make_strand(ioPool.context()))
     {
     }
@@ -45,6 +46,8 @@
                 if (!self->acceptor.is_open())
                     return;
                 if (error) {
+                    if (self->refused)
+                        self->refused(absl::ResourceExhaustedError(error.message()));
                     self->acceptLater();
                     return;
                 }
@@ -70,13 +73,15 @@
     const std::string address;
     const StreamLimits limits;
     const Accepted accepted;
+    const Refused refused;
     Acceptor acceptor;
     std::uint16_t port = 0;
 };
 
 StreamListener::StreamListener(IoPool &pool, std::string address, StreamLimits limits,
-                               Accepted accepted)
-    : impl(std::make_shared<Impl>(pool, std::move(address), limits, std::move(accepted)))
+                               Accepted accepted, Refused refused)
+    : impl(std::make_shared<Impl>(pool, std::move(address), limits, std::move(accepted),
+                                  std::move(refused)))
 {
 }
 
--- a/libs/proxy/include/proxy/ProxyServerHooks.h
+++ b/libs/proxy/include/proxy/ProxyServerHooks.h
@@ -11,6 +11,8 @@
 
 #include <state/FleetObjects.h>
 
+#include <net/StreamListener.h>
+
 #include <core/RandomSource.h>
 #include <core/StartThread.h>
 #include <core/Time.h>
@@ -40,7 +42,8 @@
     /// Counts what happens to connections to servers; may be empty.
     std::function<auto(ServerConnectionEvent event)->void> countConnection;
     RandomSource random;
-    ThreadRefused threadRefused; ///< May be empty.
+    ThreadRefused threadRefused;           ///< May be empty.
+    StreamListener::Refused acceptRefused; ///< May be empty.
 };
 
 } // namespace auburnrail
--- a/libs/proxy/src/ProxyServer.cpp
+++ b/libs/proxy/src/ProxyServer.cpp
@@ -44,8 +44,10 @@
     , placement(
           endpoints, positions, [this](const std::string &group) { return this->groupView(group); },
           hooks.random)
-    , listener(pool, settings.address, StreamLimits(),
-               [this](const StreamConnection::Pointer &connection) { this->accept(connection); })
+    , listener(
+          pool, settings.address, StreamLimits(),
+          [this](const StreamConnection::Pointer &connection) { this->accept(connection); },
+          hooks.acceptRefused)
 {
 }
 
--- a/libs/wire/src/detail/FrameServer.cpp
+++ b/libs/wire/src/detail/FrameServer.cpp
@@ -38,9 +38,11 @@
                          FrameHandler frameHandler)
     : name(std::move(serverName))
     , handler(std::move(frameHandler))
-    , pool(threads, threadRefusalLogger(name))
-    , listener(pool, std::move(address), LIMITS,
-               [this](const StreamConnection::Pointer &connection) { this->accept(connection); })
+    , pool(threads, refusalLogger(name, NO_ROOM_FOR_THREAD))
+    , listener(
+          pool, std::move(address), LIMITS,
+          [this](const StreamConnection::Pointer &connection) { this->accept(connection); },
+          refusalLogger(name, "can't accept a connection"))
 {
 }
 
