End shares a lease after their report, also when its response was held

After a silence the ledger would have given them to others up to 0.7 s too early, and an organisation would have got more than its limits.

Change: the holder adopts shares for QuotaTiming::leaseDuration from the report. Ruled out: counting from the release at the ledger, too. It would keep the shares of an entry that is gone for longer, and needs the property test to be extended.

Test: 'shares end a lease after their report, however long the response was held'; it fails with the lease's duration in place (one share held at 2 s).

--- a/libs/entry/src/HeartbeatLoop.cpp
+++ b/libs/entry/src/HeartbeatLoop.cpp
@@ -124,8 +124,10 @@
     if (isGranted) {
         this->setLeader(member);
         this->tables.leaseGate.granted();
+        // The ledger counts shares from the arrival of the report, however long the response to it
+        // was held, while the lease runs from the release of the response.
         std::ignore =
-            this->tables.shares.adopt(response->shares, ticket.sentAt + response->lease.duration,
+            this->tables.shares.adopt(response->shares, ticket.sentAt + QuotaTiming().leaseDuration,
                                       this->tables.executor.now());
     }
     this->burnSender.end(isGranted, this->tables.executor.now());
