Read no status after its value was moved away

The status of an absl::StatusOr stays OK after its value was moved, so nothing failed; the order is plain now.

--- a/libs/core/src/StartThread.cpp
+++ b/libs/core/src/StartThread.cpp
@@ -40,11 +40,12 @@
     -> std::thread
 {
     auto thread = std::thread();
-    const auto attempt = [&] {
+    const auto attempt = [&]() -> absl::Status {
         auto started = start(task);
-        if (started.ok())
-            thread = *std::move(started);
-        return started.status();
+        if (!started.ok())
+            return started.status();
+        thread = *std::move(started);
+        return absl::OkStatus();
     };
     std::ignore = untilThreadStarts(attempt, refused);
     return thread;
--- a/libs/wire/src/detail/MemberSender.cpp
+++ b/libs/wire/src/detail/MemberSender.cpp
@@ -38,9 +38,10 @@
 auto MemberSender::start() -> absl::Status
 {
     auto started = startThread([this] { this->run(); });
-    if (started.ok())
-        this->thread = *std::move(started);
-    return started.status();
+    if (!started.ok())
+        return started.status();
+    this->thread = *std::move(started);
+    return absl::OkStatus();
 }
 
 auto MemberSender::enqueue(Message message) -> void
