--- a/libs/core/include/core/TaskQueue.h
+++ b/libs/core/include/core/TaskQueue.h
@@ -26,15 +26,16 @@
     /// Drops a delayed task that has not been taken.
     auto cancel(TimerId id) -> void;
 
-    /// Blocks until a task is ready or due and takes it; nothing after close().
-    [[nodiscard]] auto take() -> std::optional<Task>;
+    /// Blocks until a task is ready or due and takes it; nothing after close(). `isFirst` for the
+    /// first call of a thread that wantsThread() asked for.
+    [[nodiscard]] auto take(bool isFirst = false) -> std::optional<Task>;
 
     /// Whether tasks wait and every thread is busy. If so, a thread counts as about to start until
-    /// threadStarted().
+    /// its first take() or threadRefused().
     [[nodiscard]] auto wantsThread() -> bool;
 
-    /// A thread that wantsThread() asked for is about to take(), or can't be started.
-    auto threadStarted() -> void;
+    /// A thread that wantsThread() asked for can't be started.
+    auto threadRefused() -> void;
 
     /// Ends every take(); tasks that were not taken are dropped.
     auto close() -> void;
--- a/libs/core/include/core/WorkerPool.h
+++ b/libs/core/include/core/WorkerPool.h
@@ -38,7 +38,8 @@
     [[nodiscard]] auto threadCount() -> std::size_t;
 
 private:
-    auto run() -> void;
+    /// `wasWanted`: the queue asked for this worker.
+    auto run(bool wasWanted) -> void;
 
     /// Counts a worker that is about to be started; false at the limit.
     [[nodiscard]] auto reserveWorker() -> bool;
--- a/libs/core/src/TaskQueue.cpp
+++ b/libs/core/src/TaskQueue.cpp
@@ -34,9 +34,10 @@
     this->timers.cancel(id);
 }
 
-auto TaskQueue::take() -> std::optional<Task>
+auto TaskQueue::take(bool isFirst) -> std::optional<Task>
 {
     const RankedLock lock(this->mutex);
+    this->startingThreads -= isFirst ? 1 : 0;
     while (!this->closed) {
         if (auto task = this->takeAvailable()) {
             // This thread is busy from now on, so that what is left is for the others.
@@ -96,7 +97,7 @@
     return true;
 }
 
-auto TaskQueue::threadStarted() -> void
+auto TaskQueue::threadRefused() -> void
 {
     const RankedLock lock(this->mutex);
     --this->startingThreads;
--- a/libs/core/src/WorkerPool.cpp
+++ b/libs/core/src/WorkerPool.cpp
@@ -12,8 +12,8 @@
     , hooks(std::move(poolHooks))
 {
     assert(threadLimit > 0 && "threadLimit must be at least 1");
-    auto first =
-        startRequiredThread([this] { this->run(); }, this->hooks.refused, this->hooks.startThread);
+    auto first = startRequiredThread([this] { this->run(false); }, this->hooks.refused,
+                                     this->hooks.startThread);
     const RankedLock lock(this->mutex);
     this->workers.push_back(std::move(first));
     ++this->startedWorkers;
@@ -62,9 +62,9 @@
     return this->startedWorkers;
 }
 
-auto WorkerPool::run() -> void
+auto WorkerPool::run(bool wasWanted) -> void
 {
-    while (const auto task = this->queue.take()) {
+    for (auto task = this->queue.take(wasWanted); task; task = this->queue.take()) {
         this->grow();
         (*task)();
     }
@@ -84,15 +84,12 @@
     if (!this->queue.wantsThread())
         return;
     if (!this->reserveWorker()) {
-        this->queue.threadStarted();
+        this->queue.threadRefused();
         return;
     }
-    auto worker = this->hooks.startThread([this] {
-        this->queue.threadStarted();
-        this->run();
-    });
+    auto worker = this->hooks.startThread([this] { this->run(true); });
     if (!worker.ok()) {
-        this->queue.threadStarted();
+        this->queue.threadRefused();
         if (this->hooks.refused)
             this->hooks.refused(worker.status());
     }
