--- a/libs/control/include/control/HeldResponses.h
+++ b/libs/control/include/control/HeldResponses.h
@@ -30,7 +30,7 @@
     /// Shortest time between two releases because of new revisions. Changes that come closer
     /// together are told in one response, so that the responses to a burst of them do not grow with
     /// changes times entries.
-    static constexpr auto REVISION_INTERVAL_MS = std::chrono::milliseconds(100);
+    static constexpr auto REVISION_INTERVAL_MS = std::chrono::milliseconds(50);
 
     /// `executor` runs what was released.
     explicit HeldResponses(Executor responseExecutor);
