Pause between releases of changes by the number of responses

Each change in turn waits for the one before to be in force, so a fixed interval bounds them, also in a fleet of one entry where it saves nothing.

Change: the pause after a release is 250 us for each response that it released: 49 ms for 194 entries, under 1 ms for three. The bound on the work of a burst stays.

Tests: 'a fleet of a few entries is told each change at once' is new and would not pass with the fixed interval; 'changes that come close together are told in one response' keeps its checks, at times in parts of the pause.

--- a/libs/control/include/control/HeldResponses.h
+++ b/libs/control/include/control/HeldResponses.h
@@ -27,17 +27,18 @@
     /// causes one with each heartbeat does not make all others send without pause.
     static constexpr auto RELEASE_ALL_INTERVAL_MS = std::chrono::milliseconds(500);
 
-    /// Shortest time between two releases because of new revisions. Changes that come closer
-    /// together are told in one response, so that the responses to a burst of them do not grow with
-    /// changes times entries.
-    static constexpr auto REVISION_INTERVAL_MS = std::chrono::milliseconds(50);
+    /// After a release because of a new revision, the next one waits for this long for each
+    /// response that was released. Changes that come closer together are told in one response, so
+    /// that the work of a burst does not grow with changes times entries, and a small fleet is told
+    /// at once.
+    static constexpr auto REVISION_PAUSE_PER_RESPONSE_US = std::chrono::microseconds(250);
 
     /// `executor` runs what was released.
     explicit HeldResponses(Executor responseExecutor);
 
     /// Runs `release` once the state's revision is above `revision`, the holder's shares have
     /// changed, `deadline` has passed or close() was called: on this thread if that is so already,
-    /// else on the executor. Further revisions are awaited for up to REVISION_INTERVAL_MS.
+    /// else on the executor. See REVISION_PAUSE_PER_RESPONSE_US.
     auto hold(const HolderId &holder, Revision revision, TimePoint deadline, Task release) -> void;
 
     /// Releases the responses to entries that have applied a lower revision, now or by expire().
@@ -79,8 +80,6 @@
         }
     };
 
-    [[nodiscard]] ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex) auto mayReleaseRevision(TimePoint now) const
-        -> bool;
     ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex) auto releaseOutdated(TimePoint now) -> void;
     ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex) auto release(Waits::iterator row) -> void;
     ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
@@ -100,7 +99,7 @@
     std::optional<TimePoint> allReleasedAt ABSL_GUARDED_BY(mutex);
     Revision reached ABSL_GUARDED_BY(mutex) = 0;
     bool isAnyOutdated ABSL_GUARDED_BY(mutex) = false; ///< Holds responses to lower revisions.
-    std::optional<TimePoint> revisionReleasedAt ABSL_GUARDED_BY(mutex);
+    TimePoint nextRevisionRelease ABSL_GUARDED_BY(mutex);
     std::set<HolderId> holdersToNotify ABSL_GUARDED_BY(mutex);
     bool closed ABSL_GUARDED_BY(mutex) = false;
 };
--- a/libs/control/src/HeldResponses.cpp
+++ b/libs/control/src/HeldResponses.cpp
@@ -20,7 +20,7 @@
         const auto now = this->executor.now();
         const auto isChanged = this->holdersToNotify.erase(holder) > 0;
         const auto isOutdated = revision < this->reached;
-        const auto mayWait = !isOutdated || !this->mayReleaseRevision(now);
+        const auto mayWait = !isOutdated || now < this->nextRevisionRelease;
         if (!this->closed && mayWait && !isChanged && deadline > now) {
             this->isAnyOutdated = this->isAnyOutdated || isOutdated;
             const auto row =
@@ -40,21 +40,16 @@
     this->releaseOutdated(now);
 }
 
-auto HeldResponses::mayReleaseRevision(TimePoint now) const -> bool
-{
-    return !this->revisionReleasedAt || now >= *this->revisionReleasedAt + REVISION_INTERVAL_MS;
-}
-
 auto HeldResponses::releaseOutdated(TimePoint now) -> void
 {
-    if (!this->isAnyOutdated || !this->mayReleaseRevision(now))
+    if (!this->isAnyOutdated || now < this->nextRevisionRelease)
         return;
     this->isAnyOutdated = false;
     const auto before = this->waits.size();
     this->releaseEarly(
         [reached = this->reached](const Wait &wait) { return wait.revision < reached; });
-    if (this->waits.size() < before)
-        this->revisionReleasedAt = now;
+    const auto count = static_cast<std::int64_t>(before - this->waits.size());
+    this->nextRevisionRelease = now + count * REVISION_PAUSE_PER_RESPONSE_US;
 }
 
 auto HeldResponses::sharesChanged(const HolderId &holder) -> void
--- a/libs/control/tests/HeldResponsesTest.cpp
+++ b/libs/control/tests/HeldResponsesTest.cpp
@@ -122,28 +122,45 @@
 // each change was told to each entry in a response of its own.
 TEST_CASE("changes that come close together are told in one response")
 {
+    constexpr auto PAUSE = Duration(HOLDERS * HeldResponses::REVISION_PAUSE_PER_RESPONSE_US);
     auto held = Held();
     const auto start = held.scheduler.now();
     held.responses.revisionReached(REVISION + 1, start);
     held.run();
     REQUIRE(held.released == HOLDERS);
     // The entries send their next heartbeats, which are a revision behind by then.
-    held.responses.revisionReached(REVISION + 2, start + 10ms);
+    held.responses.revisionReached(REVISION + 2, start + PAUSE / 5);
     for (auto index = 0; index < HOLDERS; ++index)
         held.hold(index, start + 60s);
-    held.responses.revisionReached(REVISION + 3, start + 20ms);
-    held.responses.expire(start + HeldResponses::REVISION_INTERVAL_MS - 1ms);
+    held.responses.revisionReached(REVISION + 3, start + PAUSE / 2);
+    held.responses.expire(start + PAUSE - 1us);
     held.run();
     CHECK(held.released == HOLDERS);
-    held.responses.expire(start + HeldResponses::REVISION_INTERVAL_MS);
+    held.responses.expire(start + PAUSE);
     held.run();
     CHECK(held.released == 2 * HOLDERS);
-    // After the interval a change is told at once.
-    held.scheduler.runFor(2 * HeldResponses::REVISION_INTERVAL_MS);
+    // After the pause a change is told at once.
+    held.scheduler.runFor(2 * PAUSE);
     held.hold(0, held.scheduler.now() + 60s);
     CHECK(held.released == 2 * HOLDERS + 1);
 }
 
+// Guards against changes in turn that wait for each other in a small fleet: an operator's next
+// change is sent when the one before is in force.
+TEST_CASE("a fleet of a few entries is told each change at once")
+{
+    auto scheduler = VirtualScheduler();
+    auto responses = HeldResponses(scheduler.executor());
+    auto released = 0;
+    for (auto revision = REVISION; revision < REVISION + 100; ++revision) {
+        responses.hold(Held::holder(0), revision, scheduler.now() + 60s,
+                       [&released] { ++released; });
+        responses.revisionReached(revision + 1, scheduler.now());
+        scheduler.runFor(1ms);
+    }
+    CHECK(released == 100);
+}
+
 TEST_CASE("closing releases what is held, and nothing is held after it")
 {
     auto held = Held();
