--- a/libs/control/include/control/EntryDirectory.h
+++ b/libs/control/include/control/EntryDirectory.h
@@ -34,13 +34,11 @@
     [[nodiscard]] auto list(TimePoint now) -> std::vector<EntryRecord>;
 
 private:
-    using Records = std::map<std::string, EntryRecord>;
-
     ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex) auto endLife(const EntryRecord &record) -> void;
     ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex) auto endOutdatedLives(TimePoint now) -> void;
 
     RankedMutex mutex{LockRank::EntryDirectory};
-    Records records ABSL_GUARDED_BY(mutex);
+    std::map<std::string, EntryRecord> records ABSL_GUARDED_BY(mutex);
     std::set<std::pair<TimePoint, std::string>>
         live ABSL_GUARDED_BY(mutex); ///< Last heartbeat and name of live entries.
     std::map<std::string, std::size_t> liveInZone ABSL_GUARDED_BY(mutex);
--- a/libs/control/tests/BurnMergeTest.cpp
+++ b/libs/control/tests/BurnMergeTest.cpp
@@ -3,6 +3,8 @@
 
 #include "FailoverGap.h"
 
+#include <LeaderHooks.h>
+
 #include <core/VirtualScheduler.h>
 #include <wire/FleetCodec.h>
 
@@ -14,7 +16,6 @@
 
 namespace {
 
-constexpr auto WALL_MILLIS = std::int64_t(1'700'000'000'000);
 constexpr auto MINUTE_MILLIS = std::int64_t(60'000);
 
 /// The tables of a leading control member on a virtual clock, with an availability and a failover
@@ -23,16 +24,7 @@
 {
 public:
     LeadingMember()
-        : tables(scheduler.executor(), makeSeededRandom(1),
-                 {.propose = [](const std::string &) -> absl::StatusOr<Revision> {
-                      return absl::UnavailableError("no log");
-                  },
-                  .isLeaderWithQuorum = [](TimePoint) { return true; },
-                  .leader = [] { return std::string("m1"); },
-                  .wallClock =
-                      [] {
-                          return WALL_MILLIS;
-                      }})
+        : tables(scheduler.executor(), makeSeededRandom(1), leaderHooks())
         , service(tables)
     {
         this->set(Service{.name = "logs", .group = "g"});
--- a/libs/control/tests/HeartbeatServiceTest.cpp
+++ b/libs/control/tests/HeartbeatServiceTest.cpp
@@ -3,6 +3,8 @@
 
 #include <lease/LeaseTiming.h>
 
+#include <LeaderHooks.h>
+
 #include <core/VirtualScheduler.h>
 
 #include <catch2/catch.hpp>
@@ -23,16 +25,7 @@
 {
 public:
     LeadingMember()
-        : tables(scheduler.executor(), makeSeededRandom(1),
-                 {.propose = [](const std::string &) -> absl::StatusOr<Revision> {
-                      return absl::UnavailableError("no log");
-                  },
-                  .isLeaderWithQuorum = [](TimePoint) { return true; },
-                  .leader = [] { return std::string("m1"); },
-                  .wallClock =
-                      [] {
-                          return std::int64_t(1'700'000'000'000);
-                      }})
+        : tables(scheduler.executor(), makeSeededRandom(1), leaderHooks())
         , service(tables)
     {
         this->tables.leadershipChanged(true, 1);
--- a/libs/wire/src/ConsensusTransport.cpp
+++ b/libs/wire/src/ConsensusTransport.cpp
@@ -1,8 +1,7 @@
 #include <wire/ConsensusTransport.h>
 
-#include "WireLimits.h"
-
 #include "detail/ConsensusHandler.h"
+#include "detail/FrameProtocol.h"
 #include "detail/FrameServer.h"
 #include "detail/MemberSender.h"
 
@@ -11,8 +10,6 @@
 #include <Poco/Exception.h>
 #include <Poco/Net/SocketAddress.h>
 #include <thrift/TOutput.h>
-#include <thrift/protocol/TCompactProtocol.h>
-#include <thrift/transport/TBufferTransports.h>
 
 #include <cassert>
 #include <map>
@@ -22,7 +19,6 @@
 
 namespace {
 
-using apache::thrift::protocol::TCompactProtocol;
 using apache::thrift::transport::TMemoryBuffer;
 
 /// Messages of one member are handled in their order; two threads serve the others meanwhile.
@@ -77,13 +73,8 @@
         "consensus", this->impl->settings.address, THREAD_COUNT,
         [processor = this->impl->processor.get()](std::string request, const detail::FrameReply &) {
             // Messages between members have no response.
-            const auto input =
-                std::make_shared<TMemoryBuffer>(reinterpret_cast<std::uint8_t *>(request.data()),
-                                                static_cast<std::uint32_t>(request.size()));
-            const auto output = std::make_shared<TMemoryBuffer>();
-            processor->process(std::make_shared<TCompactProtocol>(input, detail::NO_STRING_LIMIT,
-                                                                  detail::MAX_CONTAINER_ITEMS),
-                               std::make_shared<TCompactProtocol>(output), nullptr);
+            processor->process(detail::protocolOver(request),
+                               detail::protocolOver(std::make_shared<TMemoryBuffer>()), nullptr);
         });
     auto status = this->impl->server->start();
     if (!status.ok())
--- a/libs/wire/src/ControlServer.cpp
+++ b/libs/wire/src/ControlServer.cpp
@@ -2,15 +2,12 @@
 
 #include "HeartbeatCodec.h"
 #include "TokenCodec.h"
-#include "WireLimits.h"
 
+#include "detail/FrameProtocol.h"
 #include "detail/FrameServer.h"
 
 #include <Control.h>
 
-#include <thrift/protocol/TCompactProtocol.h>
-#include <thrift/transport/TBufferTransports.h>
-
 namespace auburnrail {
 
 namespace {
@@ -18,7 +15,6 @@
 /// Enough for requests of which some wait for a lock; held responses wait without a thread.
 constexpr auto THREAD_COUNT = std::size_t(4);
 
-using apache::thrift::protocol::TCompactProtocol;
 using apache::thrift::transport::TMemoryBuffer;
 
 class ControlHandler : public thriftgen::ControlCobSvIf
@@ -49,12 +45,6 @@
     detail::HeartbeatPayloads payloads;
 };
 
-auto protocolOver(const std::shared_ptr<TMemoryBuffer> &buffer) -> std::shared_ptr<TCompactProtocol>
-{
-    return std::make_shared<TCompactProtocol>(buffer, detail::NO_STRING_LIMIT,
-                                              detail::MAX_CONTAINER_ITEMS);
-}
-
 } // namespace
 
 struct ControlServer::Impl
@@ -62,26 +52,24 @@
     Impl(std::string address, ControlServerHooks hooks)
         : processor(std::make_shared<ControlHandler>(std::move(hooks)))
         , server("entries", std::move(address), THREAD_COUNT,
-                 [this](const std::string &request, const detail::FrameReply &reply) {
+                 [this](std::string request, const detail::FrameReply &reply) {
                      this->handle(request, reply);
                  })
     {
     }
 
-    auto handle(const std::string &request, const detail::FrameReply &reply) -> void
+    auto handle(std::string &request, const detail::FrameReply &reply) -> void
     {
-        const auto input = std::make_shared<TMemoryBuffer>();
-        input->resetBuffer(reinterpret_cast<std::uint8_t *>(const_cast<char *>(request.data())),
-                           static_cast<std::uint32_t>(request.size()), TMemoryBuffer::COPY);
         const auto output = std::make_shared<TMemoryBuffer>();
-        const auto written = protocolOver(output);
-        // The processor refers to `written` until it has written the response.
+        const auto written = detail::protocolOver(output);
+        // The processor refers to `written` until it has written the response, and to the request
+        // only until process() returns.
         this->processor.process(
             [output, written, reply](bool isAnswered) {
                 if (isAnswered)
                     reply(output->getBufferAsString());
             },
-            protocolOver(input), written);
+            detail::protocolOver(request), written);
     }
 
     thriftgen::ControlAsyncProcessor processor;
