Count a pool's first worker as starting, too

'a pool has as many threads as tasks that block at a time' failed with the address sanitizer on: 6 threads for 5, again within 180 runs, 12 at a time. Cause: the first worker was not counted until its first take(), so a task that was posted before that started another one beside it. The constructor expects it now like every other worker, and run() needs no parameter for the difference. The check is unchanged.

--- a/libs/core/include/core/TaskQueue.h
+++ b/libs/core/include/core/TaskQueue.h
@@ -27,14 +27,16 @@
     auto cancel(TimerId id) -> void;
 
     /// Blocks until a task is ready or due and takes it; nothing after close(). `isFirst` for the
-    /// first call of a thread that wantsThread() asked for.
+    /// first call of a thread that was expected.
     [[nodiscard]] auto take(bool isFirst = false) -> std::optional<Task>;
 
-    /// Whether tasks wait and every thread is busy. If so, a thread counts as about to start until
-    /// its first take() or threadRefused().
+    /// Whether tasks wait and every thread is busy. If so, a thread is expected.
     [[nodiscard]] auto wantsThread() -> bool;
 
-    /// A thread that wantsThread() asked for can't be started.
+    /// Counts a thread as about to start until its first take() or threadRefused().
+    auto expectThread() -> void;
+
+    /// A thread that was expected can't be started.
     auto threadRefused() -> void;
 
     /// Ends every take(); tasks that were not taken are dropped.
--- a/libs/core/include/core/WorkerPool.h
+++ b/libs/core/include/core/WorkerPool.h
@@ -38,8 +38,7 @@
     [[nodiscard]] auto threadCount() -> std::size_t;
 
 private:
-    /// `wasWanted`: the queue asked for this worker.
-    auto run(bool wasWanted) -> void;
+    auto run() -> void;
 
     /// Counts a worker that is about to be started; false at the limit.
     [[nodiscard]] auto reserveWorker() -> bool;
--- a/libs/core/src/TaskQueue.cpp
+++ b/libs/core/src/TaskQueue.cpp
@@ -97,6 +97,12 @@
     return true;
 }
 
+auto TaskQueue::expectThread() -> void
+{
+    const RankedLock lock(this->mutex);
+    ++this->startingThreads;
+}
+
 auto TaskQueue::threadRefused() -> void
 {
     const RankedLock lock(this->mutex);
--- a/libs/core/src/WorkerPool.cpp
+++ b/libs/core/src/WorkerPool.cpp
@@ -12,8 +12,9 @@
     , hooks(std::move(poolHooks))
 {
     assert(threadLimit > 0 && "threadLimit must be at least 1");
-    auto first = startRequiredThread([this] { this->run(false); }, this->hooks.refused,
-                                     this->hooks.startThread);
+    this->queue.expectThread();
+    auto first =
+        startRequiredThread([this] { this->run(); }, this->hooks.refused, this->hooks.startThread);
     const RankedLock lock(this->mutex);
     this->workers.push_back(std::move(first));
     ++this->startedWorkers;
@@ -62,9 +63,9 @@
     return this->startedWorkers;
 }
 
-auto WorkerPool::run(bool wasWanted) -> void
+auto WorkerPool::run() -> void
 {
-    for (auto task = this->queue.take(wasWanted); task; task = this->queue.take()) {
+    for (auto task = this->queue.take(true); task; task = this->queue.take()) {
         this->grow();
         (*task)();
     }
@@ -87,7 +88,7 @@
         this->queue.threadRefused();
         return;
     }
-    auto worker = this->hooks.startThread([this] { this->run(true); });
+    auto worker = this->hooks.startThread([this] { this->run(); });
     if (!worker.ok()) {
         this->queue.threadRefused();
         if (this->hooks.refused)
