--- a/libs/state/include/state/ChangeJournal.h
+++ b/libs/state/include/state/ChangeJournal.h
@@ -7,16 +7,22 @@
 #include <core/Revision.h>
 
 #include <cstddef>
-#include <deque>
+#include <cstdint>
+#include <map>
 #include <optional>
+#include <string>
+#include <utility>
 #include <vector>
 
 namespace auburnrail {
 
-/// The last changes of the state, oldest first. Thread rule: guarded by its owner.
+/// The last change of each object, oldest first. A change that a later one supersedes is not kept,
+/// so the memory grows with the number of objects and not with the number of changes. Thread rule:
+/// guarded by its owner.
 class ChangeJournal
 {
 public:
+    /// Greatest number of changes kept.
     static constexpr auto CAPACITY_CHANGES = std::size_t(4096);
 
     auto append(FleetChange change) -> void;
@@ -26,11 +32,18 @@
     [[nodiscard]] auto since(Revision revision, const ChangeFilter &filter) const
         -> std::optional<std::vector<FleetChange>>;
 
+    /// Number of changes kept.
+    [[nodiscard]] auto size() const -> std::size_t;
+
     /// Drops all changes; since() then treats changes up to `revision` as dropped.
     auto restart(Revision revision) -> void;
 
 private:
-    std::deque<FleetChange> changes;
+    using ObjectId = std::pair<ObjectKind, std::string>;
+
+    std::map<std::uint64_t, FleetChange> changes; ///< By sequence.
+    std::map<ObjectId, std::uint64_t> sequences;  ///< Of the change that is kept of each object.
+    std::uint64_t lastSequence = 0;
     Revision dropped = 0;
 };
 
--- a/libs/state/src/ChangeJournal.cpp
+++ b/libs/state/src/ChangeJournal.cpp
@@ -1,19 +1,22 @@
 #include <state/ChangeJournal.h>
 
 #include <algorithm>
-#include <set>
-#include <string_view>
 #include <utility>
 
 namespace auburnrail {
 
 auto ChangeJournal::append(FleetChange change) -> void
 {
-    if (this->changes.size() == CAPACITY_CHANGES) {
-        this->dropped = this->changes.front().revision;
-        this->changes.pop_front();
-    }
-    this->changes.push_back(std::move(change));
+    auto &sequence = this->sequences[{change.kind, change.name}];
+    this->changes.erase(sequence);
+    sequence = ++this->lastSequence;
+    this->changes.emplace(sequence, std::move(change));
+    if (this->changes.size() <= CAPACITY_CHANGES)
+        return;
+    const auto oldest = this->changes.begin();
+    this->dropped = oldest->second.revision;
+    this->sequences.erase({oldest->second.kind, oldest->second.name});
+    this->changes.erase(oldest);
 }
 
 auto ChangeJournal::since(Revision revision, const ChangeFilter &filter) const
@@ -22,20 +25,26 @@
     if (revision < this->dropped)
         return std::nullopt;
     auto result = std::vector<FleetChange>();
-    auto seen = std::set<std::pair<ObjectKind, std::string_view>>();
     for (auto row = this->changes.rbegin(); row != this->changes.rend(); ++row) {
-        if (row->revision <= revision)
+        const auto &change = row->second;
+        if (change.revision <= revision)
             break;
-        if (seen.emplace(row->kind, row->name).second && (!filter || filter(*row)))
-            result.push_back(*row);
+        if (!filter || filter(change))
+            result.push_back(change);
     }
     std::reverse(result.begin(), result.end());
     return result;
 }
 
+auto ChangeJournal::size() const -> std::size_t
+{
+    return this->changes.size();
+}
+
 auto ChangeJournal::restart(Revision revision) -> void
 {
     this->changes.clear();
+    this->sequences.clear();
     this->dropped = revision;
 }
 
