End an open transaction when its key is withdrawn

Cause: a session authorised an operation when it began, and each later statement of the transaction used that authorisation.

Ruled out: authorising each statement anew. A change of a route applies from the next transaction on, so only the key is looked at.

Change: the authorisation says whether the operation needs the key. Before a statement of the transaction is sent, the key must still identify the same organisation; otherwise the transaction is rolled back on the server and the statement is refused with the reason key-withdrawn. A commit that is refused ends the transaction.

--- a/libs/proxy/src/ProxySessionStatements.cpp
+++ b/libs/proxy/src/ProxySessionStatements.cpp
@@ -179,6 +179,15 @@
 auto ProxySession::runInTransaction(const ClientStatement &statement) -> void
 {
     auto &open = *this->transaction;
+    if (!mayContinue(*this->hooks.state(), open.authorisation, this->keyId)) {
+        if (statement.kind == StatementKind::Commit)
+            this->endTransaction();
+        else
+            this->failTransaction();
+        auto failure = detail::refusalOf(ReasonCode::KeyWithdrawn);
+        this->respondFailure(failure.error, std::move(failure.detail));
+        return;
+    }
     auto request = this->makeRequest(statement);
     request.policy = open.authorisation.policy;
     request.group = open.authorisation.group;
--- a/libs/proxy/tests/ProxySessionTest.cpp
+++ b/libs/proxy/tests/ProxySessionTest.cpp
@@ -180,6 +180,50 @@
     CHECK(fixture.servers.count(ServerOperation::Forward) == 1);
 }
 
+// Guards against an open transaction that goes on, and commits, after its key was withdrawn.
+TEST_CASE("an open transaction ends with its key")
+{
+    auto fixture = SessionFixture();
+    fixture.open();
+    std::ignore = fixture.ask(StatementKind::Begin);
+    REQUIRE_FALSE(errorOf(fixture.ask(StatementKind::Write)));
+    const auto sent = fixture.servers.count(ServerOperation::Forward);
+    SECTION("withdrawn")
+    {
+        fixture.objects.erase(ObjectKind::Key, documentKeyId(KEY, SECRET));
+    }
+    SECTION("given to another organisation")
+    {
+        auto key = *fixture.objects.find<Key>(documentKeyId(KEY, SECRET));
+        key.organisation = "p";
+        fixture.objects.put(Organisation{.name = "p", .labels = {{"l", "1"}}});
+        fixture.objects.put(key);
+    }
+    const auto isCommit = GENERATE(false, true);
+    const auto response = fixture.ask(isCommit ? StatementKind::Commit : StatementKind::Write);
+    CHECK(errorOf(response) == StatementError::Unauthorised);
+    CHECK(response.state == (isCommit ? SessionState::Idle : SessionState::Failed));
+    CHECK(fixture.rolledBack == std::vector<std::string>{"primary"});
+    CHECK(fixture.servers.count(ServerOperation::Forward) == sent);
+}
+
+TEST_CASE(
+    "an open transaction goes on after its route has changed, and without a key on an open route")
+{
+    auto fixture = SessionFixture();
+    const auto isOpen = GENERATE(false, true);
+    auto route = *fixture.objects.find<Route>("r");
+    route.open = isOpen;
+    fixture.objects.put(route);
+    fixture.open();
+    std::ignore = fixture.ask(StatementKind::Begin);
+    fixture.objects.erase(ObjectKind::Route, "r");
+    if (isOpen)
+        fixture.objects.erase(ObjectKind::Key, documentKeyId(KEY, SECRET));
+    CHECK_FALSE(errorOf(fixture.ask(StatementKind::Write)));
+    CHECK_FALSE(errorOf(fixture.ask(StatementKind::Commit)));
+}
+
 TEST_CASE("a statement over the organisation's rate is refused as not run")
 {
     auto fixture = SessionFixture();
--- a/libs/state/include/state/AuthoriseSession.h
+++ b/libs/state/include/state/AuthoriseSession.h
@@ -21,6 +21,7 @@
     std::string group;
     std::string organisation; ///< Empty: the caller has no key, on an open route.
     double weight = 1;
+    bool needsKey = false; ///< The operation is permitted by the caller's key only.
 };
 
 /// Id under which a key that a configuration document defines is stored. Such keys have no id of
@@ -39,6 +40,13 @@
                                       const std::optional<std::string> &keyId)
     -> std::variant<OperationAuthorisation, ReasonCode>;
 
+/// Whether an operation that was authorised earlier may go on with the same key. A change of its
+/// route applies from the next operation on, but a key that was withdrawn or given to another
+/// organisation permits nothing more.
+[[nodiscard]] auto mayContinue(const FleetObjects &objects,
+                               const OperationAuthorisation &authorisation,
+                               const std::optional<std::string> &keyId) -> bool;
+
 } // namespace auburnrail
 
 #endif
--- a/libs/state/src/AuthoriseSession.cpp
+++ b/libs/state/src/AuthoriseSession.cpp
@@ -15,6 +15,15 @@
     return std::string(DOCUMENT_KEY_PREFIX) + hash.substr(0, DOCUMENT_KEY_DIGITS);
 }
 
+/// The organisation that the key identifies, if the key is valid.
+auto organisationOf(const FleetObjects &objects, const std::optional<std::string> &keyId)
+    -> const Organisation *
+{
+    const auto *key = keyId ? objects.find<Key>(*keyId) : nullptr;
+    return key == nullptr || key->withdrawn ? nullptr
+                                            : objects.find<Organisation>(key->organisation);
+}
+
 } // namespace
 
 auto documentKeyId(std::string_view keyText, const std::string &clusterSecret) -> std::string
@@ -42,9 +51,8 @@
     if (service == nullptr)
         return ReasonCode::UnknownService;
     auto result = OperationAuthorisation{.policy = *route->sessions, .group = service->group};
-    const auto *key = keyId ? objects.find<Key>(*keyId) : nullptr;
-    const auto *organisation =
-        key == nullptr || key->withdrawn ? nullptr : objects.find<Organisation>(key->organisation);
+    result.needsKey = !route->open;
+    const auto *organisation = organisationOf(objects, keyId);
     if (organisation != nullptr) {
         result.organisation = organisation->name;
         result.weight = organisation->weight;
@@ -58,4 +66,13 @@
     return result;
 }
 
+auto mayContinue(const FleetObjects &objects, const OperationAuthorisation &authorisation,
+                 const std::optional<std::string> &keyId) -> bool
+{
+    if (!authorisation.needsKey)
+        return true;
+    const auto *organisation = organisationOf(objects, keyId);
+    return organisation != nullptr && organisation->name == authorisation.organisation;
+}
+
 } // namespace auburnrail
