Take announcements only from the endpoint that they name

Cause: the row that orders an endpoint's announcements took the start and the sequence of any announcement that could be decoded. One of another process, for an unknown group and with a later start, was refused when it was applied, but the row stayed: the endpoint's own announcements counted as outdated, were acknowledged and dropped, and were no sign of life.

Ruled out: a bound on the start of an announcement; a process that starts later than the server has a valid one.

Change: the verdict on an announcement is one function, used for announcements over HTTP and in heartbeats of entries alike. Only an accepted one changes the row, the state or the view of the failover. One of another group than the registered one is refused with a log line and counted (auburnrail_announcements_total). Related paths closed with it: an announcement of a group that no service has takes no address away and makes no primary, and gives way to the endpoint's own announcement when it came first.

The registrar's tests now have a service for their group, since a primary is adopted only in a group that a service has.

--- a/libs/control/include/control/ControlMetrics.h
+++ b/libs/control/include/control/ControlMetrics.h
@@ -1,6 +1,7 @@
 #ifndef AUBURNRAIL_CONTROL_CONTROLMETRICS_H
 #define AUBURNRAIL_CONTROL_CONTROLMETRICS_H
 
+#include <control/AnnouncementVerdict.h>
 #include <control/ControlGauges.h>
 
 #include <lease/LeaseStatus.h>
@@ -28,6 +29,9 @@
     /// Heartbeats responded to so far.
     [[nodiscard]] auto heartbeatCount() const -> std::uint64_t;
 
+    /// Counts an announcement of an endpoint.
+    auto countAnnouncement(AnnouncementVerdict verdict) -> void;
+
     /// Counts a command of an operator or of the system whose outcome is known; `took` is the time
     /// since its proposal.
     auto countCommand(const absl::Status &outcome, Duration took) -> void;
@@ -46,6 +50,7 @@
     Metrics metrics;
     EnumCounters<LeaseStatus>
         heartbeats; ///< Registered once, since heartbeats are the most frequent event.
+    EnumCounters<AnnouncementVerdict> announcements;
     std::atomic<std::uint64_t> heartbeatsResponded{0};
 };
 
--- a/libs/control/include/control/ControlTables.h
+++ b/libs/control/include/control/ControlTables.h
@@ -63,6 +63,10 @@
     /// logged.
     [[nodiscard]] auto checkAnnounced(const Announcement &announcement) const -> absl::Status;
 
+    /// Decides on an announcement that has passed checkAnnounced(), counts and logs the verdict.
+    [[nodiscard]] auto decide(const Announcement &announcement, const FleetObjects &state,
+                              TimePoint now) -> EndpointDecision;
+
     /// Processes an endpoint's announcement. A departure is committed before this returns OK;
     /// `kUnavailable` when it is not known to be committed, `kInvalidArgument` as checkAnnounced().
     [[nodiscard]] auto announce(const Announcement &announcement) -> absl::Status;
--- a/libs/control/include/control/EndpointRegistrar.h
+++ b/libs/control/include/control/EndpointRegistrar.h
@@ -1,6 +1,7 @@
 #ifndef AUBURNRAIL_CONTROL_ENDPOINTREGISTRAR_H
 #define AUBURNRAIL_CONTROL_ENDPOINTREGISTRAR_H
 
+#include <control/EndpointDecision.h>
 #include <control/EndpointRegistrarSettings.h>
 #include <control/detail/LastAnnouncement.h>
 
@@ -22,8 +23,9 @@
 
 /// Decides which commands bring the fleet state in line with announcements. Announcements may be
 /// repeated, delayed or reordered, and other processes reuse names and addresses, so an
-/// announcement that is older than the known state changes nothing. The same command is proposed at
-/// most once per REPEAT_INTERVAL_MS. Safe from any thread.
+/// announcement that is older than the known state, or of another process, changes nothing and is
+/// no sign of life. The same command is proposed at most once per REPEAT_INTERVAL_MS. Safe from any
+/// thread.
 class EndpointRegistrar
 {
 public:
@@ -37,9 +39,9 @@
 
     explicit EndpointRegistrar(EndpointRegistrarSettings registrarSettings = {});
 
-    /// Commands to propose, in order; empty when the state matches the announcement already.
-    [[nodiscard]] auto commandsFor(const Announcement &announcement, const FleetObjects &state,
-                                   TimePoint now) -> std::vector<CommandBody>;
+    /// An accepted announcement has no commands when the state matches it already.
+    [[nodiscard]] auto decide(const Announcement &announcement, const FleetObjects &state,
+                              TimePoint now) -> EndpointDecision;
 
     /// Restarts the timeout of all endpoints, since their earlier announcements went to the
     /// previous leader.
@@ -54,7 +56,14 @@
     using CommandKey = std::pair<std::string, std::size_t>; ///< Endpoint and kind of command.
 
     ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
-    auto isOutdated(const Announcement &announcement, TimePoint now) -> bool;
+    [[nodiscard]] auto judge(const Announcement &announcement, const FleetObjects &state) const
+        -> AnnouncementVerdict;
+    ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
+    [[nodiscard]] auto isOutdated(const Announcement &announcement) const -> bool;
+    /// Commands that follow from an accepted announcement.
+    ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
+    auto accept(const Announcement &announcement, const FleetObjects &state, TimePoint now)
+        -> std::vector<CommandBody>;
     /// Handles a final departure. It doesn't identify the process that departs.
     ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
     auto departed(const Announcement &announcement, const FleetObjects &state, TimePoint now)
--- a/libs/control/include/control/detail/LastAnnouncement.h
+++ b/libs/control/include/control/detail/LastAnnouncement.h
@@ -5,12 +5,14 @@
 
 #include <cstdint>
 #include <optional>
+#include <string>
 
 namespace auburnrail::detail {
 
-/// The newest announcement of an endpoint.
+/// The newest accepted announcement of an endpoint.
 struct LastAnnouncement
 {
+    std::string group;
     std::uint64_t startedAt = 0;
     std::uint64_t sequence = 0;
     bool leaving = false;
--- a/libs/control/src/ControlMetrics.cpp
+++ b/libs/control/src/ControlMetrics.cpp
@@ -15,6 +15,8 @@
     : metrics(SERIES_LIMIT)
     , heartbeats(metrics, "auburnrail_heartbeats_total",
                  "Heartbeats of entries answered, by lease status.")
+    , announcements(metrics, "auburnrail_announcements_total",
+                    "Announcements of endpoints, by verdict.")
 {
 }
 
@@ -42,6 +44,11 @@
     ++this->heartbeatsResponded;
 }
 
+auto ControlMetrics::countAnnouncement(AnnouncementVerdict verdict) -> void
+{
+    this->announcements.add(verdict);
+}
+
 auto ControlMetrics::heartbeatCount() const -> std::uint64_t
 {
     return this->heartbeatsResponded;
--- a/libs/control/src/ControlTables.cpp
+++ b/libs/control/src/ControlTables.cpp
@@ -150,12 +150,28 @@
     return status;
 }
 
+auto ControlTables::decide(const Announcement &announcement, const FleetObjects &state,
+                           TimePoint now) -> EndpointDecision
+{
+    auto decision = this->registrar.decide(announcement, state, now);
+    this->metrics.countAnnouncement(decision.verdict);
+    // Outdated ones are routine: entries repeat what they have heard.
+    if (decision.verdict != AnnouncementVerdict::Accepted
+        && decision.verdict != AnnouncementVerdict::Outdated) {
+        logLine(LogLevel::Warning, "endpoint", "announcement refused",
+                {{"endpoint", announcement.endpoint},
+                 {"group", announcement.group},
+                 {"reason", std::string(nameOf(decision.verdict))}});
+    }
+    return decision;
+}
+
 auto ControlTables::announce(const Announcement &announcement) -> absl::Status
 {
     if (auto status = this->checkAnnounced(announcement); !status.ok())
         return status;
     const auto state = this->store.objects();
-    auto commands = this->registrar.commandsFor(announcement, state, this->executor.now());
+    auto commands = this->decide(announcement, state, this->executor.now()).commands;
     if (!commands.empty()) {
         logLine(LogLevel::Info, "endpoint",
                 announcement.leaving ? "endpoint leaves" : "endpoint announced",
--- a/libs/control/src/EndpointRegistrar.cpp
+++ b/libs/control/src/EndpointRegistrar.cpp
@@ -35,17 +35,38 @@
            && known->connectionLimit == static_cast<std::uint32_t>(announcement.connectionLimit);
 }
 
-/// Whether a process that started later has announced this address; it may be reused after a
-/// process that crashed without announcing its departure.
-auto isOlderAtAddress(const Announcement &announcement, const FleetObjects &state) -> bool
+auto isGroupOfService(const std::string &group, const FleetObjects &state) -> bool
 {
-    auto older = false;
+    auto found = false;
+    state.table<Service>().forEach(
+        [&](const Service &service) { found = found || service.group == group; });
+    return found;
+}
+
+/// Whether another endpoint holds this address: of a process that started later, since an address
+/// may be reused after a process that crashed without announcing its departure, or of a group that
+/// a service has while the announced group has none.
+auto isAddressTaken(const Announcement &announcement, const FleetObjects &state) -> bool
+{
+    auto taken = false;
     state.table<Endpoint>().forEach([&](const Endpoint &other) {
-        older = older
-                || (other.address == announcement.address && other.name != announcement.endpoint
-                    && other.startedAt > announcement.startedAt);
+        if (other.address != announcement.address || other.name == announcement.endpoint)
+            return;
+        const auto isOtherServed = isGroupOfService(other.group, state);
+        const auto isServed = isGroupOfService(announcement.group, state);
+        taken = taken
+                || (isOtherServed == isServed ? other.startedAt > announcement.startedAt
+                                              : isOtherServed);
     });
-    return older;
+    return taken;
+}
+
+/// Whether an endpoint that is registered in a group of no service is to be moved to the announced
+/// group.
+auto takesOver(const Announcement &announcement, const Endpoint &known, const FleetObjects &state)
+    -> bool
+{
+    return !isGroupOfService(known.group, state) && isGroupOfService(announcement.group, state);
 }
 
 auto isPrimary(const Endpoint &endpoint, const FleetObjects &state) -> bool
@@ -89,19 +110,34 @@
 {
 }
 
-auto EndpointRegistrar::isOutdated(const Announcement &announcement, TimePoint now) -> bool
+auto EndpointRegistrar::isOutdated(const Announcement &announcement) const -> bool
 {
-    auto &last = this->lastAnnouncements[announcement.endpoint];
-    const auto isOlder = announcement.startedAt < last.startedAt
-                         || (announcement.startedAt == last.startedAt
-                             && (last.gone || announcement.sequence < last.sequence));
-    if (isOlder && last.at != TimePoint())
-        return true;
-    last = detail::LastAnnouncement{.startedAt = announcement.startedAt,
-                                    .sequence = announcement.sequence,
-                                    .leaving = announcement.leaving,
-                                    .at = now};
-    return false;
+    const auto found = this->lastAnnouncements.find(announcement.endpoint);
+    if (found == this->lastAnnouncements.end())
+        return false;
+    const auto &last = found->second;
+    const auto isSameGroup = last.group.empty() || last.group == announcement.group;
+    if (last.at == TimePoint() || !isSameGroup)
+        return false;
+    return announcement.startedAt < last.startedAt
+           || (announcement.startedAt == last.startedAt
+               && (last.gone || announcement.sequence < last.sequence));
+}
+
+auto EndpointRegistrar::judge(const Announcement &announcement, const FleetObjects &state) const
+    -> AnnouncementVerdict
+{
+    const auto *known = state.find<Endpoint>(announcement.endpoint);
+    const auto isOtherGroup = known != nullptr && known->group != announcement.group;
+    if (isOtherGroup && !takesOver(announcement, *known, state))
+        return AnnouncementVerdict::OtherGroup;
+    if (this->isOutdated(announcement)
+        || (known != nullptr && !isOtherGroup && announcement.startedAt < known->startedAt))
+        return AnnouncementVerdict::Outdated;
+    if (!announcement.leaving && !isRegistered(announcement, state)
+        && isAddressTaken(announcement, state))
+        return AnnouncementVerdict::AddressTaken;
+    return AnnouncementVerdict::Accepted;
 }
 
 auto EndpointRegistrar::departed(const Announcement &announcement, const FleetObjects &state,
@@ -116,39 +152,54 @@
         last.unconfirmedDepartureAt = now;
         return {};
     }
+    if (known != nullptr)
+        last.group = known->group;
     last.gone = true;
     last.at = now;
     return known == nullptr ? std::vector<CommandBody>() : departureCommands(true, *known, state);
 }
 
-auto EndpointRegistrar::commandsFor(const Announcement &announcement, const FleetObjects &state,
-                                    TimePoint now) -> std::vector<CommandBody>
+auto EndpointRegistrar::decide(const Announcement &announcement, const FleetObjects &state,
+                               TimePoint now) -> EndpointDecision
 {
     const RankedLock lock(this->mutex);
     if (announcement.gone)
-        return this->withoutRepeated(this->departed(announcement, state, now),
-                                     announcement.endpoint, now);
-    if (this->isOutdated(announcement, now))
-        return {};
+        return {.commands = this->withoutRepeated(this->departed(announcement, state, now),
+                                                  announcement.endpoint, now)};
+    const auto verdict = this->judge(announcement, state);
+    if (verdict != AnnouncementVerdict::Accepted)
+        return {.verdict = verdict};
+    return {.commands = this->withoutRepeated(this->accept(announcement, state, now),
+                                              announcement.endpoint, now)};
+}
+
+auto EndpointRegistrar::accept(const Announcement &announcement, const FleetObjects &state,
+                               TimePoint now) -> std::vector<CommandBody>
+{
+    this->lastAnnouncements[announcement.endpoint] =
+        detail::LastAnnouncement{.group = announcement.group,
+                                 .startedAt = announcement.startedAt,
+                                 .sequence = announcement.sequence,
+                                 .leaving = announcement.leaving,
+                                 .at = now};
     const auto *known = state.find<Endpoint>(announcement.endpoint);
-    if (known != nullptr && announcement.startedAt < known->startedAt)
-        return {};
     auto commands = std::vector<CommandBody>();
     if (announcement.leaving) {
         if (known != nullptr)
             commands = departureCommands(false, *known, state);
     } else if (!isRegistered(announcement, state)) {
-        if (isOlderAtAddress(announcement, state))
-            return {};
         removeOthersAtAddress(announcement, state, commands);
+        if (known != nullptr && known->group != announcement.group)
+            commands.emplace_back(DeleteObject{ObjectKind::Endpoint, known->name});
         commands.emplace_back(SetObject{toEndpoint(announcement)});
     }
     const auto *group = state.find<Group>(announcement.group);
     const auto hadPrimary = group != nullptr && (group->term != 0 || !group->primary.empty());
+    // A group of no service would keep an endpoint that another process has named.
     if (this->settings.adoptsPrimaries && announcement.primary && !announcement.leaving
-        && !hadPrimary)
+        && !hadPrimary && isGroupOfService(announcement.group, state))
         commands.emplace_back(AdoptPrimary{announcement.group, announcement.endpoint});
-    return this->withoutRepeated(std::move(commands), announcement.endpoint, now);
+    return commands;
 }
 
 auto EndpointRegistrar::withoutRepeated(std::vector<CommandBody> commands,
--- a/libs/control/src/HeartbeatService.cpp
+++ b/libs/control/src/HeartbeatService.cpp
@@ -108,9 +108,12 @@
     for (const auto &announcement : heartbeat.endpoints) {
         if (!this->tables.checkAnnounced(announcement).ok())
             continue;
-        this->tables.failover.endpointSeen(announcement.group, announcement.endpoint,
-                                           announcement.term);
-        for (auto &body : this->tables.registrar.commandsFor(announcement, state, now))
+        auto decision = this->tables.decide(announcement, state, now);
+        if (decision.verdict == AnnouncementVerdict::Accepted) {
+            this->tables.failover.endpointSeen(announcement.group, announcement.endpoint,
+                                               announcement.term);
+        }
+        for (auto &body : decision.commands)
             this->tables.submitInternal(std::move(body));
     }
 }
--- a/libs/control/tests/EndpointRegistrarTest.cpp
+++ b/libs/control/tests/EndpointRegistrarTest.cpp
@@ -29,13 +29,18 @@
     return gone;
 }
 
-/// A registrar and the state that results from its commands.
+/// A registrar and the state that results from its commands. A service has the group "g".
 struct RegistrarFixture
 {
+    RegistrarFixture()
+    {
+        this->objects.put(Service{.name = "s", .group = "g"});
+    }
+
     auto receive(const Announcement &received) -> std::size_t
     {
         this->now += 1s;
-        const auto commands = this->registrar.commandsFor(received, this->objects, this->now);
+        const auto commands = this->registrar.decide(received, this->objects, this->now).commands;
         this->apply(commands);
         return commands.size();
     }
@@ -148,7 +153,7 @@
     REQUIRE(fixture.receive(old) == 1);
     fixture.now += 1s;
     const auto commands =
-        fixture.registrar.commandsFor(announcement("e1", 8, 1), fixture.objects, fixture.now);
+        fixture.registrar.decide(announcement("e1", 8, 1), fixture.objects, fixture.now).commands;
     CHECK(fixture.receive(departure("e1")) == 0);
     fixture.apply(commands);
     REQUIRE(fixture.objects.find<Endpoint>("e1") != nullptr);
@@ -186,6 +191,62 @@
     CHECK(fixture.objects.find<Group>("g")->primary == "e1");
 }
 
+// Guards against one announcement of another process, of an unknown group and with a later start,
+// that makes the endpoint's own announcements count as outdated: the endpoint was removed as
+// unresponsive.
+TEST_CASE("an announcement of another process doesn't hide an endpoint")
+{
+    auto fixture = RegistrarFixture();
+    REQUIRE(fixture.receive(announcement("e1", 5, 1)) == 1);
+    auto other = announcement("e1", 900, 77);
+    other.group = "unknown";
+    other.primary = GENERATE(false, true);
+    other.leaving = GENERATE(false, true);
+    CHECK(fixture.receive(other) == 0);
+    CHECK(fixture.registrar.decide(other, fixture.objects, fixture.now).verdict
+          == AnnouncementVerdict::OtherGroup);
+    for (auto sequence = std::uint64_t(2); sequence < 30; ++sequence) {
+        CHECK(fixture.receive(announcement("e1", 5, sequence)) == 0);
+        fixture.apply(fixture.registrar.removalsOfUnresponsive(fixture.objects, fixture.now));
+        REQUIRE(fixture.objects.find<Endpoint>("e1") != nullptr);
+    }
+    auto draining = announcement("e1", 5, 31);
+    draining.leaving = true;
+    CHECK(fixture.receive(draining) == 1);
+    CHECK(fixture.objects.find<Endpoint>("e1")->leaving);
+}
+
+TEST_CASE("an endpoint that another process announced first is moved to its own group")
+{
+    auto fixture = RegistrarFixture();
+    auto other = announcement("e1", 900, 77);
+    other.group = "unknown";
+    other.primary = true;
+    REQUIRE(fixture.receive(other) == 1);
+    CHECK(fixture.receive(announcement("e1", 5, 1)) == 2);
+    CHECK(fixture.objects.find<Endpoint>("e1")->group == "g");
+    CHECK(fixture.receive(announcement("e1", 5, 2)) == 0);
+}
+
+TEST_CASE("an announcement of an unknown group doesn't take an address")
+{
+    auto fixture = RegistrarFixture();
+    auto other = announcement("x", 900, 77);
+    other.group = "unknown";
+    SECTION("that is in use")
+    {
+        REQUIRE(fixture.receive(announcement("e1", 5, 1)) == 1);
+        CHECK(fixture.receive(other) == 0);
+    }
+    SECTION("before its endpoint does")
+    {
+        REQUIRE(fixture.receive(other) == 1);
+        CHECK(fixture.receive(announcement("e1", 5, 1)) == 2);
+    }
+    CHECK(fixture.objects.find<Endpoint>("e1") != nullptr);
+    CHECK(fixture.objects.find<Endpoint>("x") == nullptr);
+}
+
 TEST_CASE("unresponsive endpoints are removed, but not primaries, and not right after an election")
 {
     auto fixture = RegistrarFixture();
