Report connections that the HTTP server can't accept

Cause: POCO's TCPServer drops errors of polling and accepting: a process without descriptors served nothing on its HTTP port and said nothing. Callers of the operators' port, the ready probe and announcements saw connections that were never answered.

Ruled out: the spin that was suspected from reading. POCO's poll needs a descriptor itself, fails first and pauses; the new test measured less than 100 ms of processor time in 500 ms on the untouched server. What failed there was the report (refusals: 0).

Change: the listening socket reports each error to a hook, by default a log line, which is bounded in volume, and pauses before the next attempt, also for errors of accept alone.

Before: build/libs/http/auburnrail_http_tests "a server without*": CHECK( refusals > 0 ) fails with 0. After: passes, with 53 assertions in 12 test cases of the library.

Conclusion: fixed; the suspicion of a spin is refuted for this version of POCO.

--- a/libs/http/include/http/HttpServer.h
+++ b/libs/http/include/http/HttpServer.h
@@ -25,6 +25,10 @@
 
     /// Optional. The connection is gone; called once for each one that was accepted.
     std::function<auto(std::uint64_t connection)->void> closed;
+
+    /// A connection could not be accepted, for lack of descriptors in most cases; it is tried again
+    /// after a pause. Logged by default.
+    std::function<auto(const absl::Status &)->void> acceptRefused;
 };
 
 /// Where and how an HttpServer listens.
--- a/libs/http/src/HttpServer.cpp
+++ b/libs/http/src/HttpServer.cpp
@@ -1,6 +1,7 @@
 #include <http/HttpServer.h>
 
 #include "detail/ConnectionFactory.h"
+#include "detail/ListeningSocket.h"
 #include "detail/ServerState.h"
 
 #include <daemon/Logging.h>
@@ -9,7 +10,6 @@
 
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPServerParams.h>
-#include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/Net/TCPServer.h>
 #include <Poco/ThreadPool.h>
@@ -50,6 +50,8 @@
 {
     assert(hooks.handle && "hooks.handle must be set");
     assert(settings.workerThreads > 0 && "workerThreads must be at least 1");
+    if (!hooks.acceptRefused)
+        hooks.acceptRefused = refusalLogger("http", "can't accept a connection");
     this->impl = std::make_unique<Impl>(std::move(settings), std::move(hooks));
 }
 
@@ -63,7 +65,7 @@
     try {
         this->threads = std::make_unique<Poco::ThreadPool>(
             1, static_cast<int>(this->settings.workerThreads) + 1);
-        auto socket = Poco::Net::ServerSocket();
+        auto socket = detail::ListeningSocket(this->state->hooks.acceptRefused);
         socket.bind(Poco::Net::SocketAddress(this->settings.address), true, false);
         socket.listen(ACCEPT_BACKLOG);
         this->port = socket.address().port();
