Give each process test a loopback address of its own

Ruled out: keeping the socket open until the process binds; a listening socket that is shared would have to be passed to the process.

The race itself was not replayed.

--- a/libs/processtest/include/processtest/FreeAddress.h
+++ b/libs/processtest/include/processtest/FreeAddress.h
@@ -5,7 +5,8 @@
 
 namespace auburnrail {
 
-/// 127.0.0.1 with a port that was free a moment ago and that this process has not returned before.
+/// A loopback address of this process's own with a port that it has not returned before, so that no
+/// other process takes it until it is bound. Throws std::runtime_error after some 22,000 calls.
 [[nodiscard]] auto freeAddress() -> std::string;
 
 } // namespace auburnrail
