Remove unresponsive endpoints and entries only while leading has begun

Cause: the periodic maintenance asked only whether the member leads the log with a quorum. Its tables learn that it leads a little later, once they have applied everything before, and until then the times at which it last heard of endpoints and entries are those of its earlier leadership, or zero. Maintenance that ran in between removed every replica not heard of for 20 s and every entry not heard of for 60 s, although they had announced themselves to the leader before. Replicas were unknown until their next announcement: reads had nowhere to go, and a failover in this time could not ask them. Without its registration an entry is not waited for by the new leader, so that its share could be granted twice.

Ruled out: a wait of a whole commit. isLeaderWithQuorum() holds only after the first commit of the term; what is left is the time in which the tables apply what was committed, which grows with the log that a new leader has to catch up with.

Change: maintenance asks isLeading(), as all other decisions do.

Before: build/libs/control/auburnrail_control_tests "an earlier leader removes no endpoint before it leads again": removals == 0 fails with 1. After: passes, with 43 test cases of the library.

--- a/libs/control/src/ControlTables.cpp
+++ b/libs/control/src/ControlTables.cpp
@@ -203,7 +203,9 @@
 
 auto ControlTables::maintainEndpoints(TimePoint now) -> void
 {
-    if (!this->hooks.isLeaderWithQuorum(now))
+    // Before the leadership has begun, the times at which something was last heard of are those of
+    // an earlier leadership.
+    if (!this->isLeading(now))
         return;
     const auto state = this->store.objects();
     state.table<Group>().forEach([&](const Group &group) {
