Choose another primary when the promoted endpoint departs unpublished

Cause: after a promotion the leader publishes the new primary. If the endpoint's final departure arrived in between, the command was refused each time, since the endpoint is no longer known, and was repeated for ever: the group had no primary until the leader changed.

Ruled out: a limit of tries. A leader that can't commit for a while would fence the new primary again without need.

Change: before each try the leader looks whether the endpoint is still known in the group; if not, the failover starts again with a new term.

The simulated state refuses to publish an unknown endpoint, as the real one does.

--- a/libs/failover/include/failover/FailoverCoordinator.h
+++ b/libs/failover/include/failover/FailoverCoordinator.h
@@ -94,7 +94,7 @@
     ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
     auto issuePromote(detail::FailoverAttempt &attempt, TimePoint now, Effects &effects) -> void;
     ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
-    auto issuePublish(detail::FailoverAttempt &attempt, Effects &effects) -> void;
+    auto issuePublish(detail::FailoverAttempt &attempt, TimePoint now, Effects &effects) -> void;
     ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
     auto handleFenceResponse(detail::FailoverAttempt &attempt, const std::string &endpoint,
                              const FenceResponse &response, TimePoint now, Effects &effects)
--- a/libs/failover/src/FailoverSteps.cpp
+++ b/libs/failover/src/FailoverSteps.cpp
@@ -88,7 +88,7 @@
         this->issuePromote(attempt, now, effects);
         break;
     case FailoverPhase::Publishing:
-        this->issuePublish(attempt, effects);
+        this->issuePublish(attempt, now, effects);
         break;
     }
 }
@@ -229,9 +229,17 @@
     });
 }
 
-auto FailoverCoordinator::issuePublish(FailoverAttempt &attempt, Effects &effects) -> void
+auto FailoverCoordinator::issuePublish(FailoverAttempt &attempt, TimePoint now, Effects &effects)
+    -> void
 {
     const auto group = attempt.record.group;
+    // An endpoint that has departed since is never published.
+    if (this->groups[group].find(attempt.chosen.name) == nullptr) {
+        this->restartWithNewTerm(
+            attempt, attempt.record.term,
+            "endpoint " + attempt.chosen.name + " departed before it was published", now, effects);
+        return;
+    }
     const auto attemptId = attempt.id;
     auto done = [this, group, attemptId](bool published, TimePoint at) {
         this->completeStep(group, attemptId, FailoverPhase::Publishing,
--- a/libs/failover/tests/FailoverContractTest.cpp
+++ b/libs/failover/tests/FailoverContractTest.cpp
@@ -146,6 +146,21 @@
 }
 
 // Guards against an old primary that returns after the failover and does not rejoin the group.
+// Guards against a group that stays without a primary until the leader changes.
+TEST_CASE("another endpoint is promoted when the chosen one departs before it is published")
+{
+    auto group = GroupSimulation();
+    // Without the endpoint that departs, a majority can still be fenced.
+    group.endpoints["d"] = GroupSimulation::Endpoint();
+    group.view.endpoints.push_back({"d", "4"});
+    group.coordinator->groupChanged(group.view, group.scheduler.now());
+    group.departsOnPromotion = "b";
+    isolatePrimary(group);
+    group.runFor(12s);
+    CHECK(group.view.primary == "c");
+    checkServing(group);
+}
+
 TEST_CASE("an old primary that returns after the failover is told to follow")
 {
     auto group = GroupSimulation();
--- a/libs/failover/tests/GroupSimulation.h
+++ b/libs/failover/tests/GroupSimulation.h
@@ -70,7 +70,8 @@
     TimePoint inForceAt = TimePoint::max(); ///< When the latest revision is in force everywhere.
     Duration leaseWait = std::chrono::milliseconds(2100);
     bool stateWritable = true;
-    std::string crashOnPromotion; ///< Endpoint that applies a promotion but never responds.
+    std::string crashOnPromotion;   ///< Endpoint that applies a promotion but never responds.
+    std::string departsOnPromotion; ///< Endpoint whose final departure arrives with its promotion.
 
 private:
     auto hooks() -> FailoverHooks
@@ -114,26 +115,32 @@
             .promote =
                 [this](const GroupEndpoint &endpoint, const std::string &, std::uint64_t term,
                        const std::vector<GroupEndpoint> &, auto done) {
-                    this->callEndpoint(
-                        endpoint.name, [this, term, done, name = endpoint.name](Endpoint &state) {
-                            if (term == state.term) {
-                                state.primary = true;
-                                state.fenced = false;
-                                state.promotedInTerms.insert(term);
-                            }
-                            if (name == this->crashOnPromotion)
-                                state.reachable = false;
-                            else
-                                this->postDelayed([this, done, ok = term == state.term] {
-                                    done(ok, this->scheduler.now());
-                                });
-                        });
+                    this->callEndpoint(endpoint.name, [this, term, done,
+                                                       name = endpoint.name](Endpoint &state) {
+                        if (term == state.term) {
+                            state.primary = true;
+                            state.fenced = false;
+                            state.promotedInTerms.insert(term);
+                        }
+                        if (name == this->departsOnPromotion) {
+                            std::erase_if(this->view.endpoints,
+                                          [&](const auto &other) { return other.name == name; });
+                            this->coordinator->groupChanged(this->view, this->scheduler.now());
+                        }
+                        if (name == this->crashOnPromotion)
+                            state.reachable = false;
+                        else
+                            this->postDelayed([this, done, ok = term == state.term] {
+                                done(ok, this->scheduler.now());
+                            });
+                    });
                 },
             .publish =
                 [this](const std::string &, std::uint64_t term, const std::string &primary,
                        auto done) {
                     this->postDelayed([this, term, primary, done] {
-                        const auto valid = this->stateWritable && term == this->view.term;
+                        const auto valid = this->stateWritable && term == this->view.term
+                                           && this->view.find(primary) != nullptr;
                         if (valid) {
                             this->view.phase = GroupPhase::Serving;
                             this->view.primary = primary;
