Lint: attributes of the registrar's private functions, name of a constant

Cause: [[nodiscard]] after a thread annotation is an error with Clang, and a local constant had the name of a global one.

Ruled out: moving [[nodiscard]] in front; no other annotated private function has it.

Change: the attribute is gone from two private functions, the constant is named count.

Before: clang-tidy on the changed files: "an attribute list cannot appear here" for EndpointRegistrar.h.

Conclusion: no change in behaviour.

--- a/libs/control/include/control/EndpointRegistrar.h
+++ b/libs/control/include/control/EndpointRegistrar.h
@@ -56,10 +56,10 @@
     using CommandKey = std::pair<std::string, std::size_t>; ///< Endpoint and kind of command.
 
     ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
-    [[nodiscard]] auto judge(const Announcement &announcement, const FleetObjects &state) const
+    auto judge(const Announcement &announcement, const FleetObjects &state) const
         -> AnnouncementVerdict;
     ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
-    [[nodiscard]] auto isOutdated(const Announcement &announcement) const -> bool;
+    auto isOutdated(const Announcement &announcement) const -> bool;
     /// Commands that follow from an accepted announcement.
     ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
     auto accept(const Announcement &announcement, const FleetObjects &state, TimePoint now)
--- a/libs/state/tests/ChangeJournalTest.cpp
+++ b/libs/state/tests/ChangeJournalTest.cpp
@@ -46,8 +46,8 @@
 TEST_CASE("a reader from before a dropped change needs a snapshot")
 {
     auto journal = ChangeJournal();
-    constexpr auto COUNT = ChangeJournal::CAPACITY_CHANGES + 1;
-    for (auto revision = Revision(1); revision <= COUNT; ++revision)
+    constexpr auto count = ChangeJournal::CAPACITY_CHANGES + 1;
+    for (auto revision = Revision(1); revision <= count; ++revision)
         journal.append(documentChange(revision, std::to_string(revision), 1));
     CHECK_FALSE(journal.since(0, {}));
     CHECK(journal.since(1, {})->size() == ChangeJournal::CAPACITY_CHANGES);
