Tell replicas to follow until they confirm it

Cause: after a failover each replica was told once to follow the new primary, and the outcome was ignored. On the platform this order ends the pause that the fence began; a replica that had no connection left for it, was cut off, or whose leader ended, received nothing more until it restarted or was fenced again. With synchronous replicas that all stay paused the primary can't acknowledge a write, and reads with a bounded staleness leave the replica.

Ruled out: sending the order with each announcement of a replica; the cost would grow with replicas times time.

Change: orders to follow are kept until they are confirmed, with the pauses of the other retries and at most 16 at once. They end with a new failover, whose fences they must not undo, with the endpoint and with the leadership. A new leader sends them for groups that have had a failover, since the earlier leader may not have. An order that is not confirmed gets a log line.

Before: "a replica is told to follow until it confirms it, also by the next leader" fails when orders are dropped after the first try (tried): the replica is still fenced 1.2 s after it accepts orders again.

--- a/libs/control/src/ControlTablesFailover.cpp
+++ b/libs/control/src/ControlTablesFailover.cpp
@@ -67,9 +67,14 @@
                               });
     };
     failoverHooks.follow = [this](const GroupEndpoint &endpoint, const std::string &group,
-                                  std::uint64_t term, const GroupEndpoint &primary) {
-        this->executor.post([this, endpoint, group, term, primary] {
-            std::ignore = this->endpointHooks.follow(endpoint, group, term, primary);
+                                  std::uint64_t term, const GroupEndpoint &primary, auto done) {
+        this->executor.post([this, endpoint, group, term, primary, done] {
+            const auto isConfirmed = this->endpointHooks.follow(endpoint, group, term, primary);
+            if (!isConfirmed) {
+                logLine(LogLevel::Warning, "failover", "order to follow not confirmed",
+                        {{"group", group}, {"endpoint", endpoint.name}, {"primary", primary.name}});
+            }
+            done(isConfirmed, this->executor.now());
         });
     };
     failoverHooks.failoverEnded = [this](const FailoverRecord &record) {
--- a/libs/failover/include/failover/FailoverCoordinator.h
+++ b/libs/failover/include/failover/FailoverCoordinator.h
@@ -6,6 +6,7 @@
 #include <failover/FailoverLimits.h>
 #include <failover/SuspicionTable.h>
 #include <failover/detail/FailoverAttempt.h>
+#include <failover/detail/PendingFollow.h>
 
 #include <core/RankedMutex.h>
 
@@ -14,6 +15,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace auburnrail {
@@ -23,8 +25,9 @@
 /// caller passes the current time, and effects go through hooks that are called after the mutex is
 /// released. A step that fails or gets no response is retried with exponential backoff. A term is
 /// used for at most one promotion target: when the target does not respond, a new term is granted,
-/// because the target may already be primary of the old one. Thread-safe. The object must outlive
-/// every `done` callback that it passed to a hook.
+/// because the target may already be primary of the old one. The other endpoints are told to follow
+/// until they confirm it, because a fenced replica receives nothing before. Thread-safe. The object
+/// must outlive every `done` callback that it passed to a hook.
 class FailoverCoordinator
 {
 public:
@@ -36,7 +39,9 @@
     auto groupRemoved(const std::string &group) -> void;
 
     /// Activates the coordinator. Failovers of groups in phase `fencing` are resumed with a new
-    /// term, because the target that the earlier leader may have promoted is unknown.
+    /// term, because the target that the earlier leader may have promoted is unknown. Endpoints of
+    /// groups that have had a failover are told to follow, because the earlier leader may not have
+    /// done so.
     auto beginLeadership(TimePoint now) -> void;
     auto endLeadership(TimePoint now) -> void;
 
@@ -108,7 +113,14 @@
     auto finishAttempt(detail::FailoverAttempt &attempt, bool completed, TimePoint now,
                        Effects &effects) -> void;
     ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
-    auto followAll(const FailoverGroup &view, Effects &) -> void;
+    auto followAll(const FailoverGroup &view, TimePoint now) -> void;
+    ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
+    auto dropFollows(const std::string &group) -> void;
+    /// Sends the orders that are due, and drops those that a change of the group has made outdated.
+    ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
+    auto issueFollows(TimePoint now, Effects &effects) -> void;
+    auto followEnded(const std::pair<std::string, std::string> &key, std::uint64_t term,
+                     bool isConfirmed, TimePoint now) -> void;
 
     /// Runs `change` on the group's attempt if it is still the attempt, and in the phase, that
     /// issued the step. Otherwise the completion is outdated and ignored.
@@ -127,6 +139,9 @@
     /// Groups whose last planned promotion left the old primary in place, with the time of the
     /// next.
     std::map<std::string, TimePoint, std::less<>> plannedNotBefore ABSL_GUARDED_BY(mutex);
+    /// By group and endpoint.
+    std::map<std::pair<std::string, std::string>, detail::PendingFollow>
+        follows ABSL_GUARDED_BY(mutex);
     SuspicionTable suspicions ABSL_GUARDED_BY(mutex);
 };
 
--- a/libs/failover/include/failover/FailoverHooks.h
+++ b/libs/failover/include/failover/FailoverHooks.h
@@ -49,9 +49,11 @@
                       ->void>
         publish;
 
-    /// Makes the endpoint a replica of `primary`.
+    /// Makes the endpoint a replica of `primary`. Idempotent. `done` gets whether the endpoint has
+    /// confirmed it.
     std::function<auto(const GroupEndpoint &endpoint, const std::string &group, std::uint64_t term,
-                       const GroupEndpoint &primary)
+                       const GroupEndpoint &primary,
+                       std::function<auto(bool, TimePoint)->void> done)
                       ->void>
         follow;
 
--- a/libs/failover/include/failover/FailoverLimits.h
+++ b/libs/failover/include/failover/FailoverLimits.h
@@ -37,8 +37,13 @@
     Duration retryInitial = std::chrono::milliseconds(50);
     Duration retryMaximum = std::chrono::seconds(1);
     std::size_t maxPromoteTries = 2; ///< Then a new term is granted and the group is fenced again.
-    std::size_t maxReporters = 64;   ///< Maximum number of reporting entries per group.
-    std::size_t maxPhases = 64;      ///< Maximum number of phases in a record.
+    /// Orders to follow that are sent at once; others wait for the next tick.
+    std::size_t maxFollowsPerTick = 16;
+    std::size_t maxReporters = 64; ///< Maximum number of reporting entries per group.
+    std::size_t maxPhases = 64;    ///< Maximum number of phases in a record.
+
+    /// Pause before the next try, after this number of them.
+    [[nodiscard]] auto retryDelay(std::size_t tries) const -> Duration;
 };
 
 } // namespace auburnrail
--- a/libs/failover/src/FailoverAttempt.cpp
+++ b/libs/failover/src/FailoverAttempt.cpp
@@ -120,10 +120,7 @@
 
 auto FailoverAttempt::retryDelay(const FailoverLimits &limits) const -> Duration
 {
-    auto delay = limits.retryInitial;
-    for (auto i = std::size_t(1); i < this->tries && delay < limits.retryMaximum; ++i)
-        delay *= 2;
-    return std::min(delay, limits.retryMaximum);
+    return limits.retryDelay(this->tries);
 }
 
 } // namespace auburnrail::detail
--- a/libs/failover/src/FailoverCoordinator.cpp
+++ b/libs/failover/src/FailoverCoordinator.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+/// The term of a group whose first primary was adopted, so that nothing was ever fenced.
+constexpr auto FIRST_TERM = std::uint64_t(1);
+
 auto runAll(const std::vector<std::function<auto()->void>> &effects) -> void
 {
     for (const auto &effect : effects)
@@ -64,6 +67,7 @@
     this->unserved.erase(group);
     this->attempts.erase(group);
     this->plannedNotBefore.erase(group);
+    this->dropFollows(group);
     this->suspicions.clear(group);
 }
 
@@ -75,6 +79,11 @@
         this->leading = true;
         this->attempts.clear();
         this->suspicions.clearAll();
+        this->follows.clear();
+        for (const auto &[name, view] : this->groups) {
+            if (view.term > FIRST_TERM)
+                this->followAll(view, now);
+        }
         this->startDueFailovers(now, effects);
     }
     runAll(effects);
@@ -87,6 +96,7 @@
         const RankedLock lock(this->mutex);
         this->leading = false;
         this->suspicions.clearAll();
+        this->follows.clear();
         while (!this->attempts.empty()) {
             auto &attempt = this->attempts.begin()->second;
             attempt.record.note = "this member no longer leads";
@@ -125,7 +135,8 @@
             return;
         effects.emplace_back(
             [this, outdated = *outdated, primary = *primary, group, term = view.term] {
-                this->hooks.follow(outdated, group, term, primary);
+                // The endpoint's next announcement repeats it.
+                this->hooks.follow(outdated, group, term, primary, [](bool, TimePoint) {});
             });
     }
     runAll(effects);
@@ -164,6 +175,7 @@
         if (!this->leading)
             return;
         this->startDueFailovers(now, effects);
+        this->issueFollows(now, effects);
         for (auto &[group, attempt] : this->attempts) {
             if (attempt.phase == FailoverPhase::Fencing
                 || attempt.phase == FailoverPhase::WaitingForceOrConfirmation) {
@@ -231,8 +243,10 @@
     auto record = attempt.record;
     record.completed = completed;
     record.endedAt = now;
-    if (completed)
-        this->followAll(this->groups[record.group], effects);
+    if (completed) {
+        this->followAll(this->groups[record.group], now);
+        this->issueFollows(now, effects);
+    }
     effects.emplace_back([this, record] { this->hooks.failoverEnded(record); });
     const auto wasPlanned =
         record.cause == FailoverCause::Planned || record.cause == FailoverCause::Resumed;
@@ -244,21 +258,6 @@
     this->attempts.erase(record.group);
 }
 
-auto FailoverCoordinator::followAll(const FailoverGroup &view, Effects &effects) -> void
-{
-    const auto *primary = view.find(view.primary);
-    if (primary == nullptr)
-        return;
-    for (const auto &endpoint : view.endpoints) {
-        if (endpoint.name == view.primary)
-            continue;
-        effects.emplace_back(
-            [this, endpoint, group = view.name, term = view.term, primary = *primary] {
-                this->hooks.follow(endpoint, group, term, primary);
-            });
-    }
-}
-
 auto FailoverCoordinator::completeStep(const std::string &group, std::uint64_t attemptId,
                                        FailoverPhase phase, const Completion &change) -> void
 {
--- a/libs/failover/src/FailoverSteps.cpp
+++ b/libs/failover/src/FailoverSteps.cpp
@@ -11,6 +11,8 @@
                                         const std::string &requested, TimePoint now,
                                         Effects &effects) -> void
 {
+    // What is fenced must not receive anything before the promotion.
+    this->dropFollows(view.name);
     auto &attempt = this->attempts[view.name];
     attempt.view = view;
     attempt.record = FailoverRecord{.group = view.name,
@@ -127,7 +129,8 @@
             fenced && requestedIsBehind && endpoint.name == attempt.record.requestedPrimary;
         if (mustCatchUp) {
             effects.emplace_back([this, endpoint, group, term = attempt.record.term, source] {
-                this->hooks.follow(endpoint, group, term, source);
+                // The next try of the fences repeats it.
+                this->hooks.follow(endpoint, group, term, source, [](bool, TimePoint) {});
             });
         }
         if (fenced && !mustCatchUp)
--- a/libs/failover/tests/FailoverContractTest.cpp
+++ b/libs/failover/tests/FailoverContractTest.cpp
@@ -175,6 +175,26 @@
     CHECK(group.endpoints["a"].position == group.endpoints["b"].position);
 }
 
+// Guards against a replica that receives nothing after a failover, because it was told to follow
+// only once, while it accepted no connection.
+TEST_CASE("a replica is told to follow until it confirms it, also by the next leader")
+{
+    auto group = GroupSimulation();
+    group.endpoints["c"].refusesFollow = true;
+    isolatePrimary(group);
+    group.runFor(7s);
+    REQUIRE(group.view.phase == GroupPhase::Serving);
+    CHECK(group.endpoints["c"].fenced);
+    if (GENERATE(false, true)) {
+        group.restartLeader();
+        group.runFor(1s);
+    }
+    group.endpoints["c"].refusesFollow = false;
+    group.runFor(1200ms);
+    CHECK_FALSE(group.endpoints["c"].fenced);
+    CHECK(group.endpoints["c"].following == group.view.primary);
+}
+
 TEST_CASE("a planned promotion lets the requested endpoint catch up")
 {
     auto group = GroupSimulation();
--- a/libs/failover/tests/GroupSimulation.h
+++ b/libs/failover/tests/GroupSimulation.h
@@ -22,6 +22,7 @@
         bool primary = false;
         bool reachable = true;
         bool refusesOrders = false; ///< It serves, but has no connection left for control.
+        bool refusesFollow = false; ///< As refusesOrders, for orders to follow only.
         bool deaf = false;          ///< It receives nothing from a primary.
         bool fenced = false; ///< It has been fenced and not promoted or told to follow since.
         std::string following;
@@ -151,9 +152,12 @@
                 },
             .follow =
                 [this](const GroupEndpoint &endpoint, const std::string &, std::uint64_t term,
-                       const GroupEndpoint &primary) {
-                    this->callEndpoint(endpoint.name, [this, term, primary](Endpoint &state) {
-                        if (term < state.term)
+                       const GroupEndpoint &primary, auto done) {
+                    this->callEndpoint(endpoint.name, [this, term, primary, done](Endpoint &state) {
+                        const auto accepts = term >= state.term && !state.refusesFollow;
+                        this->postDelayed(
+                            [this, done, accepts] { done(accepts, this->scheduler.now()); });
+                        if (!accepts)
                             return;
                         state.term = term;
                         state.primary = false;
--- a/libs/standin/tests/FailoverPropertyTest.cpp
+++ b/libs/standin/tests/FailoverPropertyTest.cpp
@@ -154,9 +154,9 @@
                 },
             .follow =
                 [this, &clock](const GroupEndpoint &endpoint, const std::string &,
-                               std::uint64_t term, const GroupEndpoint &primary) {
+                               std::uint64_t term, const GroupEndpoint &primary, auto done) {
                     this->send(endpoint, [=, &clock](StandInDatabase &database) {
-                        std::ignore = database.follow(term, primary, clock.now());
+                        done(database.follow(term, primary, clock.now()), clock.now());
                     });
                 },
             .failoverEnded = [](const FailoverRecord &) {},
