KNOWN-RED: a late announcement takes back a departure at a new leader

Cause: the order of an endpoint's announcements is kept by the leader that received them. A new leader accepts an older one as the first that it hears, and takes back a departure that was acknowledged, until the next announcement.

Ruled out: refusing every announcement that takes back a departure; an endpoint may stop leaving.

Before: build/libs/control/auburnrail_control_tests "a late announcement*" fails.

--- a/libs/control/tests/EndpointRegistrarTest.cpp
+++ b/libs/control/tests/EndpointRegistrarTest.cpp
@@ -160,6 +160,21 @@
     CHECK(fixture.objects.find<Endpoint>("e1")->startedAt == 8);
 }
 
+// Guards against an endpoint that gets requests again after its departure was acknowledged, because
+// a delayed announcement arrives at a new leader.
+TEST_CASE("a late announcement doesn't take back a departure at a new leader")
+{
+    auto fixture = RegistrarFixture();
+    REQUIRE(fixture.receive(announcement("e1", 5, 1)) == 1);
+    auto leaving = announcement("e1", 5, 3);
+    leaving.leaving = true;
+    REQUIRE(fixture.receive(leaving) == 1);
+    auto next = EndpointRegistrar({.adoptsPrimaries = true, .endpointTimeout = 20s});
+    next.beginLeadership(fixture.now);
+    fixture.apply(next.decide(announcement("e1", 5, 2), fixture.objects, fixture.now).commands);
+    CHECK(fixture.objects.find<Endpoint>("e1")->leaving);
+}
+
 // Guards against an endpoint that stays registered because its last announcements were lost.
 TEST_CASE("a departure without notice takes effect when the endpoint stays silent")
 {
