--- a/libs/consensus/src/WriteProgress.cpp
+++ b/libs/consensus/src/WriteProgress.cpp
@@ -41,9 +41,10 @@
     this->changes.keepFrom = keepFrom;
     this->lastIndex = log.lastIndex();
     this->limitDurable(matchingThrough);
-    // The disk drops the entries that the snapshot replaces, so that later ones follow it there.
+    // The disk drops a log that ends before the snapshot, and later entries follow the snapshot
+    // there. Entries that it covers must not: after a crash, the log would end before it again.
     const auto kept = std::min(this->handedOver, matchingThrough);
-    this->handedOver = std::max(kept, log.firstIndex() - 1);
+    this->handedOver = std::max(kept, snapshot.index);
 }
 
 auto WriteProgress::beginWrite(const ReplicatedLog &log, TimePoint now)
--- a/libs/consensus/tests/DiskFaultTest.cpp
+++ b/libs/consensus/tests/DiskFaultTest.cpp
@@ -168,4 +168,37 @@
     CHECK(cluster.runUntil([&] { return cluster.converged(); }, 1s));
 }
 
+// Guards against a member that votes by a log that ends before its snapshot.
+TEST_CASE("a crash while a snapshot is written leaves no log that ends before it")
+{
+    const auto parts = GENERATE(range(std::size_t(0), std::size_t(10)));
+    auto cluster =
+        SimulatedCluster(3, 14, ConsensusSettings{.snapshotInterval = 8, .entriesKept = 16});
+    for (const auto *other : {"m1", "m3"})
+        cluster.crash(other);
+    auto &slow = cluster.member("m2");
+    slow.diskFault = DiskFault::Stalled;
+    const auto append = [&](std::size_t count) {
+        slow.receive(
+            {{"m1", 0},
+             {"m2", 0},
+             5,
+             AppendRequest{.commitIndex = count,
+                           .entries = std::vector<LogEntry>(
+                               count, {.term = 5, .kind = EntryKind::Command, .payload = "x"})}},
+            cluster.now);
+        cluster.run(20ms);
+    };
+    // The entries arrive while the term is written, and a snapshot covers them before they are.
+    append(0);
+    append(12);
+    slow.writeTime = 100ms;
+    slow.diskFault = DiskFault::None;
+    REQUIRE(cluster.runUntil([&] { return slow.batch && slow.batch->snapshot; }, 200ms));
+    slow.crash(parts);
+    const auto &disk = slow.disk;
+    CHECK(
+        (disk.entries.empty() || disk.firstIndex + disk.entries.size() - 1 >= disk.snapshot.index));
+}
+
 } // namespace auburnrail
