Heartbeats to members don't repeat the entries that are on their way

Ruled out: the link alone.

Change: while a request is outstanding, a heartbeat is a request without entries that continues where the outstanding one ends. Its refusal shows that the request was lost, which is then sent once more; its acceptance with the last index confirms the request, too. The messages are unchanged.

Conclusion: a retry costs what was lost, and keeping a majority no longer depends on the size of an entry.

--- a/libs/consensus/include/consensus/ConsensusNode.h
+++ b/libs/consensus/include/consensus/ConsensusNode.h
@@ -125,7 +125,13 @@
 
     // Leader (ConsensusNodeLeader.cpp).
     auto tickLeader(TimePoint now) -> void;
-    auto replicateToAll(TimePoint now, bool includeOutstanding) -> void;
+    /// Replicates to each member that has no outstanding request.
+    auto replicateToAll(TimePoint now) -> void;
+    auto sendHeartbeats(TimePoint now) -> void;
+    /// Asks for a response without repeating the outstanding request. The response tells whether
+    /// that request arrived, because it continues where the request ends.
+    auto sendEmptyRequest(const MemberId &member, detail::MemberProgress &progress, TimePoint now)
+        -> void;
     auto replicateTo(const MemberId &member, detail::MemberProgress &progress, TimePoint now)
         -> void;
     auto sendSnapshotChunk(const MemberId &member, detail::MemberProgress &progress, TimePoint now)
--- a/libs/consensus/src/ConsensusNode.cpp
+++ b/libs/consensus/src/ConsensusNode.cpp
@@ -83,7 +83,7 @@
         return absl::ResourceExhaustedError("too many entries are not committed");
     const auto index = this->appendEntry(
         {.term = this->election.term, .kind = EntryKind::Command, .payload = std::move(payload)});
-    this->replicateToAll(now, false);
+    this->replicateToAll(now);
     this->proposals.insert(index);
     this->applyEffects(now);
     return index;
--- a/libs/consensus/src/ConsensusNodeElection.cpp
+++ b/libs/consensus/src/ConsensusNodeElection.cpp
@@ -84,7 +84,7 @@
     this->termStartIndex =
         this->appendEntry({.term = this->election.term, .kind = EntryKind::Noop});
     this->nextHeartbeat = now + this->settings.heartbeatInterval;
-    this->replicateToAll(now, true);
+    this->replicateToAll(now);
 }
 
 auto ConsensusNode::becomeFollower(Term newTerm, TimePoint now) -> void
--- a/libs/consensus/src/ConsensusNodeLeader.cpp
+++ b/libs/consensus/src/ConsensusNodeLeader.cpp
@@ -47,18 +47,56 @@
         this->settings.maxElectionTimeout * UNRESPONSIVE_LEARNER_TIMEOUTS, now);
     if (now >= this->nextHeartbeat) {
         this->nextHeartbeat = now + this->settings.heartbeatInterval;
-        this->replicateToAll(now, true);
+        this->sendHeartbeats(now);
     }
 }
 
-auto ConsensusNode::replicateToAll(TimePoint now, bool includeOutstanding) -> void
+auto ConsensusNode::replicateToAll(TimePoint now) -> void
 {
     for (auto &[member, progress] : this->progressTable.rows()) {
-        if (includeOutstanding || !progress.outstandingSentAt)
+        if (!progress.outstandingSentAt)
             this->replicateTo(member, progress, now);
     }
 }
 
+auto ConsensusNode::sendHeartbeats(TimePoint now) -> void
+{
+    for (auto &[member, progress] : this->progressTable.rows()) {
+        if (progress.outstandingSentAt)
+            this->sendEmptyRequest(member, progress, now);
+        else
+            this->replicateTo(member, progress, now);
+    }
+}
+
+auto ConsensusNode::sendEmptyRequest(const MemberId &member, detail::MemberProgress &progress,
+                                     TimePoint now) -> void
+{
+    const auto sentAt = now.time_since_epoch();
+    const auto &snapshot = this->log.snapshot();
+    if (progress.snapshotIndex != 0 && progress.snapshotIndex == snapshot.index) {
+        this->sendTo(member, this->election.term,
+                     SnapshotRequest{.index = snapshot.index,
+                                     .term = snapshot.term,
+                                     .configuration = snapshot.configuration,
+                                     .offset = progress.snapshotSentThrough,
+                                     .sentAt = sentAt});
+        return;
+    }
+    const auto term = this->log.termAt(progress.sentThrough);
+    if (progress.snapshotIndex != 0 || !term) {
+        // The snapshot was replaced, or the entries were compacted.
+        this->replicateTo(member, progress, now);
+        return;
+    }
+    this->sendTo(member, this->election.term,
+                 AppendRequest{.previousIndex = progress.sentThrough,
+                               .previousTerm = *term,
+                               .commitIndex = this->committed,
+                               .sentAt = sentAt,
+                               .entries = {}});
+}
+
 auto ConsensusNode::replicateTo(const MemberId &member, detail::MemberProgress &progress,
                                 TimePoint now) -> void
 {
@@ -72,6 +110,7 @@
     auto entries = this->log.slice(progress.nextIndex, this->settings.maxEntriesPerMessage,
                                    this->settings.maxBytesPerMessage);
     progress.sentThrough = previous + entries.size();
+    progress.snapshotIndex = 0;
     this->sendTo(member, this->election.term,
                  AppendRequest{.previousIndex = previous,
                                .previousTerm = *previousTerm,
@@ -88,9 +127,11 @@
         progress.snapshotIndex = snapshot.index;
         progress.snapshotOffset = 0;
     }
+    progress.sentThrough = snapshot.index;
     const auto offset = std::min<std::uint64_t>(progress.snapshotOffset, snapshot.content.size());
     auto chunk = snapshot.content.substr(offset, this->settings.maxBytesPerMessage);
-    const auto last = offset + chunk.size() == snapshot.content.size();
+    progress.snapshotSentThrough = offset + chunk.size();
+    const auto last = progress.snapshotSentThrough == snapshot.content.size();
     this->sendTo(member, this->election.term,
                  SnapshotRequest{.index = snapshot.index,
                                  .term = snapshot.term,
@@ -125,30 +166,40 @@
     auto *progress = this->recordResponse(message, response.sentAt, now);
     if (progress == nullptr)
         return;
-    const auto isOutstanding = progress->outstandingSentAt == response.sentAt;
     if (response.accepted) {
         progress->matchIndex = std::max(progress->matchIndex, response.matchIndex);
         progress->nextIndex = std::max(progress->nextIndex, progress->matchIndex + 1);
-    } else if (isOutstanding) {
+        // A member that has received the entries and not written them yet responds again.
+        if (progress->matchIndex < progress->sentThrough)
+            return;
+        progress->outstandingSentAt.reset();
+        if (progress->nextIndex <= this->log.lastIndex())
+            this->replicateTo(message.from, *progress, now);
+        return;
+    }
+    if (progress->outstandingSentAt == response.sentAt) {
         progress->nextIndex =
             std::clamp(response.retryFrom, progress->matchIndex + 1,
                        std::max(progress->matchIndex + 1, progress->nextIndex - 1));
-    }
-    if (isOutstanding)
-        progress->outstandingSentAt.reset();
-    else if (!response.accepted || progress->outstandingSentAt)
+    } else if (progress->isLost(response.sentAt)) {
+        progress->nextIndex = std::clamp(response.retryFrom, progress->matchIndex + 1,
+                                         std::max(progress->matchIndex + 1, progress->nextIndex));
+    } else {
         return;
-    // A follower that has received entries and not written them yet responds again when it has.
-    const auto hasAll = progress->nextIndex > progress->sentThrough;
-    if (!response.accepted || (hasAll && progress->nextIndex <= this->log.lastIndex()))
-        this->replicateTo(message.from, *progress, now);
+    }
+    this->replicateTo(message.from, *progress, now);
 }
 
 auto ConsensusNode::handle(const Message &message, const SnapshotResponse &response, TimePoint now)
     -> void
 {
     auto *progress = this->recordResponse(message, response.sentAt, now);
-    if (progress == nullptr || progress->outstandingSentAt != response.sentAt)
+    if (progress == nullptr || !progress->outstandingSentAt)
+        return;
+    const auto isReceived = response.index == progress->snapshotIndex
+                            && response.nextOffset == progress->snapshotSentThrough;
+    if (!isReceived && progress->outstandingSentAt != response.sentAt
+        && !progress->isLost(response.sentAt))
         return;
     if (response.index == progress->snapshotIndex)
         progress->snapshotOffset = response.nextOffset;
@@ -205,7 +256,7 @@
                        .configuration = std::move(*next)});
     this->progressTable.applyConfiguration(this->log.configuration(), this->log.lastIndex() + 1,
                                            now);
-    this->replicateToAll(now, false);
+    this->replicateToAll(now);
 }
 
 } // namespace auburnrail
--- a/libs/consensus/tests/ConsensusNodeTest.cpp
+++ b/libs/consensus/tests/ConsensusNodeTest.cpp
@@ -292,4 +292,59 @@
     CHECK(accepted == 4096);
 }
 
+// Guards against heartbeats that repeat a large entry until the routes carry nothing else.
+TEST_CASE("an entry that takes longer than a heartbeat to arrive is sent once")
+{
+    constexpr auto BYTES = std::size_t(300) * 1024;
+    auto cluster = SimulatedCluster(5, 15);
+    const auto leader = cluster.awaitLeader();
+    const auto term = cluster.member(leader).node->term();
+    cluster.faults.bytesPerSecond = BYTES * 4;
+    auto copies = 0;
+    cluster.onSend = [&](const Message &message) {
+        const auto *append = std::get_if<AppendRequest>(&message.body);
+        copies += append != nullptr && !append->entries.empty() ? 1 : 0;
+    };
+    REQUIRE(cluster.propose(std::string(BYTES, 'x')));
+    CHECK(cluster.runUntil([&] { return cluster.converged() && !cluster.committed.empty(); }, 1s));
+    CHECK(copies == 4);
+    cluster.run(2s);
+    CHECK(cluster.member(leader).node->term() == term);
+    CHECK(cluster.leader() == leader);
+}
+
+// Guards against a member that waits for ever for a lost request, which heartbeats don't repeat.
+TEST_CASE("a lost entry or snapshot chunk is sent again after the next heartbeat")
+{
+    auto cluster = SimulatedCluster(
+        3, 16,
+        ConsensusSettings{.maxBytesPerMessage = 64, .snapshotInterval = 8, .entriesKept = 2});
+    const auto leader = cluster.awaitLeader();
+    const auto names = cluster.names();
+    const auto lagging = names.front() == leader ? names.back() : names.front();
+    const auto isSnapshot = GENERATE(false, true);
+    if (isSnapshot)
+        cluster.crash(lagging);
+    commitEntries(cluster, isSnapshot ? 40 : 1);
+    cluster.restart(lagging);
+    const auto loses = [&](const Message &message) {
+        const auto *append = std::get_if<AppendRequest>(&message.body);
+        const auto *snapshot = std::get_if<SnapshotRequest>(&message.body);
+        return message.to.name == lagging
+               && ((append != nullptr && !append->entries.empty())
+                   || (snapshot != nullptr && !snapshot->chunk.empty()));
+    };
+    auto lost = 0;
+    cluster.onSend = [&](const Message &message) {
+        const auto loseThis = loses(message) && lost == 0;
+        cluster.faults.lossPercent = loseThis ? 100 : 0;
+        lost += loseThis ? 1 : 0;
+    };
+    if (!isSnapshot)
+        commitEntries(cluster, 1);
+    CHECK(cluster.runUntil([&] { return lost == 1 && cluster.converged(); },
+                           isSnapshot ? 2s : 150ms));
+    CHECK(cluster.leader() == leader);
+}
+
 } // namespace auburnrail
--- a/libs/consensus/tests/SimulatedCluster.cpp
+++ b/libs/consensus/tests/SimulatedCluster.cpp
@@ -10,6 +10,18 @@
 constexpr auto STEP = std::chrono::milliseconds(5);
 constexpr auto TICK = std::chrono::milliseconds(20);
 
+auto payloadBytes(const Message &message) -> std::size_t
+{
+    auto bytes = std::size_t(0);
+    if (const auto *append = std::get_if<AppendRequest>(&message.body)) {
+        for (const auto &entry : append->entries)
+            bytes += entry.payload.size();
+    }
+    if (const auto *snapshot = std::get_if<SnapshotRequest>(&message.body))
+        bytes += snapshot->chunk.size();
+    return bytes;
+}
+
 auto require(bool condition, const std::string &rule) -> void
 {
     if (!condition)
@@ -105,10 +117,21 @@
         const auto delay = this->faults.minDelay
                            + Duration(static_cast<std::int64_t>(
                                this->random() % static_cast<std::uint64_t>(spread)));
-        this->network.emplace(this->now + delay, message);
+        this->network.emplace(this->passRoute(message) + delay, message);
     }
 }
 
+auto SimulatedCluster::passRoute(const Message &message) -> TimePoint
+{
+    if (this->faults.bytesPerSecond == 0)
+        return this->now;
+    auto &freeAt = this->routeFreeAt[{message.from.name, message.to.name}];
+    freeAt = std::max(freeAt, this->now)
+             + std::chrono::nanoseconds(std::chrono::seconds(1)) * payloadBytes(message)
+                   / this->faults.bytesPerSecond;
+    return freeAt;
+}
+
 auto SimulatedCluster::step() -> void
 {
     this->now += STEP;
--- a/libs/consensus/tests/SimulatedCluster.h
+++ b/libs/consensus/tests/SimulatedCluster.h
@@ -24,6 +24,8 @@
     Duration minDelay = std::chrono::milliseconds(4);
     Duration maxDelay =
         std::chrono::milliseconds(4); ///< A maxDelay above minDelay reorders messages.
+    /// Payload bytes that a route carries in a second, one message after the other; 0: no limit.
+    std::size_t bytesPerSecond = 0;
 };
 
 /// Deterministic simulation of a cluster with its network and clock. Each step checks that a term
@@ -93,12 +95,15 @@
     auto recordCommitted(SimulatedMember &target, LogIndex index, const std::string &payload)
         -> void;
     auto chance(unsigned percent) -> bool;
+    /// When a message sent now has passed the route, and its payload keeps later ones waiting.
+    auto passRoute(const Message &message) -> TimePoint;
 
     ConsensusSettings limits;
     RandomSource random;
     std::map<MemberName, SimulatedMember> members;
     std::multimap<TimePoint, Message> network;
     std::set<std::pair<MemberName, MemberName>> blockedRoutes;
+    std::map<std::pair<MemberName, MemberName>, TimePoint> routeFreeAt;
     std::map<Term, MemberId> leaders;
 };
 
