Adding a route changes the index of its service in place

Cause: FleetObjects copied the whole set of names of a service for each route that it added, so the cost of a configuration grows with the square of its routes. Every control member and every entry pays it, an entry with 0.12 cores. It is the largest part of what the leader does with such a configuration; in the trace the leadership ends 710 ms after the configuration arrives, and with --no-cpu it stays.

Change: ObjectTable::change() gives the object for a change in place, after the copy on write that any change makes. The indexes of routes and endpoints use it.

Before: applying a configuration of 1441 routes of one service, 1400 of them new: 72 ms on a whole core; without new routes 4.9 ms. All 24 tests of state pass.

--- a/libs/state/include/state/ObjectTable.h
+++ b/libs/state/include/state/ObjectTable.h
@@ -35,6 +35,13 @@
         this->writableShard(name).insert_or_assign(std::move(name), std::move(object));
     }
 
+    /// The object for a change in place; added if it does not exist. Valid until the next change of
+    /// this table.
+    [[nodiscard]] auto change(const std::string &name) -> T &
+    {
+        return this->writableShard(name)[name];
+    }
+
     auto erase(std::string_view name) -> void
     {
         if (this->find(name) == nullptr)
--- a/libs/state/src/FleetObjects.cpp
+++ b/libs/state/src/FleetObjects.cpp
@@ -14,24 +14,18 @@
 template <typename Index>
 auto addName(Index &index, const std::string &key, const std::string &name) -> void
 {
-    const auto *found = index.find(key);
-    auto names = found == nullptr ? std::set<std::string>() : *found;
-    names.insert(name);
-    index.put(key, std::move(names));
+    index.change(key).insert(name);
 }
 
 template <typename Index>
 auto removeName(Index &index, const std::string &key, const std::string &name) -> void
 {
-    const auto *found = index.find(key);
-    if (found == nullptr)
+    if (index.find(key) == nullptr)
         return;
-    auto names = *found;
+    auto &names = index.change(key);
     names.erase(name);
     if (names.empty())
         index.erase(key);
-    else
-        index.put(key, std::move(names));
 }
 
 /// Calls `visit` with the table of `kind`.
