Large updates to entries are compressed once for all of them

Seen by callers: after a configuration with 1400 more routes, requests are late for more than a second.

Cause: each entry receives the new routes as 400 kB. The link of an entry of the grown site carries 250 kB/s, so for more than a second it carries nothing else; the leader sends the same bytes 89 times, most of them to other regions.

The response names the size before compression, which bounds decompression; a message without it is read as before.

--- a/idl/Control.thrift
+++ b/idl/Control.thrift
@@ -77,6 +77,9 @@
   9: i32 entries
   10: i32 zoneEntries
   11: i64 shareLeadership
+  // Sizes before compression, if `update` or `snapshot` is compressed (zlib).
+  12: optional i32 updateBytes
+  13: optional i32 snapshotBytes
 }
 
 struct TokenDemandMessage {
--- a/libs/wire/src/EncodedPayloads.h
+++ b/libs/wire/src/EncodedPayloads.h
@@ -1,6 +1,8 @@
 #ifndef AUBURNRAIL_WIRE_ENCODEDPAYLOADS_H
 #define AUBURNRAIL_WIRE_ENCODEDPAYLOADS_H
 
+#include "EncodedPayload.h"
+
 #include <core/RankedLock.h>
 #include <core/RankedMutex.h>
 
@@ -15,8 +17,8 @@
 
 namespace auburnrail::detail {
 
-/// Encodes values that are sent to many receivers once each, and keeps the last few results.
-/// Thread-safe.
+/// Encodes and compresses values that are sent to many receivers once each, and keeps the last few
+/// results. Thread-safe.
 template <typename T>
 class EncodedPayloads
 {
@@ -29,23 +31,24 @@
     {
     }
 
-    [[nodiscard]] auto bytesOf(const std::shared_ptr<const T> &value)
-        -> std::shared_ptr<const std::string>
+    [[nodiscard]] auto payloadOf(const std::shared_ptr<const T> &value)
+        -> std::shared_ptr<const EncodedPayload>
     {
         // Held while a value is encoded, so that threads that need the same one wait for it.
         const RankedLock lock(this->mutex);
-        for (const auto &[known, bytes] : this->rows) {
+        for (const auto &[known, payload] : this->rows) {
             if (known == value)
-                return bytes;
+                return payload;
         }
-        this->rows.emplace_back(value, std::make_shared<std::string>(this->encode(*value)));
+        this->rows.emplace_back(value,
+                                std::make_shared<EncodedPayload>(toPayload(this->encode(*value))));
         if (this->rows.size() > CAPACITY)
             this->rows.pop_front();
         return this->rows.back().second;
     }
 
 private:
-    using Row = std::pair<std::shared_ptr<const T>, std::shared_ptr<const std::string>>;
+    using Row = std::pair<std::shared_ptr<const T>, std::shared_ptr<const EncodedPayload>>;
 
     const std::function<auto(const T &)->std::string> encode;
     RankedMutex mutex{LockRank::EncodedPayloads};
--- a/libs/wire/src/HeartbeatCodec.cpp
+++ b/libs/wire/src/HeartbeatCodec.cpp
@@ -1,11 +1,16 @@
 #include "HeartbeatCodec.h"
 
 #include "BurnConversion.h"
+#include "Compression.h"
+#include "WireLimits.h"
 
 #include <wire/FleetCodec.h>
 
 #include <algorithm>
 #include <chrono>
+#include <functional>
+#include <memory>
+#include <optional>
 
 namespace auburnrail::detail {
 
@@ -108,20 +113,47 @@
     return report;
 }
 
+/// Decodes a value of the type that `decode` returns, which is compressed if its size is given.
+template <typename T>
+auto decodePayload(const std::string &bytes, std::optional<std::int32_t> uncompressedBytes,
+                   const std::function<auto(const std::string &)->absl::StatusOr<T>> &decode)
+    -> absl::StatusOr<std::shared_ptr<const T>>
+{
+    auto encoded = absl::StatusOr<std::string>(bytes);
+    if (uncompressedBytes) {
+        if (*uncompressedBytes < 0 || *uncompressedBytes > MAX_PAYLOAD_BYTES)
+            return absl::DataLossError("the size of the state is out of range");
+        encoded = decompress(bytes, static_cast<std::size_t>(*uncompressedBytes));
+    }
+    if (!encoded.ok())
+        return encoded.status();
+    auto value = decode(*encoded);
+    if (!value.ok())
+        return value.status();
+    return std::make_shared<const T>(*std::move(value));
+}
+
 auto decodePayloads(const thriftgen::HeartbeatAnswerMessage &message, HeartbeatAnswer &answer)
     -> absl::Status
 {
+    const auto sizeIf = [](bool isSet, std::int32_t size) {
+        return isSet ? std::optional(size) : std::nullopt;
+    };
     if (message.__isset.update) {
-        auto update = decodeChanges(message.update);
+        auto update = decodePayload<FleetUpdate>(
+            message.update, sizeIf(message.__isset.updateBytes, message.updateBytes),
+            decodeChanges);
         if (!update.ok())
             return update.status();
-        answer.update = std::make_shared<FleetUpdate>(*std::move(update));
+        answer.update = *std::move(update);
     }
     if (message.__isset.snapshot) {
-        auto snapshot = decodeSnapshot(message.snapshot);
+        auto snapshot = decodePayload<FleetSnapshot>(
+            message.snapshot, sizeIf(message.__isset.snapshotBytes, message.snapshotBytes),
+            decodeSnapshot);
         if (!snapshot.ok())
             return snapshot.status();
-        answer.snapshot = std::make_shared<FleetSnapshot>(*std::move(snapshot));
+        answer.snapshot = *std::move(snapshot);
     }
     return absl::OkStatus();
 }
@@ -187,10 +219,18 @@
     message.minimumRevision = static_cast<std::int64_t>(answer.lease.minimumRevision);
     message.entries = static_cast<std::int32_t>(answer.entries);
     message.zoneEntries = static_cast<std::int32_t>(answer.zoneEntries);
-    if (answer.update)
-        message.__set_update(*payloads.updates.bytesOf(answer.update));
-    if (answer.snapshot)
-        message.__set_snapshot(*payloads.snapshots.bytesOf(answer.snapshot));
+    if (answer.update) {
+        const auto payload = payloads.updates.payloadOf(answer.update);
+        message.__set_update(payload->bytes);
+        if (payload->uncompressedBytes)
+            message.__set_updateBytes(*payload->uncompressedBytes);
+    }
+    if (answer.snapshot) {
+        const auto payload = payloads.snapshots.payloadOf(answer.snapshot);
+        message.__set_snapshot(payload->bytes);
+        if (payload->uncompressedBytes)
+            message.__set_snapshotBytes(*payload->uncompressedBytes);
+    }
     message.shareSequence = static_cast<std::int64_t>(answer.shares.sequence);
     message.shareLeadership = static_cast<std::int64_t>(answer.shares.leadership);
     message.shares = toShareMessages(answer.shares.shares);
--- a/libs/wire/src/gen/Control_types.cpp
+++ b/libs/wire/src/gen/Control_types.cpp
@@ -1708,6 +1708,16 @@
 void HeartbeatAnswerMessage::__set_shareLeadership(const int64_t val) {
   this->shareLeadership = val;
 }
+
+void HeartbeatAnswerMessage::__set_updateBytes(const int32_t val) {
+  this->updateBytes = val;
+__isset.updateBytes = true;
+}
+
+void HeartbeatAnswerMessage::__set_snapshotBytes(const int32_t val) {
+  this->snapshotBytes = val;
+__isset.snapshotBytes = true;
+}
 std::ostream& operator<<(std::ostream& out, const HeartbeatAnswerMessage& obj)
 {
   obj.printTo(out);
@@ -1836,6 +1846,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->updateBytes);
+          this->__isset.updateBytes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->snapshotBytes);
+          this->__isset.snapshotBytes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1907,6 +1933,16 @@
   xfer += oprot->writeI64(this->shareLeadership);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.updateBytes) {
+    xfer += oprot->writeFieldBegin("updateBytes", ::apache::thrift::protocol::T_I32, 12);
+    xfer += oprot->writeI32(this->updateBytes);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.snapshotBytes) {
+    xfer += oprot->writeFieldBegin("snapshotBytes", ::apache::thrift::protocol::T_I32, 13);
+    xfer += oprot->writeI32(this->snapshotBytes);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1925,6 +1961,8 @@
   swap(a.entries, b.entries);
   swap(a.zoneEntries, b.zoneEntries);
   swap(a.shareLeadership, b.shareLeadership);
+  swap(a.updateBytes, b.updateBytes);
+  swap(a.snapshotBytes, b.snapshotBytes);
   swap(a.__isset, b.__isset);
 }
 
@@ -1940,6 +1978,8 @@
   entries = other78.entries;
   zoneEntries = other78.zoneEntries;
   shareLeadership = other78.shareLeadership;
+  updateBytes = other78.updateBytes;
+  snapshotBytes = other78.snapshotBytes;
   __isset = other78.__isset;
 }
 HeartbeatAnswerMessage::HeartbeatAnswerMessage(HeartbeatAnswerMessage&& other79) noexcept {
@@ -1954,6 +1994,8 @@
   entries = other79.entries;
   zoneEntries = other79.zoneEntries;
   shareLeadership = other79.shareLeadership;
+  updateBytes = other79.updateBytes;
+  snapshotBytes = other79.snapshotBytes;
   __isset = other79.__isset;
 }
 HeartbeatAnswerMessage& HeartbeatAnswerMessage::operator=(const HeartbeatAnswerMessage& other80) {
@@ -1968,6 +2010,8 @@
   entries = other80.entries;
   zoneEntries = other80.zoneEntries;
   shareLeadership = other80.shareLeadership;
+  updateBytes = other80.updateBytes;
+  snapshotBytes = other80.snapshotBytes;
   __isset = other80.__isset;
   return *this;
 }
@@ -1983,6 +2027,8 @@
   entries = other81.entries;
   zoneEntries = other81.zoneEntries;
   shareLeadership = other81.shareLeadership;
+  updateBytes = other81.updateBytes;
+  snapshotBytes = other81.snapshotBytes;
   __isset = other81.__isset;
   return *this;
 }
@@ -2000,6 +2046,8 @@
   out << ", " << "entries=" << to_string(entries);
   out << ", " << "zoneEntries=" << to_string(zoneEntries);
   out << ", " << "shareLeadership=" << to_string(shareLeadership);
+  out << ", " << "updateBytes="; (__isset.updateBytes ? (out << to_string(updateBytes)) : (out << "<null>"));
+  out << ", " << "snapshotBytes="; (__isset.snapshotBytes ? (out << to_string(snapshotBytes)) : (out << "<null>"));
   out << ")";
 }
 
--- a/libs/wire/src/gen/Control_types.h
+++ b/libs/wire/src/gen/Control_types.h
@@ -608,7 +608,7 @@
 std::ostream& operator<<(std::ostream& out, const HeartbeatMessage& obj);
 
 typedef struct _HeartbeatAnswerMessage__isset {
-  _HeartbeatAnswerMessage__isset() : status(false), leader(false), leaseMillis(false), update(false), snapshot(false), shareSequence(false), shares(false), minimumRevision(false), entries(false), zoneEntries(false), shareLeadership(false) {}
+  _HeartbeatAnswerMessage__isset() : status(false), leader(false), leaseMillis(false), update(false), snapshot(false), shareSequence(false), shares(false), minimumRevision(false), entries(false), zoneEntries(false), shareLeadership(false), updateBytes(false), snapshotBytes(false) {}
   bool status :1;
   bool leader :1;
   bool leaseMillis :1;
@@ -620,6 +620,8 @@
   bool entries :1;
   bool zoneEntries :1;
   bool shareLeadership :1;
+  bool updateBytes :1;
+  bool snapshotBytes :1;
 } _HeartbeatAnswerMessage__isset;
 
 class HeartbeatAnswerMessage : public virtual ::apache::thrift::TBase {
@@ -639,7 +641,9 @@
                            minimumRevision(0),
                            entries(0),
                            zoneEntries(0),
-                           shareLeadership(0) {
+                           shareLeadership(0),
+                           updateBytes(0),
+                           snapshotBytes(0) {
   }
 
   virtual ~HeartbeatAnswerMessage() noexcept;
@@ -654,6 +658,8 @@
   int32_t entries;
   int32_t zoneEntries;
   int64_t shareLeadership;
+  int32_t updateBytes;
+  int32_t snapshotBytes;
 
   _HeartbeatAnswerMessage__isset __isset;
 
@@ -679,6 +685,10 @@
 
   void __set_shareLeadership(const int64_t val);
 
+  void __set_updateBytes(const int32_t val);
+
+  void __set_snapshotBytes(const int32_t val);
+
   bool operator == (const HeartbeatAnswerMessage & rhs) const
   {
     if (!(status == rhs.status))
@@ -707,6 +717,14 @@
       return false;
     if (!(shareLeadership == rhs.shareLeadership))
       return false;
+    if (__isset.updateBytes != rhs.__isset.updateBytes)
+      return false;
+    else if (__isset.updateBytes && !(updateBytes == rhs.updateBytes))
+      return false;
+    if (__isset.snapshotBytes != rhs.__isset.snapshotBytes)
+      return false;
+    else if (__isset.snapshotBytes && !(snapshotBytes == rhs.snapshotBytes))
+      return false;
     return true;
   }
   bool operator != (const HeartbeatAnswerMessage &rhs) const {
--- a/libs/wire/tests/HeartbeatCodecTest.cpp
+++ b/libs/wire/tests/HeartbeatCodecTest.cpp
@@ -1,5 +1,9 @@
 #include "HeartbeatCodec.h"
 
+#include <state/AppliedState.h>
+#include <state/FleetState.h>
+
+#include <absl/strings/str_cat.h>
 #include <catch2/catch.hpp>
 
 namespace auburnrail::detail {
@@ -26,4 +30,47 @@
     CHECK(odd.burn.front().rows.front().count == BurnCount{3, 0});
 }
 
+// Guards against a large configuration that takes the link of an entry for seconds.
+TEST_CASE("a large update is sent compressed, and a damaged one is refused")
+{
+    auto state = FleetState();
+    for (auto index = Revision(1); index <= 1000; ++index) {
+        const auto organisation = Organisation{
+            .name = absl::StrCat("organisation-", index), .ratePerSecond = 100, .burst = 200};
+        (void)applyCommand(state,
+                           Command{CommandHeader{.commandId = absl::StrCat("command-", index),
+                                                 .baseRevision = index - 1,
+                                                 .operatorName = "operator"},
+                                   SetObject{organisation}},
+                           index);
+    }
+    REQUIRE(state.revision() == 1000);
+    const auto isSnapshot = GENERATE(false, true);
+    auto answer = HeartbeatAnswer();
+    if (isSnapshot)
+        answer.snapshot = std::make_shared<FleetSnapshot>(state.snapshot());
+    else
+        answer.update = std::make_shared<FleetUpdate>(*state.changesSince(0));
+    auto payloads = HeartbeatPayloads();
+    auto message = toMessage(answer, payloads);
+    auto &bytes = isSnapshot ? message.snapshot : message.update;
+    auto &size = isSnapshot ? message.snapshotBytes : message.updateBytes;
+    CHECK(bytes.size() * 4 < static_cast<std::size_t>(size));
+    const auto same = fromMessage(message);
+    REQUIRE(same.ok());
+    if (isSnapshot)
+        CHECK(*same->snapshot == *answer.snapshot);
+    else
+        CHECK(*same->update == *answer.update);
+    --size;
+    CHECK_FALSE(fromMessage(message).ok());
+    size += 2;
+    CHECK_FALSE(fromMessage(message).ok());
+    size = -1;
+    CHECK_FALSE(fromMessage(message).ok());
+    size += 1 + 1000;
+    bytes[bytes.size() / 2] = static_cast<char>(~bytes[bytes.size() / 2]);
+    CHECK_FALSE(fromMessage(message).ok());
+}
+
 } // namespace auburnrail::detail
