The leader's load line shows the processor time that was used

Ruled out: the subtraction of the previous value; the line without --no-cpu shows the same.

Change: getrusage(), user and system time.

Conclusion: the line tells now what it names.

--- a/libs/control/src/ControlLoadLog.cpp
+++ b/libs/control/src/ControlLoadLog.cpp
@@ -6,19 +6,22 @@
 
 #include <absl/strings/str_cat.h>
 
-#include <ctime>
+#include <sys/resource.h>
 
 namespace auburnrail {
 
 namespace {
 
-/// Processor time of this process.
+/// Processor time of this process, in its own code and in the system's.
 auto processorTime() -> Duration
 {
-    auto time = timespec();
-    if (clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &time) != 0)
+    auto usage = rusage();
+    if (getrusage(RUSAGE_SELF, &usage) != 0)
         return Duration();
-    return std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec);
+    const auto toDuration = [](const timeval &time) {
+        return std::chrono::seconds(time.tv_sec) + std::chrono::microseconds(time.tv_usec);
+    };
+    return toDuration(usage.ru_utime) + toDuration(usage.ru_stime);
 }
 
 } // namespace
