A failover survives a second claim to its term

Seen by callers: a group has no primary until the leader of control changes.

When the reports were confirmed, they started a second attempt in place of the one in progress, while the first one's request for the new term was on its way. The second attempt asked for the same term, was refused because the group had it by then, and asked for it again for ever. A release of a primary that is slow or dies gives this order.

Ruled out: a lost message (the timeline shows the refusals every 50 ms to 1 s); the catch-up of the requested server (it occurs with any target).

Change: an attempt clears the reports against the primary that it replaces. An attempt whose term the group already has, by whatever grant, goes on with the next term.

Conclusion: no refusal of a grant is final.

--- a/libs/failover/include/failover/FailoverCoordinator.h
+++ b/libs/failover/include/failover/FailoverCoordinator.h
@@ -95,6 +95,8 @@
     ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
     auto issueGrant(detail::FailoverAttempt &attempt, Effects &effects) -> void;
     ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
+    auto grantRefused(detail::FailoverAttempt &attempt, TimePoint now, Effects &effects) -> void;
+    ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
     auto issueFences(detail::FailoverAttempt &attempt, TimePoint now, Effects &effects) -> void;
     ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
     auto issuePromote(detail::FailoverAttempt &attempt, TimePoint now, Effects &effects) -> void;
--- a/libs/failover/src/FailoverSteps.cpp
+++ b/libs/failover/src/FailoverSteps.cpp
@@ -13,6 +13,8 @@
 {
     // What is fenced must not receive anything before the promotion.
     this->dropFollows(view.name);
+    // The reports against this primary would start a second attempt in place of this one.
+    this->suspicions.clear(view.name);
     auto &attempt = this->attempts[view.name];
     attempt.view = view;
     attempt.record = FailoverRecord{.group = view.name,
@@ -104,8 +106,7 @@
                            [this, revision, at](FailoverAttempt &current, Effects &more)
                                ABSL_EXCLUSIVE_LOCKS_REQUIRED(this->mutex) {
                                    if (!revision) {
-                                       current.nextTryAt =
-                                           at + this->limits.retryDelay(current.tries);
+                                       this->grantRefused(current, at, more);
                                        return;
                                    }
                                    current.revision = *revision;
@@ -117,6 +118,18 @@
     });
 }
 
+auto FailoverCoordinator::grantRefused(FailoverAttempt &attempt, TimePoint now, Effects &effects)
+    -> void
+{
+    // The term is never granted again once the group has it.
+    if (this->groups[attempt.record.group].term >= attempt.record.term) {
+        this->restartWithNewTerm(attempt, attempt.record.term,
+                                 "the term was granted without a confirmation", now, effects);
+        return;
+    }
+    attempt.nextTryAt = now + this->limits.retryDelay(attempt.tries);
+}
+
 auto FailoverCoordinator::issueFences(FailoverAttempt &attempt, TimePoint now, Effects &effects)
     -> void
 {
--- a/libs/failover/tests/FailoverContractTest.cpp
+++ b/libs/failover/tests/FailoverContractTest.cpp
@@ -211,6 +211,33 @@
     checkServing(group);
 }
 
+// Guards against a group that has no primary until the leader changes: the confirmed reports
+// started a second attempt, whose grant of the same term was refused for ever.
+TEST_CASE("a planned promotion of a primary that is suspected meanwhile completes")
+{
+    for (auto beforePlan = 1000ms; beforePlan < 2000ms; beforePlan += 1ms) {
+        auto group = GroupSimulation();
+        group.cutOffEntries = {"e1", "e2", "e3"};
+        group.runFor(beforePlan);
+        std::ignore = group.coordinator->promotePlanned("logs", "b", group.scheduler.now());
+        group.runFor(1s);
+        group.cutOffEntries.clear();
+        group.runFor(7s);
+        INFO("planned after " << beforePlan.count() << " ms");
+        REQUIRE(group.view.phase == GroupPhase::Serving);
+    }
+}
+
+TEST_CASE("a failover goes on when its term is granted without a confirmation")
+{
+    auto group = GroupSimulation();
+    group.losesGrantConfirmation = true;
+    isolatePrimary(group);
+    group.runFor(7s);
+    CHECK(group.view.phase == GroupPhase::Serving);
+    CHECK(group.view.primary == "b");
+}
+
 TEST_CASE("a new group gets its first primary once its endpoints stop changing")
 {
     auto group = GroupSimulation();
--- a/libs/failover/tests/GroupSimulation.h
+++ b/libs/failover/tests/GroupSimulation.h
@@ -7,6 +7,7 @@
 
 #include <map>
 #include <set>
+#include <utility>
 
 namespace auburnrail {
 
@@ -71,7 +72,8 @@
     TimePoint inForceAt = TimePoint::max(); ///< When the latest revision is in force everywhere.
     Duration leaseWait = std::chrono::milliseconds(2100);
     bool stateWritable = true;
-    std::string crashOnPromotion;   ///< Endpoint that applies a promotion but never responds.
+    bool losesGrantConfirmation = false; ///< The next grant is committed and not confirmed.
+    std::string crashOnPromotion;        ///< Endpoint that applies a promotion but never responds.
     std::string departsOnPromotion; ///< Endpoint whose final departure arrives with its promotion.
 
 private:
@@ -87,7 +89,10 @@
                         this->view.phase = GroupPhase::Fencing;
                         this->inForceAt = this->scheduler.now() + this->leaseWait;
                         this->coordinator->groupChanged(this->view, this->scheduler.now());
-                        done(Revision(term), this->scheduler.now());
+                        if (std::exchange(this->losesGrantConfirmation, false))
+                            done(std::nullopt, this->scheduler.now());
+                        else
+                            done(Revision(term), this->scheduler.now());
                     });
                 },
             .fence =
