Explore orders of events around a failover

FailoverPropertyTest explores groups without synchronous replicas only, and only cuts and changes of leader.

Change: ExploredWorld holds 2 to 5 servers with 1 or 2 synchronous replicas, three entries that write, and the product's coordinators. Servers are cut off from control, entries or each other, frozen, crashed, refuse orders, or serve before control knows them; leaders change, unnoticed too; planned promotions meet all of it; orders are lost, doubled, late and reordered. Rules: acknowledged writes are kept, one primary completes acknowledged writes at a time, and once faults end the group serves and each server follows the primary. Writes that only a replaced primary and a replica unknown to control held are not protected where the primary could not be asked or was suspected (docs/promises.md). A seed gives the schedule; a failure is shortened and printed with its timeline. EXPLORED_FIRST and EXPLORED_COUNT choose seeds by hand; the suite plays 500.

Conclusion: the random half of the search stands for synchronous replicas. Missing: the exhaustive half, disks that lose data, registrar and log in the world, mutations, a million schedules.

--- /dev/null
+++ b/libs/failover/tests/ExploredEvent.h
@@ -0,0 +1,64 @@
+#ifndef AUBURNRAIL_FAILOVER_TESTS_EXPLOREDEVENT_H
+#define AUBURNRAIL_FAILOVER_TESTS_EXPLOREDEVENT_H
+
+#include <core/EnumTable.h>
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+
+namespace auburnrail {
+
+namespace testing {
+
+/// What may happen to an ExploredWorld.
+enum class ExploredEventKind : std::uint8_t {
+    CutFromControl,
+    CutFromEntries,
+    CutFromServers,
+    RefuseOrders, ///< The server serves, but has no connection left for control.
+    Freeze,       ///< What reaches the server meanwhile is handled when it is thawed.
+    Crash,
+    Repair,
+    CutEntry,
+    RepairEntry,
+    ChangeLeader,
+    ChangeLeaderUnnoticed, ///< The former leader goes on for a while.
+    PromotePlanned,
+    AddServer, ///< A replica that the primary counts before control knows it.
+    RegisterServer,
+};
+
+/// One event and the time until the next.
+struct ExploredEvent
+{
+    ExploredEventKind kind = ExploredEventKind::Repair;
+    std::size_t target = 0; ///< Number of the server or entry.
+    std::chrono::milliseconds pause{};
+};
+
+} // namespace testing
+
+template <>
+inline constexpr auto
+    ENUM_NAMES<testing::ExploredEventKind> = std::to_array<EnumName<testing::ExploredEventKind>>({
+        {testing::ExploredEventKind::CutFromControl, "cut-from-control"},
+        {testing::ExploredEventKind::CutFromEntries, "cut-from-entries"},
+        {testing::ExploredEventKind::CutFromServers, "cut-from-servers"},
+        {testing::ExploredEventKind::RefuseOrders, "refuse-orders"},
+        {testing::ExploredEventKind::Freeze, "freeze"},
+        {testing::ExploredEventKind::Crash, "crash"},
+        {testing::ExploredEventKind::Repair, "repair"},
+        {testing::ExploredEventKind::CutEntry, "cut-entry"},
+        {testing::ExploredEventKind::RepairEntry, "repair-entry"},
+        {testing::ExploredEventKind::ChangeLeader, "change-leader"},
+        {testing::ExploredEventKind::ChangeLeaderUnnoticed, "change-leader-unnoticed"},
+        {testing::ExploredEventKind::PromotePlanned, "promote-planned"},
+        {testing::ExploredEventKind::AddServer, "add-server"},
+        {testing::ExploredEventKind::RegisterServer, "register-server"},
+    });
+
+} // namespace auburnrail
+
+#endif
--- /dev/null
+++ b/libs/failover/tests/ExploredServer.cpp
@@ -0,0 +1,73 @@
+#include "ExploredServer.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace auburnrail::testing {
+
+auto ExploredServer::fence(std::uint64_t newTerm) -> FenceResponse
+{
+    const auto wasPrimary = this->isPrimary;
+    const auto isAccepted = newTerm > this->term || (newTerm == this->term && !wasPrimary);
+    // A late order of the server's own term, which it follows or is about to, changes nothing.
+    if (newTerm > this->term) {
+        this->term = newTerm;
+        this->isPrimary = false;
+        this->isPaused = true;
+        this->waiting.clear();
+    }
+    return FenceResponse{.accepted = isAccepted,
+                         .position = this->position(),
+                         .highestTerm = this->term,
+                         .wasPrimary = wasPrimary};
+}
+
+auto ExploredServer::promote(std::uint64_t newTerm) -> bool
+{
+    if (newTerm < this->term || this->refusesOrders)
+        return false;
+    if (newTerm > this->term || !this->isPrimary) {
+        this->term = newTerm;
+        this->isPrimary = true;
+        this->isPaused = false;
+        this->confirmed.clear();
+    }
+    return true;
+}
+
+auto ExploredServer::follow(std::uint64_t newTerm, const std::string &primary) -> bool
+{
+    const auto isLed = newTerm == this->term && this->isPrimary;
+    if (newTerm < this->term || isLed || this->refusesOrders)
+        return false;
+    this->term = newTerm;
+    this->isPrimary = false;
+    this->isPaused = false;
+    this->follows = primary;
+    this->waiting.clear();
+    return true;
+}
+
+auto ExploredServer::receiveFrom(const ExploredServer &primary, std::size_t limit) -> std::size_t
+{
+    const auto [own, theirs] =
+        std::mismatch(this->log.begin(), this->log.end(), primary.log.begin(), primary.log.end());
+    this->log.erase(own, this->log.end());
+    const auto missing = std::distance(theirs, primary.log.end());
+    std::copy_n(theirs, std::min(missing, static_cast<std::ptrdiff_t>(limit)),
+                std::back_inserter(this->log));
+    return this->log.size();
+}
+
+auto ExploredServer::position() const -> Position
+{
+    return this->log.empty() ? Position() : Position{this->log.back().term, this->log.size()};
+}
+
+auto ExploredServer::holds(WriteId id) const -> bool
+{
+    return std::any_of(this->log.begin(), this->log.end(),
+                       [id](const ExploredWrite &write) { return write.id == id; });
+}
+
+} // namespace auburnrail::testing
--- /dev/null
+++ b/libs/failover/tests/ExploredWorld.h
@@ -0,0 +1,114 @@
+#ifndef AUBURNRAIL_FAILOVER_TESTS_EXPLOREDWORLD_H
+#define AUBURNRAIL_FAILOVER_TESTS_EXPLOREDWORLD_H
+
+#include "ExploredEvent.h"
+#include "ExploredServer.h"
+
+#include <failover/FailoverCoordinator.h>
+
+#include <core/RandomSource.h>
+#include <core/VirtualScheduler.h>
+
+#include <deque>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace auburnrail::testing {
+
+/// A group with synchronous replicas, three entries that write to it, and the control members'
+/// failover decisions, on a virtual clock. Messages between control and servers are lost, late,
+/// reordered and doubled. The coordinators are the product's; the rest is a small model.
+/// Thread rule: one thread.
+class ExploredWorld
+{
+public:
+    /// With `keepsTimeline`, orders and changes of the group are noted in `timeline`.
+    ExploredWorld(std::size_t serverCount, std::uint32_t synchronousReplicas, std::uint64_t seed,
+                  bool keepsTimeline = false);
+
+    /// Lets the event happen and the world run until the next one.
+    auto run(const ExploredEvent &event) -> void;
+
+    /// Ends all faults and checks that the group serves again, with all servers, and has every
+    /// acknowledged write.
+    auto settle() -> void;
+
+    std::vector<std::string> violations; ///< Rules that were broken, in order of time.
+    std::vector<std::string> timeline;
+    std::size_t completedFailovers = 0;
+
+private:
+    static constexpr auto GROUP = "g";
+
+    /// An entry with its copy of the group, valid until its lease ends.
+    struct Entry
+    {
+        std::string name;
+        FailoverGroup view;
+        TimePoint leaseEnd;
+        TimePoint healthyAt;
+        bool reachesControl = true;
+    };
+
+    /// When servers completed the first and the last write.
+    struct Period
+    {
+        TimePoint first;
+        TimePoint last;
+    };
+
+    using Order = std::function<auto(ExploredServer &)->void>;
+
+    auto runPeriodicTasks() -> void;
+    auto heartbeat(Entry &entry) -> void;
+    auto writeFrom(std::size_t entry) -> void;
+    auto acknowledge(std::size_t entry, std::uint64_t viewTerm, ExploredWrite write,
+                     TimePoint sentAt, TimePoint completedAt) -> void;
+    auto replicate(ExploredServer &replica) -> void;
+    auto completeWrites(ExploredServer &primary) -> void;
+    auto changeLeader(Duration unnoticedFor) -> void;
+    auto addServer() -> void;
+    auto registerServers() -> void;
+    auto repair(ExploredServer &server) -> void;
+    auto checkPublished(const FailoverRecord &record) -> void;
+
+    auto hooks(std::size_t leader) -> FailoverHooks;
+    auto grant(std::size_t leader, std::uint64_t term) -> std::optional<Revision>;
+    auto publish(std::size_t leader, std::uint64_t term, const std::string &primary) -> bool;
+    [[nodiscard]] auto isInForce(std::size_t leader, Revision revision) const -> bool;
+    /// Sends an order from control; `handle` runs at the server when it arrives, if it does.
+    auto order(const std::string &server, const Order &handle) -> void;
+    /// Sends a response to control.
+    auto respond(const ExploredServer &server, Task response) -> void;
+    auto later(Task task) -> void;
+    [[nodiscard]] auto chance(unsigned percent) -> bool;
+    [[nodiscard]] auto server(const std::string &name) -> ExploredServer *;
+    [[nodiscard]] auto isCurrent(std::size_t leader) const -> bool;
+    auto violated(const std::string &rule) -> void;
+    auto note(const std::string &text) -> void;
+    [[nodiscard]] auto time() const -> std::string;
+
+    const bool keepsTimeline;
+    VirtualScheduler scheduler;
+    RandomSource random;
+    FailoverGroup view;
+    std::deque<ExploredServer> servers;
+    std::deque<Entry> entries;
+    std::deque<FailoverCoordinator> coordinators; ///< The last one leads.
+    std::set<std::size_t> ended;                  ///< Coordinators that know that they don't lead.
+    /// Endpoints that the failover of a term knew when it promoted, by term.
+    std::map<std::uint64_t, std::vector<GroupEndpoint>> knownAtPromotion;
+    std::map<WriteId, ExploredWrite> acknowledged;
+    /// Writes that no rule protects: only the replaced primary and replicas unknown to control had
+    /// them, and the old primary could not be asked or was suspected.
+    std::set<WriteId> unprotected;
+    std::map<std::uint64_t, Period> periods; ///< Of acknowledged writes, by term.
+    WriteId lastWrite = 0;
+    unsigned steps = 0;
+};
+
+} // namespace auburnrail::testing
+
+#endif
--- /dev/null
+++ b/libs/failover/tests/ExploredWorldControl.cpp
@@ -0,0 +1,199 @@
+// Control's side of the world: its coordinators, their orders and the fleet state. The servers and
+// entries are in ExploredWorld.cpp.
+#include "ExploredWorld.h"
+
+#include <lease/LeaseTiming.h>
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+
+namespace auburnrail::testing {
+
+namespace {
+
+/// Percentage of the orders and responses that are lost, and of the orders that are doubled.
+constexpr auto LOSS_PERCENT = 3U;
+constexpr auto DOUBLE_PERCENT = 3U;
+
+/// A task that does nothing when it is called again.
+template <typename... Arguments>
+auto once(std::function<auto(Arguments...)->void> done) -> std::function<auto(Arguments...)->void>
+{
+    auto pending = std::make_shared<std::function<auto(Arguments...)->void>>(std::move(done));
+    return [pending](Arguments... arguments) {
+        if (auto call = std::exchange(*pending, nullptr))
+            call(arguments...);
+    };
+}
+
+} // namespace
+
+auto ExploredWorld::changeLeader(Duration unnoticedFor) -> void
+{
+    if (!this->coordinators.empty()) {
+        const auto former = this->coordinators.size() - 1;
+        this->scheduler.executor().postAfter(unnoticedFor, [this, former] {
+            this->ended.insert(former);
+            this->coordinators[former].endLeadership(this->scheduler.now());
+        });
+    }
+    this->coordinators.emplace_back(FailoverLimits(), this->hooks(this->coordinators.size()));
+    this->coordinators.back().groupChanged(this->view, this->scheduler.now());
+    this->coordinators.back().beginLeadership(this->scheduler.now());
+}
+
+auto ExploredWorld::hooks(std::size_t leader) -> FailoverHooks
+{
+    return FailoverHooks{
+        .grantTerm =
+            [this, leader](const std::string &, std::uint64_t term, auto done) {
+                this->later([this, leader, term, done] {
+                    const auto revision = this->grant(leader, term);
+                    done(revision, this->scheduler.now());
+                });
+            },
+        .fence =
+            [this](const GroupEndpoint &endpoint, const std::string &, std::uint64_t term,
+                   auto done) {
+                const auto answer = once(std::function(done));
+                this->order(endpoint.name, [this, term, answer](ExploredServer &server) {
+                    auto response = std::optional<FenceResponse>();
+                    if (!server.refusesOrders)
+                        response = server.fence(term);
+                    this->note(absl::StrCat(server.name, " is fenced in term ", term,
+                                            response ? ", at write " : ", refused ",
+                                            server.log.size()));
+                    this->respond(server, [this, answer, response] {
+                        answer(response, this->scheduler.now());
+                    });
+                });
+            },
+        .isInForce = [this, leader](Revision revision,
+                                    TimePoint) { return this->isInForce(leader, revision); },
+        .promote =
+            [this](const GroupEndpoint &endpoint, const std::string &, std::uint64_t term,
+                   const std::vector<GroupEndpoint> &members, auto done) {
+                this->knownAtPromotion.insert_or_assign(term, members);
+                const auto answer = once(std::function(done));
+                this->order(endpoint.name, [this, term, answer](ExploredServer &server) {
+                    const auto isDone = server.promote(term);
+                    this->note(absl::StrCat(server.name, " is promoted in term ", term,
+                                            isDone ? "" : ", refused"));
+                    this->respond(
+                        server, [this, answer, isDone] { answer(isDone, this->scheduler.now()); });
+                });
+            },
+        .publish =
+            [this, leader](const std::string &, std::uint64_t term, const std::string &primary,
+                           auto done) {
+                this->later([this, leader, term, primary, done] {
+                    const auto isPublished = this->publish(leader, term, primary);
+                    done(isPublished, this->scheduler.now());
+                });
+            },
+        .follow =
+            [this](const GroupEndpoint &endpoint, const std::string &, std::uint64_t term,
+                   const GroupEndpoint &primary, auto done) {
+                const auto answer = once(std::function(done));
+                this->order(endpoint.name, [this, term, primary = primary.name,
+                                            answer](ExploredServer &server) {
+                    const auto isDone = server.follow(term, primary);
+                    this->note(absl::StrCat(server.name, " follows ", primary, " in term ", term,
+                                            isDone ? "" : ", refused"));
+                    this->respond(
+                        server, [this, answer, isDone] { answer(isDone, this->scheduler.now()); });
+                });
+            },
+        .failoverEnded =
+            [this](const FailoverRecord &record) {
+                this->completedFailovers += record.completed ? 1 : 0;
+            },
+    };
+}
+
+auto ExploredWorld::grant(std::size_t leader, std::uint64_t term) -> std::optional<Revision>
+{
+    if (!this->isCurrent(leader) || term != this->view.term + 1)
+        return std::nullopt;
+    this->note(absl::StrCat("term ", term, " is granted"));
+    this->view.term = term;
+    this->view.phase = GroupPhase::Fencing;
+    this->coordinators[leader].groupChanged(this->view, this->scheduler.now());
+    return Revision(term);
+}
+
+auto ExploredWorld::publish(std::size_t leader, std::uint64_t term, const std::string &primary)
+    -> bool
+{
+    if (!this->isCurrent(leader) || term != this->view.term || this->view.find(primary) == nullptr)
+        return false;
+    if (this->view.phase == GroupPhase::Serving)
+        return this->view.primary == primary;
+    if (const auto record = this->coordinators[leader].currentRecord(GROUP))
+        this->checkPublished(*record);
+    this->note(absl::StrCat(primary, " is published in term ", term));
+    this->view.phase = GroupPhase::Serving;
+    this->view.primary = primary;
+    this->coordinators[leader].groupChanged(this->view, this->scheduler.now());
+    return true;
+}
+
+auto ExploredWorld::isInForce(std::size_t leader, Revision revision) const -> bool
+{
+    const auto margin = LEASE_DURATION * LEASE_DRIFT_PERCENT / 100;
+    return this->isCurrent(leader)
+           && std::all_of(this->entries.begin(), this->entries.end(), [&](const Entry &entry) {
+                  return entry.view.term >= revision
+                         || this->scheduler.now() > entry.leaseEnd + margin;
+              });
+}
+
+auto ExploredWorld::checkPublished(const FailoverRecord &record) -> void
+{
+    const auto *chosen = this->server(record.newPrimary);
+    const auto *old = this->server(record.oldPrimary);
+    if (chosen == nullptr || old == nullptr || chosen == old)
+        return;
+    const auto isOldAsked = old->term >= record.term;
+    const auto &known = this->knownAtPromotion[record.term];
+    for (const auto &write : old->log) {
+        const auto isHeldByKnown =
+            std::any_of(known.begin(), known.end(), [&](const GroupEndpoint &endpoint) {
+                return endpoint.name != old->name && this->server(endpoint.name)->holds(write.id);
+            });
+        if (!chosen->holds(write.id) && !isHeldByKnown
+            && (!isOldAsked || record.cause != FailoverCause::Planned))
+            this->unprotected.insert(write.id);
+    }
+}
+
+auto ExploredWorld::order(const std::string &name, const Order &handle) -> void
+{
+    const auto deliver = [this, name, handle] {
+        auto &server = *this->server(name);
+        if (server.isDown || !server.reachesControl)
+            return;
+        if (server.isFrozen)
+            server.heldMessages.push_back([this, name, handle] { handle(*this->server(name)); });
+        else
+            handle(server);
+    };
+    if (!this->chance(LOSS_PERCENT))
+        this->later(deliver);
+    if (this->chance(DOUBLE_PERCENT))
+        this->later(deliver);
+}
+
+auto ExploredWorld::respond(const ExploredServer &server, Task response) -> void
+{
+    if (server.reachesControl && !this->chance(LOSS_PERCENT))
+        this->later(std::move(response));
+}
+
+auto ExploredWorld::isCurrent(std::size_t leader) const -> bool
+{
+    return leader + 1 == this->coordinators.size();
+}
+
+} // namespace auburnrail::testing
--- /dev/null
+++ b/libs/failover/tests/FailoverExplorationTest.cpp
@@ -0,0 +1,123 @@
+#include "ExploredWorld.h"
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
+#include <catch2/catch.hpp>
+
+#include <cstdlib>
+
+namespace auburnrail {
+
+using testing::ExploredEvent;
+using testing::ExploredEventKind;
+using testing::ExploredWorld;
+
+namespace {
+
+using Schedule = std::vector<ExploredEvent>;
+
+constexpr auto MAX_EVENTS = std::size_t(10);
+constexpr auto MAX_PAUSE_MS = std::uint64_t(3000);
+
+/// The world and the events that a seed stands for.
+struct ExploredCase
+{
+    std::size_t servers = 3;
+    std::uint32_t synchronousReplicas = 1;
+    std::uint64_t seed = 0;
+    Schedule schedule;
+};
+
+auto makeCase(std::uint64_t seed) -> ExploredCase
+{
+    const auto random = makeSeededRandom(seed);
+    auto result = ExploredCase{.servers = 2 + random() % 3, .seed = seed};
+    result.synchronousReplicas =
+        result.servers > 2 ? 1 + static_cast<std::uint32_t>(random() % 2) : 1;
+    const auto &kinds = ENUM_NAMES<ExploredEventKind>;
+    for (auto left = 1 + random() % MAX_EVENTS; left > 0; --left) {
+        // Short pauses matter most: events meet while a failover is in progress.
+        const auto longest = random() % 2 == 0 ? MAX_PAUSE_MS / 10 : MAX_PAUSE_MS;
+        result.schedule.push_back({.kind = kinds[random() % kinds.size()].value,
+                                   .target = random() % 5,
+                                   .pause = std::chrono::milliseconds(random() % longest)});
+    }
+    return result;
+}
+
+auto play(const ExploredCase &explored, const Schedule &schedule) -> std::vector<std::string>
+{
+    auto world = ExploredWorld(explored.servers, explored.synchronousReplicas, explored.seed);
+    for (const auto &event : schedule)
+        world.run(event);
+    world.settle();
+    return world.violations;
+}
+
+/// Leaves out events as long as the case still fails.
+auto shrink(const ExploredCase &explored) -> Schedule
+{
+    auto shortest = explored.schedule;
+    for (auto index = std::size_t(0); index < shortest.size();) {
+        auto shorter = shortest;
+        shorter.erase(shorter.begin() + static_cast<std::ptrdiff_t>(index));
+        if (play(explored, shorter).empty())
+            ++index;
+        else
+            shortest = std::move(shorter);
+    }
+    return shortest;
+}
+
+auto describe(const ExploredCase &explored) -> std::string
+{
+    auto text = absl::StrCat("seed ", explored.seed, ", ", explored.servers, " servers, ",
+                             explored.synchronousReplicas, " synchronous replicas\n");
+    const auto schedule = shrink(explored);
+    for (const auto &event : schedule) {
+        absl::StrAppend(&text, "  ", std::string(nameOf(event.kind)), " ", event.target, ", then ",
+                        event.pause.count(), " ms\n");
+    }
+    auto world = ExploredWorld(explored.servers, explored.synchronousReplicas, explored.seed, true);
+    for (const auto &event : schedule)
+        world.run(event);
+    world.settle();
+    absl::StrAppend(&text, absl::StrJoin(world.timeline, "\n"));
+    return text;
+}
+
+auto checkSeeds(std::uint64_t first, std::uint64_t count) -> void
+{
+    for (auto seed = first; seed < first + count; ++seed) {
+        const auto explored = makeCase(seed);
+        if (!play(explored, explored.schedule).empty())
+            FAIL_CHECK(describe(explored));
+    }
+}
+
+/// Number in an environment variable, or `otherwise`.
+auto numberFrom(const char *variable, std::uint64_t otherwise) -> std::uint64_t
+{
+    const auto *text = std::getenv(variable);
+    auto number = std::uint64_t(0);
+    return text != nullptr && absl::SimpleAtoi(text, &number) ? number : otherwise;
+}
+
+} // namespace
+
+// Guards against acknowledged writes that are lost, two primaries that acknowledge, and groups or
+// servers that stay without a role, in orders of events that nobody thought of. By hand,
+// EXPLORED_FIRST and EXPLORED_COUNT choose other seeds.
+TEST_CASE("no order of explored events breaks a rule of the failover")
+{
+    checkSeeds(numberFrom("EXPLORED_FIRST", 1), numberFrom("EXPLORED_COUNT", 500));
+}
+
+// Guards against a replica that follows a server that is not the primary.
+TEST_CASE("a late order to catch up doesn't replace the order to follow the primary")
+{
+    checkSeeds(4076, 1);
+}
+
+} // namespace auburnrail
