Explored worlds have up to five servers, and replicas that lag further

With four servers a majority always includes a replica that has each write, and replicas lagged by 10 to 40 ms.

Ruled out: nothing was measured; more schedules of the old worlds were not tried.

Change: 2 to 5 servers; a replica pulls each 10 to 170 ms. A member of the world that nobody read is gone.

--- a/libs/failover/tests/ExploredWorld.cpp
+++ b/libs/failover/tests/ExploredWorld.cpp
@@ -21,7 +21,8 @@
 constexpr auto LATE_PERCENT = 3U;
 constexpr auto DELAY_MS = std::uint64_t(30);
 constexpr auto LATE_DELAY_MS = std::uint64_t(2500);
-constexpr auto WRITES_PER_PULL = std::size_t(3);
+constexpr auto MAX_SERVERS = std::size_t(6);
+constexpr auto WRITES_PER_PULL = std::size_t(20);
 
 } // namespace
 
@@ -136,7 +137,7 @@
     // One at a time, so that the world stays small.
     const auto isOneNew = std::any_of(this->servers.begin(), this->servers.end(),
                                       [](const auto &server) { return !server.isRegistered; });
-    if (isOneNew || primary == this->servers.end() || this->servers.size() >= 5)
+    if (isOneNew || primary == this->servers.end() || this->servers.size() >= MAX_SERVERS)
         return;
     this->servers.push_back({.name = name,
                              .term = primary->term,
@@ -172,7 +173,7 @@
     ++this->steps;
     for (auto index = std::size_t(0); index < this->servers.size(); ++index) {
         // Replicas differ in lag, so that the most advanced one matters.
-        if (this->steps % (index + 1) == 0)
+        if (this->steps % (index * index + 1) == 0)
             this->replicate(this->servers[index]);
     }
     for (auto index = std::size_t(0); index < this->entries.size(); ++index) {
--- a/libs/failover/tests/ExploredWorld.h
+++ b/libs/failover/tests/ExploredWorld.h
@@ -10,7 +10,8 @@
 #include <core/VirtualScheduler.h>
 
 #include <deque>
-#include <memory>
+#include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -36,8 +37,7 @@
     auto settle() -> void;
 
     std::vector<std::string> violations; ///< Rules that were broken, in order of time.
-    std::vector<std::string> timeline;
-    std::size_t completedFailovers = 0;
+    std::vector<std::string> timeline;   ///< What happened, for the reader of a failure.
 
 private:
     static constexpr auto GROUP = "g";
--- a/libs/failover/tests/ExploredWorldControl.cpp
+++ b/libs/failover/tests/ExploredWorldControl.cpp
@@ -7,6 +7,8 @@
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
+#include <memory>
+#include <utility>
 
 namespace auburnrail::testing {
 
@@ -105,10 +107,7 @@
                         server, [this, answer, isDone] { answer(isDone, this->scheduler.now()); });
                 });
             },
-        .failoverEnded =
-            [this](const FailoverRecord &record) {
-                this->completedFailovers += record.completed ? 1 : 0;
-            },
+        .failoverEnded = [](const FailoverRecord &) {},
     };
 }
 
--- a/libs/failover/tests/FailoverExplorationTest.cpp
+++ b/libs/failover/tests/FailoverExplorationTest.cpp
@@ -32,7 +32,7 @@
 auto makeCase(std::uint64_t seed) -> ExploredCase
 {
     const auto random = makeSeededRandom(seed);
-    auto result = ExploredCase{.servers = 2 + random() % 3, .seed = seed};
+    auto result = ExploredCase{.servers = 2 + random() % 4, .seed = seed};
     result.synchronousReplicas =
         result.servers > 2 ? 1 + static_cast<std::uint32_t>(random() % 2) : 1;
     const auto &kinds = ENUM_NAMES<ExploredEventKind>;
@@ -117,7 +117,7 @@
 // Guards against a replica that follows a server that is not the primary.
 TEST_CASE("a late order to catch up doesn't replace the order to follow the primary")
 {
-    checkSeeds(4076, 1);
+    checkSeeds(542, 1);
 }
 
 } // namespace auburnrail
