One type for hooks that are told of a refusal

Cause: the same function type had three names (ThreadRefused, StreamListener::Refused, ListeningSocket::Refused) and stood twice without one.

Ruled out: leaving it in core/StartThread.h; whoever listens for connections starts no threads by it.

Change: core/RefusalHook.h. No behaviour changes.

Conclusion: refusalLogger() and all its receivers share one type.

--- a/libs/core/include/core/WorkerPoolHooks.h
+++ b/libs/core/include/core/WorkerPoolHooks.h
@@ -10,7 +10,7 @@
 struct WorkerPoolHooks
 {
     ThreadStarter startThread = auburnrail::startThread;
-    ThreadRefused refused; ///< Optional; called for each thread that can't be started.
+    RefusalHook refused; ///< Optional; called for each thread that can't be started.
 };
 
 } // namespace auburnrail
--- a/libs/core/src/StartThread.cpp
+++ b/libs/core/src/StartThread.cpp
@@ -24,7 +24,7 @@
 }
 
 auto untilThreadStarts(const std::function<auto()->absl::Status> &attempt,
-                       const ThreadRefused &refused) -> absl::Status
+                       const RefusalHook &refused) -> absl::Status
 {
     auto status = attempt();
     if (absl::IsResourceExhausted(status) && refused)
@@ -36,7 +36,7 @@
     return status;
 }
 
-auto startRequiredThread(const Task &task, const ThreadRefused &refused, const ThreadStarter &start)
+auto startRequiredThread(const Task &task, const RefusalHook &refused, const ThreadStarter &start)
     -> std::thread
 {
     auto thread = std::thread();
--- a/libs/daemon/include/daemon/Logging.h
+++ b/libs/daemon/include/daemon/Logging.h
@@ -3,6 +3,8 @@
 
 #include <daemon/LogLevel.h>
 
+#include <core/RefusalHook.h>
+
 #include <absl/status/status.h>
 
 #include <functional>
@@ -37,8 +39,7 @@
 
 /// Logs that the system refused something that the component goes on without. `logger` and
 /// `message` must outlive the returned function.
-[[nodiscard]] auto refusalLogger(std::string_view logger, std::string_view message)
-    -> std::function<auto(const absl::Status &)->void>;
+[[nodiscard]] auto refusalLogger(std::string_view logger, std::string_view message) -> RefusalHook;
 
 } // namespace auburnrail
 
--- a/libs/daemon/src/Logging.cpp
+++ b/libs/daemon/src/Logging.cpp
@@ -110,8 +110,7 @@
         log4cxx::MDC::remove(std::string(field.first));
 }
 
-auto refusalLogger(std::string_view logger, std::string_view message)
-    -> std::function<auto(const absl::Status &)->void>
+auto refusalLogger(std::string_view logger, std::string_view message) -> RefusalHook
 {
     return [logger, message](const absl::Status &status) {
         logLine(LogLevel::Error, logger, message, {{"error", std::string(status.message())}});
--- a/libs/http/include/http/HttpServer.h
+++ b/libs/http/include/http/HttpServer.h
@@ -4,6 +4,8 @@
 #include <http/HttpRequest.h>
 #include <http/HttpResponse.h>
 
+#include <core/RefusalHook.h>
+
 #include <absl/status/status.h>
 
 #include <cstddef>
@@ -28,7 +30,7 @@
 
     /// A connection could not be accepted, for lack of descriptors in most cases; it is tried again
     /// after a pause. Logged by default.
-    std::function<auto(const absl::Status &)->void> acceptRefused;
+    RefusalHook acceptRefused;
 };
 
 /// Where and how an HttpServer listens.
--- a/libs/http/src/detail/ListeningSocket.cpp
+++ b/libs/http/src/detail/ListeningSocket.cpp
@@ -15,7 +15,7 @@
 class ListeningSocketImpl : public Poco::Net::ServerSocketImpl
 {
 public:
-    explicit ListeningSocketImpl(ListeningSocket::Refused refusedHook)
+    explicit ListeningSocketImpl(RefusalHook refusedHook)
         : refused(std::move(refusedHook))
     {
     }
@@ -43,12 +43,12 @@
         }
     }
 
-    const ListeningSocket::Refused refused;
+    const RefusalHook refused;
 };
 
 } // namespace
 
-ListeningSocket::ListeningSocket(Refused refused)
+ListeningSocket::ListeningSocket(RefusalHook refused)
     : ServerSocket(new ListeningSocketImpl(std::move(refused)), true)
 {
 }
--- a/libs/net/include/net/IoPool.h
+++ b/libs/net/include/net/IoPool.h
@@ -2,7 +2,7 @@
 #define AUBURNRAIL_NET_IOPOOL_H
 
 #include <core/Executor.h>
-#include <core/StartThread.h>
+#include <core/RefusalHook.h>
 
 #include <cstddef>
 #include <memory>
@@ -24,7 +24,7 @@
 public:
     /// Starts `threadCount` threads, at least one. Waits until the system has room for the first;
     /// goes on with fewer when it has none for the others. `refused` may be empty.
-    explicit IoPool(std::size_t threadCount, const ThreadRefused &refused = {});
+    explicit IoPool(std::size_t threadCount, const RefusalHook &refused = {});
     IoPool(const IoPool &) = delete;
     auto operator=(const IoPool &) -> IoPool & = delete;
 
--- a/libs/net/include/net/StreamListener.h
+++ b/libs/net/include/net/StreamListener.h
@@ -3,6 +3,8 @@
 
 #include <net/StreamConnection.h>
 
+#include <core/RefusalHook.h>
+
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -17,13 +19,11 @@
     /// Gets each accepted connection, which is not started yet.
     using Accepted = std::function<auto(StreamConnection::Pointer)->void>;
 
-    /// Told that a connection could not be accepted, mostly for lack of descriptors or memory. The
-    /// listener tries again soon.
-    using Refused = std::function<auto(const absl::Status &)->void>;
-
-    /// `pool` must outlive this object. `refused` may be empty.
+    /// `pool` must outlive this object. `refused` is told of a connection that could not be
+    /// accepted, mostly for lack of descriptors or memory; the listener tries again soon. It may be
+    /// empty.
     StreamListener(IoPool &pool, std::string address, StreamLimits limits, Accepted accepted,
-                   Refused refused = {});
+                   RefusalHook refused = {});
     StreamListener(const StreamListener &) = delete;
     auto operator=(const StreamListener &) -> StreamListener & = delete;
 
--- a/libs/net/src/IoPool.cpp
+++ b/libs/net/src/IoPool.cpp
@@ -4,6 +4,7 @@
 #include "detail/OpenStreams.h"
 
 #include <core/MonotonicClock.h>
+#include <core/StartThread.h>
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
@@ -31,7 +32,7 @@
     std::vector<std::thread> threads;
 };
 
-IoPool::IoPool(std::size_t threadCount, const ThreadRefused &refused)
+IoPool::IoPool(std::size_t threadCount, const RefusalHook &refused)
 {
     assert(threadCount > 0 && "threadCount must be at least 1");
     this->impl = std::make_unique<Impl>(threadCount);
--- a/libs/net/src/StreamListener.cpp
+++ b/libs/net/src/StreamListener.cpp
@@ -26,7 +26,7 @@
         boost::asio::basic_socket_acceptor<boost::asio::ip::tcp, detail::TcpStream::Strand>;
 
     Impl(IoPool &ioPool, std::string listenAddress, const StreamLimits &streamLimits,
-         Accepted acceptedHook, Refused refusedHook)
+         Accepted acceptedHook, RefusalHook refusedHook)
         : pool(ioPool)
         , executor(ioPool.executor())
         , address(std::move(listenAddress))
@@ -73,13 +73,13 @@
     const std::string address;
     const StreamLimits limits;
     const Accepted accepted;
-    const Refused refused;
+    const RefusalHook refused;
     Acceptor acceptor;
     std::uint16_t port = 0;
 };
 
 StreamListener::StreamListener(IoPool &pool, std::string address, StreamLimits limits,
-                               Accepted accepted, Refused refused)
+                               Accepted accepted, RefusalHook refused)
     : impl(std::make_shared<Impl>(pool, std::move(address), limits, std::move(accepted),
                                   std::move(refused)))
 {
--- a/libs/proxy/include/proxy/ProxyServerHooks.h
+++ b/libs/proxy/include/proxy/ProxyServerHooks.h
@@ -11,10 +11,8 @@
 
 #include <state/FleetObjects.h>
 
-#include <net/StreamListener.h>
-
 #include <core/RandomSource.h>
-#include <core/StartThread.h>
+#include <core/RefusalHook.h>
 #include <core/Time.h>
 
 #include <functional>
@@ -42,8 +40,8 @@
     /// Counts what happens to connections to servers; may be empty.
     std::function<auto(ServerConnectionEvent event)->void> countConnection;
     RandomSource random;
-    ThreadRefused threadRefused;           ///< May be empty.
-    StreamListener::Refused acceptRefused; ///< May be empty.
+    RefusalHook threadRefused; ///< May be empty.
+    RefusalHook acceptRefused; ///< May be empty.
 };
 
 } // namespace auburnrail
