One way to read the processor time of a process

Ruled out: daemon as its place; the benchmark and the HTTP library need core only.

Change: core/ProcessorTime.h.

Conclusion: one copy.

--- a/libs/control/src/ControlLoadLog.cpp
+++ b/libs/control/src/ControlLoadLog.cpp
@@ -2,30 +2,13 @@
 
 #include <control/ControlTables.h>
 
+#include <core/ProcessorTime.h>
 #include <daemon/Logging.h>
 
 #include <absl/strings/str_cat.h>
 
-#include <sys/resource.h>
-
 namespace auburnrail {
 
-namespace {
-
-/// Processor time of this process, in its own code and in the system's.
-auto processorTime() -> Duration
-{
-    auto usage = rusage();
-    if (getrusage(RUSAGE_SELF, &usage) != 0)
-        return Duration();
-    const auto toDuration = [](const timeval &time) {
-        return std::chrono::seconds(time.tv_sec) + std::chrono::microseconds(time.tv_usec);
-    };
-    return toDuration(usage.ru_utime) + toDuration(usage.ru_stime);
-}
-
-} // namespace
-
 ControlLoadLog::ControlLoadLog(ControlTables &controlTables)
     : tables(controlTables)
 {
--- a/libs/http/tests/ListeningSocketTest.cpp
+++ b/libs/http/tests/ListeningSocketTest.cpp
@@ -1,6 +1,6 @@
 #include "detail/ListeningSocket.h"
 
-#include <core/Time.h>
+#include <core/ProcessorTime.h>
 
 #include <catch2/catch.hpp>
 
@@ -8,7 +8,6 @@
 #include <Poco/Net/TCPServer.h>
 #include <Poco/Net/TCPServerConnectionFactory.h>
 
-#include <sys/resource.h>
 #include <sys/socket.h>
 
 #include <atomic>
@@ -20,16 +19,6 @@
 
 using namespace std::chrono_literals;
 
-auto processorTime() -> Duration
-{
-    auto usage = rusage();
-    ::getrusage(RUSAGE_SELF, &usage);
-    const auto toDuration = [](const timeval &time) {
-        return std::chrono::seconds(time.tv_sec) + std::chrono::microseconds(time.tv_usec);
-    };
-    return toDuration(usage.ru_utime) + toDuration(usage.ru_stime);
-}
-
 /// Never asked for a connection, since none is accepted.
 class NoConnections : public Poco::Net::TCPServerConnectionFactory
 {
