--- a/libs/consensus/src/ConsensusNodeLeader.cpp
+++ b/libs/consensus/src/ConsensusNodeLeader.cpp
@@ -177,16 +177,13 @@
             this->replicateTo(message.from, *progress, now);
         return;
     }
-    if (progress->outstandingSentAt == response.sentAt) {
-        progress->nextIndex =
-            std::clamp(response.retryFrom, progress->matchIndex + 1,
-                       std::max(progress->matchIndex + 1, progress->nextIndex - 1));
-    } else if (progress->isLost(response.sentAt)) {
-        progress->nextIndex = std::clamp(response.retryFrom, progress->matchIndex + 1,
-                                         std::max(progress->matchIndex + 1, progress->nextIndex));
-    } else {
+    const auto isOutstanding = progress->outstandingSentAt == response.sentAt;
+    if (!isOutstanding && !progress->isLost(response.sentAt))
         return;
-    }
+    // The outstanding request itself is refused for the entry before those that it carries.
+    const auto highest = progress->nextIndex - (isOutstanding ? 1 : 0);
+    const auto lowest = progress->matchIndex + 1;
+    progress->nextIndex = std::clamp(response.retryFrom, lowest, std::max(lowest, highest));
     this->replicateTo(message.from, *progress, now);
 }
 
--- a/libs/failover/src/FailoverCoordinator.cpp
+++ b/libs/failover/src/FailoverCoordinator.cpp
@@ -256,7 +256,6 @@
         this->plannedNotBefore.insert_or_assign(record.group, now + this->limits.plannedRetryDelay);
     else
         this->plannedNotBefore.erase(record.group);
-    this->suspicions.clear(record.group);
     this->attempts.erase(record.group);
 }
 
--- a/libs/failover/src/FailoverSteps.cpp
+++ b/libs/failover/src/FailoverSteps.cpp
@@ -13,7 +13,8 @@
 {
     // What is fenced must not receive anything before the promotion.
     this->dropFollows(view.name);
-    // The reports against this primary would start a second attempt in place of this one.
+    // The reports against this primary would start a second attempt in place of this one. Further
+    // ones are not taken before it ends.
     this->suspicions.clear(view.name);
     auto &attempt = this->attempts[view.name];
     attempt.view = view;
--- a/libs/failover/tests/FailoverContractTest.cpp
+++ b/libs/failover/tests/FailoverContractTest.cpp
@@ -145,7 +145,6 @@
     }
 }
 
-// Guards against an old primary that returns after the failover and does not rejoin the group.
 // Guards against a group that stays without a primary until the leader changes.
 TEST_CASE("another endpoint is promoted when the chosen one departs before it is published")
 {
@@ -161,6 +160,7 @@
     checkServing(group);
 }
 
+// Guards against an old primary that returns after the failover and does not rejoin the group.
 TEST_CASE("an old primary that returns after the failover is told to follow")
 {
     auto group = GroupSimulation();
--- a/libs/failover/tests/FailoverExplorationTest.cpp
+++ b/libs/failover/tests/FailoverExplorationTest.cpp
@@ -46,13 +46,22 @@
     return result;
 }
 
-auto play(const ExploredCase &explored, const Schedule &schedule) -> std::vector<std::string>
+/// Plays the schedule and returns `result` of the world in its end.
+auto play(const ExploredCase &explored, const Schedule &schedule,
+          std::vector<std::string> ExploredWorld::*result, bool keepsTimeline = false)
+    -> std::vector<std::string>
 {
-    auto world = ExploredWorld(explored.servers, explored.synchronousReplicas, explored.seed);
+    auto world =
+        ExploredWorld(explored.servers, explored.synchronousReplicas, explored.seed, keepsTimeline);
     for (const auto &event : schedule)
         world.run(event);
     world.settle();
-    return world.violations;
+    return world.*result;
+}
+
+auto breaksRule(const ExploredCase &explored, const Schedule &schedule) -> bool
+{
+    return !play(explored, schedule, &ExploredWorld::violations).empty();
 }
 
 /// Leaves out events as long as the case still fails.
@@ -62,10 +71,10 @@
     for (auto index = std::size_t(0); index < shortest.size();) {
         auto shorter = shortest;
         shorter.erase(shorter.begin() + static_cast<std::ptrdiff_t>(index));
-        if (play(explored, shorter).empty())
-            ++index;
-        else
+        if (breaksRule(explored, shorter))
             shortest = std::move(shorter);
+        else
+            ++index;
     }
     return shortest;
 }
@@ -79,11 +88,8 @@
         absl::StrAppend(&text, "  ", std::string(nameOf(event.kind)), " ", event.target, ", then ",
                         event.pause.count(), " ms\n");
     }
-    auto world = ExploredWorld(explored.servers, explored.synchronousReplicas, explored.seed, true);
-    for (const auto &event : schedule)
-        world.run(event);
-    world.settle();
-    absl::StrAppend(&text, absl::StrJoin(world.timeline, "\n"));
+    absl::StrAppend(&text,
+                    absl::StrJoin(play(explored, schedule, &ExploredWorld::timeline, true), "\n"));
     return text;
 }
 
@@ -91,7 +97,7 @@
 {
     for (auto seed = first; seed < first + count; ++seed) {
         const auto explored = makeCase(seed);
-        if (!play(explored, explored.schedule).empty())
+        if (breaksRule(explored, explored.schedule))
             FAIL_CHECK(describe(explored));
     }
 }
--- a/libs/wire/src/HeartbeatCodec.cpp
+++ b/libs/wire/src/HeartbeatCodec.cpp
@@ -119,15 +119,15 @@
                    const std::function<auto(const std::string &)->absl::StatusOr<T>> &decode)
     -> absl::StatusOr<std::shared_ptr<const T>>
 {
-    auto encoded = absl::StatusOr<std::string>(bytes);
+    auto decompressed = absl::StatusOr<std::string>();
     if (uncompressedBytes) {
         if (*uncompressedBytes < 0 || *uncompressedBytes > MAX_PAYLOAD_BYTES)
             return absl::DataLossError("the size of the state is out of range");
-        encoded = decompress(bytes, static_cast<std::size_t>(*uncompressedBytes));
+        decompressed = decompress(bytes, static_cast<std::size_t>(*uncompressedBytes));
+        if (!decompressed.ok())
+            return decompressed.status();
     }
-    if (!encoded.ok())
-        return encoded.status();
-    auto value = decode(*encoded);
+    auto value = decode(uncompressedBytes ? *decompressed : bytes);
     if (!value.ok())
         return value.status();
     return std::make_shared<const T>(*std::move(value));
