Prepared statements get assigned names on a server's connection

Callers saw: a server ran `EXECUTE rq1a WRITE yomj ...` for `EXECUTE s4 ...`. A statement prepared with READ ran as a write, and one session's EXECUTE could run what another one had prepared.

Cause: ServerSession made the name on the connection of the shape. The shape is the last field of PREPARE and extends to the end of the line, so it may hold blanks; a name is one word. The server split the name: `PREPARE rq1 WRITE a READ q1 WRITE a` prepares `rq1` with access WRITE.

Ruled out: lines split at the wrong byte, since READ and WRITE with blanks arrive unchanged (the same proxy, the same reader); a connection used by two sessions at once, since every line on it is in the order of one session. Escaping or hashing the shape: a name that doesn't come from a client needs no proof that it is injective.

Change: a connection numbers the statements that are prepared on it, and finds them by content. Numbers are not used again after a reset. The test that expected the name "rq" now checks the prepared text, the assigned name, and that EXECUTE uses it.

Other text that is put beside other fields is looked at next.

--- a/libs/proxy/include/proxy/PreparedStatement.h
+++ b/libs/proxy/include/proxy/PreparedStatement.h
@@ -1,6 +1,7 @@
 #ifndef AUBURNRAIL_PROXY_PREPAREDSTATEMENT_H
 #define AUBURNRAIL_PROXY_PREPAREDSTATEMENT_H
 
+#include <compare>
 #include <string>
 
 namespace auburnrail {
@@ -11,7 +12,7 @@
     std::string shape;
     bool writes = false;
 
-    auto operator==(const PreparedStatement &) const -> bool = default;
+    auto operator<=>(const PreparedStatement &) const = default;
 };
 
 } // namespace auburnrail
--- a/libs/proxy/include/proxy/ServerSession.h
+++ b/libs/proxy/include/proxy/ServerSession.h
@@ -5,6 +5,7 @@
 #include <proxy/ServerRequest.h>
 #include <proxy/SessionValues.h>
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <vector>
@@ -14,8 +15,9 @@
 /// Session state that a connection to a server has accumulated. Sessions use a connection one after
 /// the other, so the connection is set to the values of the current session before a statement
 /// runs. Prepared statements are shared between sessions and identified by their content, not by
-/// the names that clients gave them. Not thread-safe: used only by the current holder of the
-/// connection's lease.
+/// the names that clients gave them. On the connection each has a name that the proxy assigned, so
+/// that no text of a client stands where a server expects a name. Not thread-safe: used only by the
+/// current holder of the connection's lease.
 class ServerSession
 {
 public:
@@ -33,12 +35,13 @@
     /// Records that a request from preparations() succeeded.
     auto applied(const ServerRequest &request) -> void;
 
-    /// Name of the prepared statement on this connection.
-    [[nodiscard]] static auto nameOnServer(const PreparedStatement &prepared) -> std::string;
+    /// Name of a statement on this connection. Its Prepare request must have succeeded.
+    [[nodiscard]] auto nameOnServer(const PreparedStatement &prepared) const -> const std::string &;
 
 private:
     SessionValues values;
-    std::map<std::string, PreparedStatement> preparedByName;
+    std::map<PreparedStatement, std::string> preparedNames;
+    std::uint64_t assignedNames = 0; ///< Names are not used again after a reset.
 };
 
 } // namespace auburnrail
--- a/libs/proxy/src/ServerSession.cpp
+++ b/libs/proxy/src/ServerSession.cpp
@@ -1,6 +1,9 @@
 #include <proxy/ServerSession.h>
 
+#include <absl/strings/str_cat.h>
+
 #include <algorithm>
+#include <cassert>
 
 namespace auburnrail {
 
@@ -13,7 +16,7 @@
     const auto hasForeignValue =
         std::any_of(this->values.begin(), this->values.end(),
                     [&](const auto &value) { return !wanted.contains(value.first); });
-    const auto isFull = this->preparedByName.size() >= MAX_PREPARED;
+    const auto isFull = this->preparedNames.size() >= MAX_PREPARED;
     const auto resets = !inTransaction && (hasForeignValue || isFull);
     if (resets)
         requests.push_back(ServerRequest{.operation = ServerOperation::ResetSession});
@@ -26,10 +29,9 @@
     }
     if (!prepared)
         return requests;
-    auto name = nameOnServer(*prepared);
-    if (resets || !this->preparedByName.contains(name)) {
+    if (resets || !this->preparedNames.contains(*prepared)) {
         requests.push_back(ServerRequest{.operation = ServerOperation::Prepare,
-                                         .name = std::move(name),
+                                         .name = absl::StrCat("p", this->assignedNames + 1),
                                          .value = prepared->shape,
                                          .writes = prepared->writes});
     }
@@ -41,23 +43,27 @@
     switch (request.operation) {
     case ServerOperation::ResetSession:
         this->values.clear();
-        this->preparedByName.clear();
+        this->preparedNames.clear();
         break;
     case ServerOperation::SetValue:
         this->values.insert_or_assign(request.name, request.value);
         break;
     case ServerOperation::Prepare:
-        this->preparedByName.insert_or_assign(request.name,
-                                              PreparedStatement{request.value, request.writes});
+        this->preparedNames.insert_or_assign(PreparedStatement{request.value, request.writes},
+                                             request.name);
+        ++this->assignedNames;
         break;
     default:
         break;
     }
 }
 
-auto ServerSession::nameOnServer(const PreparedStatement &prepared) -> std::string
+auto ServerSession::nameOnServer(const PreparedStatement &prepared) const -> const std::string &
 {
-    return (prepared.writes ? "w" : "r") + prepared.shape;
+    const auto found = this->preparedNames.find(prepared);
+    assert(found != this->preparedNames.end()
+           && "the statement must be prepared on the connection");
+    return found->second;
 }
 
 } // namespace auburnrail
--- a/libs/proxy/src/StatementRun.cpp
+++ b/libs/proxy/src/StatementRun.cpp
@@ -200,7 +200,7 @@
                                  .text = this->statementRequest.statement.text};
     if (this->statementRequest.prepared) {
         request.operation = ServerOperation::Execute;
-        request.name = ServerSession::nameOnServer(*this->statementRequest.prepared);
+        request.name = this->connection->session.nameOnServer(*this->statementRequest.prepared);
         request.value = this->statementRequest.statement.value;
     }
     if (!this->transactionOpen)
--- a/libs/proxy/tests/ProxySessionTest.cpp
+++ b/libs/proxy/tests/ProxySessionTest.cpp
@@ -145,7 +145,12 @@
     CHECK_FALSE(errorOf(fixture.ask(
         ClientStatement{.kind = StatementKind::Execute, .name = "p", .value = "item"})));
     REQUIRE(fixture.servers.sent.size() == 3);
-    CHECK(fixture.servers.sent.back().name == "rq");
+    const auto &prepared = fixture.servers.sent[1];
+    CHECK(prepared.operation == ServerOperation::Prepare);
+    CHECK(prepared.value == "q");
+    CHECK(prepared.name == "p1");
+    CHECK(fixture.servers.sent.back().operation == ServerOperation::Execute);
+    CHECK(fixture.servers.sent.back().name == prepared.name);
     CHECK_FALSE(
         errorOf(fixture.ask(ClientStatement{.kind = StatementKind::Deallocate, .name = "p"})));
     CHECK(errorOf(fixture.ask(ClientStatement{.kind = StatementKind::Execute, .name = "p"}))
