--- a/libs/proxy/include/proxy/ClientStatement.h
+++ b/libs/proxy/include/proxy/ClientStatement.h
@@ -17,6 +17,7 @@
     std::string value;   ///< SetValue: the value. Execute: the arguments.
     std::string shape;   ///< Prepare: the text that is prepared.
     bool writes = false; ///< Prepare: the statement writes when it is run.
+    std::string problem; ///< Malformed: why the statement can't be run.
 
     auto operator==(const ClientStatement &) const -> bool = default;
 };
--- a/libs/proxy/src/ProxySessionStatements.cpp
+++ b/libs/proxy/src/ProxySessionStatements.cpp
@@ -23,7 +23,7 @@
         this->rollBack();
         break;
     default:
-        this->respondFailure(StatementError::Malformed, "the statement can't be understood");
+        this->respondFailure(StatementError::Malformed, statement.problem);
     }
 }
 
