No connection is opened to a server whose group is not known any more

Callers saw: nothing known. When an endpoint was removed between two questions to the fleet state, `STARTUP` went out with an empty service, so that a reader that skips blanks would take the organisation for the service.

Ruled out: sending it and relying on the server's refusal.

Conclusion: read, not reproduced.

--- a/libs/proxy/src/ServerConnections.cpp
+++ b/libs/proxy/src/ServerConnections.cpp
@@ -156,14 +156,15 @@
     -> void
 {
     const auto address = this->hooks.addressOf(handle.endpoint);
-    if (!address) {
+    const auto group = this->hooks.groupOf(handle.endpoint);
+    // The endpoint may have been removed between the two questions.
+    if (!address || group.empty()) {
         this->connectionPool.openFailed(handle, absl::NotFoundError("the server is not known"),
                                         this->hooks.executor.now());
         return;
     }
-    const auto opening = ServerOpening{.group = this->hooks.groupOf(handle.endpoint),
-                                       .organisation = organisation,
-                                       .endpoint = handle.endpoint};
+    const auto opening =
+        ServerOpening{.group = group, .organisation = organisation, .endpoint = handle.endpoint};
     connectStream(
         this->ioPool, *address, OPEN_TIME_LIMIT_MS, StreamLimits(),
         [this, handle, opening](absl::StatusOr<StreamConnection::Pointer> stream) {
