--- a/libs/state/src/ApplyCommand.cpp
+++ b/libs/state/src/ApplyCommand.cpp
@@ -1,9 +1,10 @@
 #include <state/FleetState.h>
 
 #include "ConfigurationChanges.h"
-#include "Limits.h"
 #include "ObjectRules.h"
 
+#include <core/Name.h>
+
 #include <absl/strings/str_cat.h>
 
 #include <utility>
@@ -221,7 +222,7 @@
             result.revision = index;
         return finish(std::move(result));
     };
-    if (!detail::isName(header.commandId))
+    if (!isName(header.commandId))
         return detail::refuseCommand(CommandStatus::Invalid, "command id: is not a name");
     if (header.baseRevision >= index) {
         return refuse(detail::refuseCommand(CommandStatus::Invalid,
--- a/libs/state/src/ObjectRules.cpp
+++ b/libs/state/src/ObjectRules.cpp
@@ -2,6 +2,8 @@
 
 #include "Limits.h"
 
+#include <core/Name.h>
+
 #include <absl/strings/str_cat.h>
 
 #include <cmath>
--- a/libs/state/src/SelectorParser.cpp
+++ b/libs/state/src/SelectorParser.cpp
@@ -2,6 +2,8 @@
 
 #include "Limits.h"
 
+#include <core/Name.h>
+
 #include <utility>
 
 namespace auburnrail::detail {
