Values of log lines are cut to 1 KiB

Callers saw: nothing known. An id, a database or a prepared name of a client may have the length of a message, 1 MiB, and was written to the log as a whole; the log's budget counts lines.

Ruled out: damage to the lines themselves. Line ends, quotes, control characters, NUL and bytes that are no UTF-8 are escaped by the layout: the same test passes for them before the change.

Change: a value is cut to 1,024 bytes where the line is composed.

Conclusion: a line has a bound again.

--- a/libs/daemon/include/daemon/Logging.h
+++ b/libs/daemon/include/daemon/Logging.h
@@ -15,7 +15,8 @@
 
 namespace auburnrail {
 
-/// Named facts of one log line, such as {"request", id}. Never a key or a token.
+/// Named facts of one log line, such as {"request", id}. Never a key or a token. Values are cut to
+/// 1 KiB.
 using LogFields = std::vector<std::pair<std::string_view, std::string>>;
 
 /// Sends log lines to standard output, one JSON object a line, at `level` and above. Lines are
--- a/libs/daemon/src/Logging.cpp
+++ b/libs/daemon/src/Logging.cpp
@@ -21,6 +21,9 @@
 
 namespace {
 
+/// Longer values are cut: a client may choose names and ids of a whole message's length.
+constexpr auto MAX_VALUE_BYTES = std::size_t(1024);
+
 /// Lines that wait while standard output takes none; more than the budget gives at once.
 constexpr auto QUEUED_LINES = 512;
 
@@ -104,7 +107,7 @@
     if (omitted->failures > 0)
         fields.emplace_back("omitted_failures", std::to_string(omitted->failures));
     for (const auto &[name, value] : fields)
-        log4cxx::MDC::put(std::string(name), value);
+        log4cxx::MDC::put(std::string(name), value.substr(0, MAX_VALUE_BYTES));
     target->forcedLog(severity, std::string(message));
     for (const auto &field : fields)
         log4cxx::MDC::remove(std::string(field.first));
