Brackets in a text don't count as nesting of a JSON document

Callers saw: nothing known. A statement, a name or a value with more than 31 `[` or `{` in it was refused as "not a JSON object", by an entry for its callers, by control for operators' configurations, and by an endpoint for its entry.

Ruled out: a scan that skips texts; the parser has a limit of its own.

Change: the parser's limit replaces the scan.

Before/after: `http: any text reaches the reader of an object unchanged, or is a finding` and `http: objects nested too deeply are refused, but not brackets in a text` fail before for brackets in a text, pass now; a million nested arrays are still refused. Text that is no UTF-8 is a finding, before and now.

Conclusion: text is carried whatever it holds.

--- a/libs/http/src/JsonReader.cpp
+++ b/libs/http/src/JsonReader.cpp
@@ -64,19 +64,6 @@
     }
 }
 
-auto nestingDepth(const std::string &text) -> std::size_t
-{
-    auto depth = std::size_t(0);
-    auto deepest = std::size_t(0);
-    for (const auto character : text) {
-        if (character == '{' || character == '[')
-            deepest = std::max(deepest, ++depth);
-        else if ((character == '}' || character == ']') && depth > 0)
-            --depth;
-    }
-    return deepest;
-}
-
 } // namespace
 
 JsonReader::JsonReader(const std::string &text, std::string source)
@@ -84,9 +71,9 @@
 {
     this->document->source = std::move(source);
     try {
-        if (nestingDepth(text) > MAX_JSON_DEPTH)
-            throw Poco::DataFormatException("nested too deeply");
-        const auto value = Poco::JSON::Parser().parse(text);
+        auto parser = Poco::JSON::Parser();
+        parser.setDepth(MAX_JSON_DEPTH);
+        const auto value = parser.parse(text);
         this->document->object = value.extract<Poco::JSON::Object::Ptr>();
     } catch (const std::exception &) {
         this->fault("", "is not a JSON object");
--- a/libs/http/tests/JsonTest.cpp
+++ b/libs/http/tests/JsonTest.cpp
@@ -41,4 +41,37 @@
     }));
 }
 
+// Guards against a statement or name that changes on its way, or is refused for what is in it.
+TEST_CASE("any text reaches the reader of an object unchanged, or is a finding")
+{
+    for (const auto &text :
+         std::vector<std::string>{std::string(100, '['), std::string(100, '{') + "]", "\"", "\\",
+                                  "\\\"", "a\r\nb", "\t", std::string("a\0b", 3), "\x01\x1f\x7f",
+                                  "\u00e9\u2028", "\U0001f600", "/", "\\u0041", "{\"a\":[1]}"}) {
+        INFO(text);
+        const auto encoded = JsonWriter().text("t", text).toString();
+        auto reader = JsonReader(encoded, "test");
+        CHECK(reader.text("t") == text);
+        CHECK(reader.findings().empty());
+    }
+    for (const auto *text : {"\xff", "\xc3", "\xed\xa0\x80"}) {
+        auto reader = JsonReader(JsonWriter().text("t", text).toString(), "test");
+        CHECK_FALSE(reader.findings().empty());
+    }
+}
+
+// Guards against a stack that is used up by another writer's document.
+TEST_CASE("objects nested too deeply are refused, but not brackets in a text")
+{
+    const auto nested = [](std::size_t depth) {
+        return R"({"a":)" + std::string(depth, '[') + std::string(depth, ']') + "}";
+    };
+    CHECK(JsonReader(nested(30), "test").findings().empty());
+    CHECK_FALSE(JsonReader(nested(40), "test").findings().empty());
+    CHECK_FALSE(JsonReader(nested(1'000'000), "test").findings().empty());
+    CHECK(JsonReader(R"({"a":"\"[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[["})", "test")
+              .findings()
+              .empty());
+}
+
 } // namespace auburnrail
