Ids and idempotency keys of callers must be printable ASCII

Callers saw: nothing known. `X-Request-Id` with a byte that is no UTF-8 came back in the JSON of the response, which the caller could then not read, after its write had run.

Ruled out: replacing such bytes, since the id is then not the caller's, and two idempotency keys could become one.

Change: decodeCallerRequest() refuses them as malformed, not run.

Before/after: two new rows of `callers: malformed requests are refused as not-run with their reason` fail before, pass now.

Conclusion: refused before anything has run.

--- a/libs/callers/src/CallerCodec.cpp
+++ b/libs/callers/src/CallerCodec.cpp
@@ -9,6 +9,7 @@
 #include <absl/strings/str_split.h>
 #include <absl/strings/strip.h>
 
+#include <algorithm>
 #include <vector>
 
 namespace auburnrail {
@@ -26,6 +27,14 @@
     return found == headers.end() ? "" : found->second;
 }
 
+/// Printable ASCII and no more: the text is returned in a header and in JSON, and is compared with
+/// that of a repetition.
+auto isHeaderText(std::string_view text) -> bool
+{
+    return std::all_of(text.begin(), text.end(),
+                       [](char character) { return character >= ' ' && character <= '~'; });
+}
+
 auto refuse(ReasonCode reason, std::string message) -> CallerResponse
 {
     auto response = CallerResponse();
@@ -115,6 +124,10 @@
     request.key = std::string(absl::StripPrefix(authorization, BEARER_PREFIX));
     request.idempotencyKey = header(source.headers, "idempotency-key");
     request.sessionToken = header(source.headers, "x-auburnrail-session");
+    if (!isHeaderText(request.requestId) || !isHeaderText(request.idempotencyKey)) {
+        return refuse(ReasonCode::MalformedRequest,
+                      "X-Request-Id and Idempotency-Key must be printable ASCII");
+    }
     const auto deadline = parseDeadline(header(source.headers, "x-auburnrail-deadline-ms"), now);
     if (!deadline) {
         return refuse(ReasonCode::MalformedRequest,
--- a/libs/callers/tests/CallerCodecTest.cpp
+++ b/libs/callers/tests/CallerCodecTest.cpp
@@ -59,6 +59,17 @@
                    {.target = path,
                     .headers = {{"x-auburnrail-deadline-ms", "soon"}},
                     .body = R"({"statement":"GET a"})"},
+                   ReasonCode::MalformedRequest},
+        // In the response they would make JSON that no caller can read, after the statement ran.
+        BadRequest{"request id that is no text",
+                   {.target = path,
+                    .headers = {{"x-request-id", "a\xff"}},
+                    .body = R"({"statement":"GET a"})"},
+                   ReasonCode::MalformedRequest},
+        BadRequest{"idempotency key with a line end",
+                   {.target = path,
+                    .headers = {{"idempotency-key", "a\r\nb"}},
+                    .body = R"({"statement":"GET a"})"},
                    ReasonCode::MalformedRequest});
     INFO(bad.name);
     const auto decoded = decodeCallerRequest(bad.request, "r", TimePoint());
