--- a/libs/control/tests/CheckAnnouncementTest.cpp
+++ b/libs/control/tests/CheckAnnouncementTest.cpp
@@ -51,4 +51,21 @@
     CHECK(checkAnnouncement(announcement, NOW).empty());
 }
 
+// Guards against a name that a server reads as two fields of a message, or as its end.
+TEST_CASE("announcements with a name that no message can carry are refused")
+{
+    for (const auto *name :
+         {"", "i 7f", "i-7f%20x", "i-7f?x=1", "i\r\nQUERY - STEPDOWN 99", "i\t"}) {
+        INFO(name);
+        for (const auto member :
+             {&Announcement::endpoint, &Announcement::group, &Announcement::zone}) {
+            auto announcement = valid();
+            announcement.*member = name;
+            CHECK(checkAnnouncement(announcement, NOW).all().size() == 1);
+        }
+        auto departure = Announcement{.endpoint = name, .leaving = true, .gone = true};
+        CHECK(checkAnnouncement(departure, NOW).all().size() == 1);
+    }
+}
+
 } // namespace auburnrail
