Input that can't be decoded is refused after the statements before it

A client that sent `QUERY 1 WRITE a b` and, without waiting, a line that is no message got `ERROR MALFORMED` as the first answer, and the session ended; the write ran. The refusal stood where the client expects the answer to its write, and said that it had not run.

Ruled out: not running what was queued, since the statement under way has been sent; dropping the refusal.

Change: refuseInput() takes no further input at once, and sends the refusal when the statements before it have been answered. A client that queues too many statements is ended the same way: the test that expected its refusal at once, in the place of the first statement's response, now checks that nothing more is accepted, that all accepted ones are answered, and then the refusal and the end.

Conclusion: each answer belongs to its statement.

--- a/libs/proxy/include/proxy/ProxySession.h
+++ b/libs/proxy/include/proxy/ProxySession.h
@@ -42,7 +42,7 @@
     auto enqueue(ClientStatement statement) -> void;
 
     /// The client sent bytes that can't be decoded, or a message that is not allowed: the session
-    /// is ended.
+    /// is ended, after the statements that came before have been answered.
     auto refuseInput(const std::string &reason) -> void;
 
     /// The client closed its connection or sent the end of its session.
@@ -62,6 +62,7 @@
 private:
     auto openBefore(const SessionOpening &opening, TimePoint deadline) -> void;
     auto refuseOpening(const StatementFailure &failure) -> void;
+    auto endWith(const StatementFailure &failure) -> void;
     auto next() -> void;
     auto run(const ClientStatement &statement) -> void;
     auto runLocal(const ClientStatement &statement) -> void;
@@ -108,6 +109,7 @@
     SessionState state = SessionState::Idle;
     std::optional<SessionTransaction> transaction;
     std::deque<ClientStatement> queued;
+    std::optional<StatementFailure> refusedInput; ///< Ends the session after the queued statements.
     std::string runningId;
     std::string runningOrganisation;
     StatementKind runningKind = StatementKind::Malformed;
--- a/libs/proxy/src/ProxySession.cpp
+++ b/libs/proxy/src/ProxySession.cpp
@@ -77,13 +77,18 @@
 auto ProxySession::refuseOpening(const StatementFailure &failure) -> void
 {
     this->report(StatementReport{.database = this->database, .failure = failure});
+    this->endWith(failure);
+}
+
+auto ProxySession::endWith(const StatementFailure &failure) -> void
+{
     this->hooks.sendRefusal(failure);
     this->end();
 }
 
 auto ProxySession::enqueue(ClientStatement statement) -> void
 {
-    if (this->ended)
+    if (this->ended || this->refusedInput)
         return;
     if (!this->opened && !this->awaitsLease) {
         this->refuseInput("a statement came before the session was opened");
@@ -109,6 +114,8 @@
         this->stopIdleTimer();
         this->run(statement);
     }
+    if (this->refusedInput && !this->running && !this->ended && this->queued.empty())
+        this->endWith(*this->refusedInput);
 }
 
 auto ProxySession::run(const ClientStatement &statement) -> void
@@ -226,12 +233,15 @@
 
 auto ProxySession::refuseInput(const std::string &reason) -> void
 {
-    if (this->ended)
+    if (this->ended || this->refusedInput)
         return;
     const auto failure = StatementFailure{StatementError::Malformed, reason};
     this->report(StatementReport{.database = this->database, .failure = failure});
-    this->hooks.sendRefusal(failure);
-    this->end();
+    // Sent at once it would look like the response to a statement that may run.
+    if (this->running || !this->queued.empty())
+        this->refusedInput = failure;
+    else
+        this->endWith(failure);
 }
 
 auto ProxySession::clientDisconnected() -> void
--- a/libs/proxy/tests/ProxySessionTest.cpp
+++ b/libs/proxy/tests/ProxySessionTest.cpp
@@ -159,6 +159,26 @@
           == StatementError::UnknownStatement);
 }
 
+// Guards against "malformed" in the place of the response to a write that ran.
+TEST_CASE("input that can't be decoded is refused after the statements before it were answered")
+{
+    auto fixture = SessionFixture();
+    fixture.open();
+    fixture.session->enqueue(ClientStatement{.id = "1", .kind = StatementKind::Write, .text = "W"});
+    fixture.session->enqueue(ClientStatement{.id = "2", .kind = StatementKind::Write, .text = "W"});
+    fixture.session->refuseInput("no message");
+    fixture.session->enqueue(ClientStatement{.id = "3", .kind = StatementKind::Write, .text = "W"});
+    CHECK(fixture.refusals.empty());
+    fixture.servers.scheduler.runFor(2s);
+    REQUIRE(fixture.responses.size() == 2);
+    CHECK(fixture.responses[0].signature == "signed-1");
+    CHECK(fixture.responses[1].signature == "signed-2");
+    REQUIRE(fixture.refusals.size() == 1);
+    CHECK(fixture.refusals[0].error == StatementError::Malformed);
+    CHECK(fixture.closed);
+    CHECK(fixture.servers.count(ServerOperation::Forward) == 2);
+}
+
 TEST_CASE("a transaction is one operation on one connection")
 {
     auto fixture = SessionFixture();
@@ -273,9 +293,14 @@
     fixture.open();
     for (auto i = std::size_t(0); i <= ProxySession::MAX_QUEUED + 1; ++i)
         fixture.session->enqueue(ClientStatement{.id = "x", .kind = StatementKind::Read});
+    // Nothing is accepted any more, and the refusal is no response to a statement that runs.
+    fixture.session->enqueue(ClientStatement{.id = "late", .kind = StatementKind::Read});
+    CHECK(fixture.refusals.empty());
+    fixture.servers.scheduler.runFor(2s);
+    CHECK(fixture.responses.size() == ProxySession::MAX_QUEUED + 1);
+    CHECK(fixture.servers.count(ServerOperation::Forward) == ProxySession::MAX_QUEUED + 1);
     CHECK(fixture.refusals.size() == 1);
     CHECK(fixture.closed);
-    fixture.servers.scheduler.runFor(2s);
 }
 
 } // namespace auburnrail
