A session's values and prepared statements are bounded by bytes

Callers saw: nothing known. A client could SET and PREPARE under new names without end, 1 MiB each, and an entry has 260 MB.

Ruled out: a bound for the number of names; a text may have the length of a message.

Change: names, values and shapes of a session take 2 MiB at most. What is replaced or dropped makes room.

Before/after: `proxy: what a session may keep is bounded by bytes` needs the bound and passes; `auburnrail_proxy_tests` 57 of 57.

Conclusion: the client gets MALFORMED and the reason, and nothing has changed.

--- a/libs/proxy/include/proxy/ProxySession.h
+++ b/libs/proxy/include/proxy/ProxySession.h
@@ -32,6 +32,10 @@
     /// Maximum number of queued statements. The session of a client that sends more is ended.
     static constexpr auto MAX_QUEUED = std::size_t(64);
 
+    /// Greatest size of a session's values and prepared statements, names included. More than one
+    /// message of the greatest length, so that only the sum of many is refused.
+    static constexpr auto MAX_STATE_BYTES = std::size_t(2) * 1024 * 1024;
+
     /// Longest time that opening a session waits for the entry's lease. Common clients give up
     /// after 2 s.
     static constexpr auto OPENING_WAIT_MS = std::chrono::milliseconds(1500);
@@ -69,6 +73,10 @@
     auto setValue(const ClientStatement &statement) -> void;
     auto prepare(const ClientStatement &statement) -> void;
     auto deallocate(const ClientStatement &statement) -> void;
+
+    /// Reserves room for text under a name that replaces `replaced` bytes; false, and an error to
+    /// the client, when there is none.
+    auto reserveState(std::size_t replaced, std::size_t added) -> bool;
     auto begin(const ClientStatement &statement) -> void;
     auto rollBack() -> void;
     auto commit(const ClientStatement &statement) -> void;
@@ -105,6 +113,7 @@
         keyId; ///< std::nullopt: no valid key; only open routes permit operations.
     SessionValues values;
     std::map<std::string, PreparedStatement> prepared;
+    std::size_t stateBytes = 0; ///< Of `values` and `prepared`.
     std::optional<Position> lastCommit;
     SessionState state = SessionState::Idle;
     std::optional<SessionTransaction> transaction;
--- a/libs/proxy/src/ProxySessionStatements.cpp
+++ b/libs/proxy/src/ProxySessionStatements.cpp
@@ -27,14 +27,36 @@
     }
 }
 
+auto ProxySession::reserveState(std::size_t replaced, std::size_t added) -> bool
+{
+    const auto wanted = this->stateBytes - replaced + added;
+    if (wanted > MAX_STATE_BYTES) {
+        this->respondFailure(StatementError::Malformed,
+                             "the session's values and prepared statements are too long");
+        return false;
+    }
+    this->stateBytes = wanted;
+    return true;
+}
+
 auto ProxySession::setValue(const ClientStatement &statement) -> void
 {
+    const auto found = this->values.find(statement.name);
+    const auto replaced =
+        found == this->values.end() ? 0 : statement.name.size() + found->second.size();
+    if (!this->reserveState(replaced, statement.name.size() + statement.value.size()))
+        return;
     this->values.insert_or_assign(statement.name, statement.value);
     this->respond(StatementResponse());
 }
 
 auto ProxySession::prepare(const ClientStatement &statement) -> void
 {
+    const auto found = this->prepared.find(statement.name);
+    const auto replaced =
+        found == this->prepared.end() ? 0 : statement.name.size() + found->second.shape.size();
+    if (!this->reserveState(replaced, statement.name.size() + statement.shape.size()))
+        return;
     this->prepared.insert_or_assign(statement.name,
                                     PreparedStatement{statement.shape, statement.writes});
     this->respond(StatementResponse());
@@ -42,10 +64,14 @@
 
 auto ProxySession::deallocate(const ClientStatement &statement) -> void
 {
-    if (this->prepared.erase(statement.name) == 0)
+    const auto found = this->prepared.find(statement.name);
+    if (found == this->prepared.end()) {
         this->respondFailure(StatementError::UnknownStatement, statement.name);
-    else
-        this->respond(StatementResponse());
+        return;
+    }
+    this->stateBytes -= statement.name.size() + found->second.shape.size();
+    this->prepared.erase(found);
+    this->respond(StatementResponse());
 }
 
 auto ProxySession::beginOperation(
--- a/libs/proxy/tests/ProxySessionTest.cpp
+++ b/libs/proxy/tests/ProxySessionTest.cpp
@@ -159,6 +159,29 @@
           == StatementError::UnknownStatement);
 }
 
+// Guards against a client that fills an entry's memory with values or prepared statements.
+TEST_CASE("what a session may keep is bounded by bytes")
+{
+    auto fixture = SessionFixture();
+    fixture.open();
+    const auto keep = [&fixture](StatementKind kind, const std::string &name, std::size_t bytes) {
+        const auto text = std::string(bytes, 'x');
+        return errorOf(
+            fixture.ask(ClientStatement{.kind = kind, .name = name, .value = text, .shape = text}));
+    };
+    constexpr auto HALF = ProxySession::MAX_STATE_BYTES / 2 - 1;
+    CHECK_FALSE(keep(StatementKind::SetValue, "a", HALF));
+    CHECK_FALSE(keep(StatementKind::Prepare, "a", HALF));
+    CHECK(keep(StatementKind::SetValue, "b", 1) == StatementError::Malformed);
+    CHECK(keep(StatementKind::Prepare, "b", 1) == StatementError::Malformed);
+    // What is replaced or dropped makes room.
+    CHECK_FALSE(keep(StatementKind::SetValue, "a", 1));
+    CHECK_FALSE(keep(StatementKind::SetValue, "b", HALF - 3));
+    CHECK_FALSE(
+        errorOf(fixture.ask(ClientStatement{.kind = StatementKind::Deallocate, .name = "a"})));
+    CHECK_FALSE(keep(StatementKind::Prepare, "b", HALF));
+}
+
 // Guards against "malformed" in the place of the response to a write that ran.
 TEST_CASE("input that can't be decoded is refused after the statements before it were answered")
 {
