A connection's prepared statements are bounded by bytes, too

Callers saw: nothing known. A connection kept up to 64 prepared statements of any length, so that shapes of 1 MiB could take 64 MiB each for every connection of an entry that has 260 MB.

Ruled out: dropping single statements; the protocol's servers drop them by a reset only, and a client's names stay valid in its session.

Change: a connection that holds 256 KiB of shapes or more is reset before its next use outside a transaction, as one with 64 statements is.

Before/after: `proxy: a connection that holds many bytes of prepared statements is reset` needs the bound and passes.

--- a/libs/proxy/include/proxy/ServerSession.h
+++ b/libs/proxy/include/proxy/ServerSession.h
@@ -21,9 +21,10 @@
 class ServerSession
 {
 public:
-    /// Prepared statements kept on one connection. A full connection is reset before its next use
-    /// outside a transaction.
+    /// Prepared statements kept on one connection, and the bytes of their shapes. A full connection
+    /// is reset before its next use outside a transaction.
     static constexpr auto MAX_PREPARED = std::size_t(64);
+    static constexpr auto MAX_PREPARED_BYTES = std::size_t(256) * 1024;
 
     /// Returns the requests that must succeed, in this order, before a statement may run with the
     /// `wanted` values and, when set, the `prepared` statement. Contains a reset only outside a
@@ -41,6 +42,7 @@
 private:
     SessionValues values;
     std::map<PreparedStatement, std::string> preparedNames;
+    std::size_t preparedBytes = 0;   ///< Of the shapes.
     std::uint64_t assignedNames = 0; ///< Names are not used again after a reset.
 };
 
--- a/libs/proxy/src/ServerSession.cpp
+++ b/libs/proxy/src/ServerSession.cpp
@@ -16,7 +16,8 @@
     const auto hasForeignValue =
         std::any_of(this->values.begin(), this->values.end(),
                     [&](const auto &value) { return !wanted.contains(value.first); });
-    const auto isFull = this->preparedNames.size() >= MAX_PREPARED;
+    const auto isFull =
+        this->preparedNames.size() >= MAX_PREPARED || this->preparedBytes >= MAX_PREPARED_BYTES;
     const auto resets = !inTransaction && (hasForeignValue || isFull);
     if (resets)
         requests.push_back(ServerRequest{.operation = ServerOperation::ResetSession});
@@ -44,6 +45,7 @@
     case ServerOperation::ResetSession:
         this->values.clear();
         this->preparedNames.clear();
+        this->preparedBytes = 0;
         break;
     case ServerOperation::SetValue:
         this->values.insert_or_assign(request.name, request.value);
@@ -51,6 +53,7 @@
     case ServerOperation::Prepare:
         this->preparedNames.insert_or_assign(PreparedStatement{request.value, request.writes},
                                              request.name);
+        this->preparedBytes += request.value.size();
         ++this->assignedNames;
         break;
     default:
--- a/libs/proxy/tests/ServerSessionTest.cpp
+++ b/libs/proxy/tests/ServerSessionTest.cpp
@@ -48,4 +48,22 @@
     CHECK(session.preparations({}, PreparedStatement{.shape = "x"}, false).size() == 1);
 }
 
+// Guards against connections that keep as much text as clients prepare on them.
+TEST_CASE("a connection that holds many bytes of prepared statements is reset")
+{
+    auto session = ServerSession();
+    const auto isReset = [&session](bool inTransaction) {
+        const auto requests = session.preparations({}, std::nullopt, inTransaction);
+        return !requests.empty() && requests[0].operation == ServerOperation::ResetSession;
+    };
+    std::ignore =
+        prepareOn(session, {.shape = std::string(ServerSession::MAX_PREPARED_BYTES - 1, 'x')});
+    CHECK_FALSE(isReset(false));
+    std::ignore = prepareOn(session, {.shape = "y"});
+    CHECK_FALSE(isReset(true));
+    CHECK(isReset(false));
+    session.applied(ServerRequest{.operation = ServerOperation::ResetSession});
+    CHECK_FALSE(isReset(false));
+}
+
 } // namespace auburnrail
