A connection whose SET or PREPARE failed in a transaction is closed

In a transaction a server answered SET with FAILED, which says that it ran. The connection was rolled back and given to the next session, whose statements ran with the first one's value: ServerSession had not noted it, and sent no reset. The same for a PREPARE, whose name was then given again. A server that no longer has a prepared statement (NOSTMT) was asked again on the same connection.

Cause: after a refused preparation only the error outside a transaction decided about the connection.

Ruled out: a reset in place of the close; what the server holds is not known then.

Change: isSessionKnown() says whether the connection holds what has been noted; when it doesn't, the connection is closed, in a transaction too.

--- a/libs/proxy/include/proxy/StatementRun.h
+++ b/libs/proxy/include/proxy/StatementRun.h
@@ -76,7 +76,10 @@
 
     /// The server refused a preparation, the beginning of a transaction or the statement; the
     /// refused request had no effect.
-    auto refused(const StatementFailure &failure) -> void;
+    auto refused(const StatementResponse &response) -> void;
+
+    /// The server does not have the prepared statement; the statement had no effect.
+    auto refusedAsUnknown(const StatementFailure &failure) -> void;
 
     /// Reports the transaction as rolled back; its connection has been closed.
     auto abortTransaction() -> void;
--- a/libs/proxy/src/StatementRun.cpp
+++ b/libs/proxy/src/StatementRun.cpp
@@ -168,7 +168,7 @@
     this->preparations.pop_front();
     this->exchange(request, [request](StatementRun &run, StatementResponse response) {
         if (response.failure) {
-            run.refused(*response.failure);
+            run.refused(response);
             return;
         }
         run.connection->session.applied(request);
@@ -185,7 +185,7 @@
                                        .minimumPosition = this->placement.minimumPosition};
     this->exchange(request, [](StatementRun &run, StatementResponse response) {
         if (response.failure) {
-            run.refused(*response.failure);
+            run.refused(response);
             return;
         }
         run.transactionOpen = true;
--- a/libs/proxy/src/StatementRunOutcome.cpp
+++ b/libs/proxy/src/StatementRunOutcome.cpp
@@ -6,6 +6,17 @@
 
 namespace auburnrail {
 
+namespace {
+
+/// Whether the connection holds what ServerSession has noted after a request that failed with
+/// `error`: the request had no effect, and the server has the statements prepared on it.
+auto isSessionKnown(StatementError error) -> bool
+{
+    return isNotRun(error) && error != StatementError::UnknownStatement;
+}
+
+} // namespace
+
 auto StatementRun::handleResponse(StatementResponse response) -> void
 {
     const auto notRun = response.failure && isNotRun(response.failure->error);
@@ -24,6 +35,10 @@
                                        [self = this->shared_from_this()] { self->runStatement(); });
         return;
     }
+    if (!isSessionKnown(response.failure->error)) {
+        this->refusedAsUnknown(*response.failure);
+        return;
+    }
     if (this->continuesTransaction) {
         this->finish(std::move(response), true);
         return;
@@ -32,14 +47,31 @@
         this->rollBackAndAttempt(response.failure->detail);
         return;
     }
-    this->refused(*response.failure);
+    this->refused(response);
 }
 
-auto StatementRun::refused(const StatementFailure &failure) -> void
+auto StatementRun::refusedAsUnknown(const StatementFailure &failure) -> void
 {
+    this->lastError = std::string(nameOf(failure.error)) + " " + failure.detail;
+    this->dropConnection(false);
+    this->transactionOpen = false;
+    if (this->continuesTransaction)
+        this->abortTransaction();
+    else
+        this->attemptAfterPause(this->lastError);
+}
+
+auto StatementRun::refused(const StatementResponse &response) -> void
+{
+    const auto &failure = *response.failure;
+    const auto isKnown = isSessionKnown(failure.error);
+    if (this->continuesTransaction && isKnown) {
+        this->finish(StatementResponse{.failure = failure, .state = SessionState::Failed}, true);
+        return;
+    }
     if (this->continuesTransaction) {
-        auto response = StatementResponse{.failure = failure, .state = SessionState::Failed};
-        this->finish(std::move(response), true);
+        this->dropConnection(false);
+        this->fail(failure.error, failure.detail, SessionState::Failed);
         return;
     }
     this->lastError = std::string(nameOf(failure.error)) + " " + failure.detail;
@@ -53,7 +85,7 @@
         this->needsPrimary = true;
     else if (!this->placement.isPrimary)
         this->triedEndpoints.push_back(this->placement.endpoint);
-    this->dropConnection(isNotRun(failure.error));
+    this->dropConnection(isKnown);
     if (!this->hasTimeToRun()) {
         this->fail(StatementError::Busy, "not run: " + this->lastError, SessionState::Idle);
         return;
