A connection that is not idle after a refused beginning is closed

Callers saw: nothing known; found by the review. BEGIN answered with READONLY and `READY E` left a connection in a failed transaction, and it was used again: the next session would have got MALFORMED.

Cause: refused() looked at the error and not at the state that came with it.

Ruled out: rolling back there; a new connection is as good after a refusal that is rare.

Change: reused only when the server says that it is idle.

Before/after: `proxy: a connection whose server refused the beginning and is not idle is not used again` fails before, passes now.

Conclusion: the rule of finish() and rollBack() holds here, too.

--- a/libs/proxy/src/StatementRunOutcome.cpp
+++ b/libs/proxy/src/StatementRunOutcome.cpp
@@ -75,7 +75,8 @@
         return;
     }
     this->lastError = std::string(nameOf(failure.error)) + " " + failure.detail;
-    if (failure.error == StatementError::Busy && this->placement.isPrimary) {
+    const auto isReusable = isKnown && response.state == SessionState::Idle;
+    if (failure.error == StatementError::Busy && this->placement.isPrimary && isReusable) {
         this->hooks.executor.postAfter(
             this->nextPause(), [self = this->shared_from_this()] { self->retryOnConnection(); });
         return;
@@ -85,7 +86,7 @@
         this->needsPrimary = true;
     else if (!this->placement.isPrimary)
         this->triedEndpoints.push_back(this->placement.endpoint);
-    this->dropConnection(isKnown);
+    this->dropConnection(isReusable);
     if (!this->hasTimeToRun()) {
         this->fail(StatementError::Busy, "not run: " + this->lastError, SessionState::Idle);
         return;
--- a/libs/proxy/tests/StatementRunTest.cpp
+++ b/libs/proxy/tests/StatementRunTest.cpp
@@ -198,4 +198,17 @@
     CHECK(result->response.failure->detail == "not run in time: the admission took too long");
 }
 
+// Guards against a connection whose transaction failed and that another session gets.
+TEST_CASE("a connection whose server refused the beginning and is not idle is not used again")
+{
+    auto servers = FakeServers();
+    servers.script(ServerOperation::Begin,
+                   FakeServers::refused(StatementError::ReadOnly, SessionState::Failed));
+    auto request = requestFor(StatementKind::Write, servers);
+    request.opens = TransactionAccess::ReadWrite;
+    std::ignore = runToEnd(servers, request);
+    REQUIRE(!servers.released.empty());
+    CHECK(servers.released.front() == std::pair<std::string, bool>{"primary", false});
+}
+
 } // namespace auburnrail
