A session that was refused is not opened by a later message

Callers saw: nothing known; found by the review. `QUERY 1 READ a` and `STARTUP db key` in one packet gave `ERROR MALFORMED`, then `READY I -`, then the close; a TERMINATE behind input that can't be decoded took the answers to the statements before it.

Cause: open() didn't ask whether the session had ended, and the end of a session was handled as a lost connection.

Ruled out: dropping the bytes behind a refusal in the reader; the next packet would be read again.

Change: open() does nothing after a refusal, and clientFinished() leaves the end to it.

Conclusion: nothing follows a refusal.

--- a/libs/proxy/include/proxy/ProxySession.h
+++ b/libs/proxy/include/proxy/ProxySession.h
@@ -49,9 +49,11 @@
     /// is ended, after the statements that came before have been answered.
     auto refuseInput(const std::string &reason) -> void;
 
-    /// The client closed its connection or sent the end of its session.
     auto clientDisconnected() -> void;
 
+    /// The client sent the end of its session.
+    auto clientFinished() -> void;
+
     /// Ends the session as soon as no statement runs and no transaction is open.
     auto drain() -> void;
 
--- a/libs/proxy/src/ProxyServer.cpp
+++ b/libs/proxy/src/ProxyServer.cpp
@@ -26,7 +26,7 @@
                  malformed != nullptr)
             session.refuseInput(malformed->reason);
         else
-            session.clientDisconnected();
+            session.clientFinished();
     }
     return consumed;
 }
--- a/libs/proxy/src/ProxySession.cpp
+++ b/libs/proxy/src/ProxySession.cpp
@@ -28,6 +28,8 @@
 
 auto ProxySession::open(const SessionOpening &opening) -> void
 {
+    if (this->ended || this->refusedInput)
+        return;
     if (this->opened || this->awaitsLease) {
         this->refuseInput("the session is open already");
         return;
@@ -249,6 +251,12 @@
     this->end();
 }
 
+auto ProxySession::clientFinished() -> void
+{
+    if (!this->refusedInput)
+        this->end();
+}
+
 auto ProxySession::drain() -> void
 {
     this->draining = true;
--- a/libs/proxy/tests/ProxySessionTest.cpp
+++ b/libs/proxy/tests/ProxySessionTest.cpp
@@ -191,6 +191,7 @@
     fixture.session->enqueue(ClientStatement{.id = "2", .kind = StatementKind::Write, .text = "W"});
     fixture.session->refuseInput("no message");
     fixture.session->enqueue(ClientStatement{.id = "3", .kind = StatementKind::Write, .text = "W"});
+    fixture.session->clientFinished();
     CHECK(fixture.refusals.empty());
     fixture.servers.scheduler.runFor(2s);
     REQUIRE(fixture.responses.size() == 2);
