A configuration's key may have the form of an issued one

Callers saw: nothing known; found by the review. A key `ar_a_b` of a configuration was looked for under the id `a` only, and its sessions were refused as UNAUTH.

Ruled out: refusing such keys in a configuration; any text is allowed there.

Change: both ids are tried, and the hash decides as before.

Before/after: `platform: a configuration's key of any text identifies its organisation` fails before, passes now.

Conclusion: a key is what its hash says.

--- a/libs/state/src/AuthoriseSession.cpp
+++ b/libs/state/src/AuthoriseSession.cpp
@@ -35,11 +35,13 @@
                const std::string &clusterSecret) -> std::optional<std::string>
 {
     const auto hash = hashKey(keyText, clusterSecret);
-    const auto id = keyIdOf(keyText).value_or(idOfHash(hash));
-    const auto *key = objects.find<Key>(id);
-    if (key == nullptr || key->withdrawn || !equalInConstantTime(key->hash, hash))
-        return std::nullopt;
-    return id;
+    // A key of a configuration may have the form of an issued one.
+    for (const auto &id : {keyIdOf(keyText).value_or(""), idOfHash(hash)}) {
+        const auto *key = objects.find<Key>(id);
+        if (key != nullptr && !key->withdrawn && equalInConstantTime(key->hash, hash))
+            return id;
+    }
+    return std::nullopt;
 }
 
 auto authoriseOperation(const FleetObjects &objects, std::string_view database,
