A server's answer without COMPLETE or ERROR is no success

Callers saw: nothing known; found by the review. READY ended an answer whatever came before it, so that rows alone, or nothing, became a success without a signature; rows behind COMPLETE were passed on.

Cause: READY alone answers STARTUP, and the decoder doesn't know which message is answered.

Ruled out: a decoder for each of the two; the connection knows.

Conclusion: a write with such an answer is in doubt, not done.

--- a/libs/proxy/include/proxy/StatementResponse.h
+++ b/libs/proxy/include/proxy/StatementResponse.h
@@ -19,6 +19,7 @@
     std::vector<std::string> rows;
     std::string signature; ///< Proof that a server ran the statement; empty when no server did.
     std::optional<StatementFailure> failure;
+    bool completed = false;                  ///< A server said that the statement succeeded.
     SessionState state = SessionState::Idle; ///< State after the statement.
     std::optional<Position> position;        ///< Position of the server's log after the statement.
 
--- a/libs/proxy/src/detail/ServerSocket.cpp
+++ b/libs/proxy/src/detail/ServerSocket.cpp
@@ -88,7 +88,11 @@
         }
         if (!input.ended)
             return consumed;
-        this->finish(ServerPhase::Responded, "");
+        const auto isWhole = this->opening || this->response.completed || this->response.failure;
+        if (isWhole)
+            this->finish(ServerPhase::Responded, "");
+        else
+            this->finish(ServerPhase::Lost, "an answer without its end");
     }
     return bytes.size();
 }
