A selector whose canonical text is too long is refused

Callers saw: nothing known. An operator's selector of up to 4096 bytes was accepted, also when its canonical text is longer. By the code of the decoder, which parses that text with the same limit, control members and entries can't decode a command or a state with it; this was shown for the parser only.

Cause: Selector::parse() limits the given text only. A selector is stored and sent as toString(), which writes a blank before each value list: `a in(b)` becomes `a in (b)`, so 456 such terms grow from 3647 to 4103 bytes, and the decoder parses with the same limit.

Ruled out: a greater limit for the decoder, since members of the version before would still refuse the text; lists without the blank, which would change texts that are shown and compared.

Change: Selector::parse() also refuses a selector whose canonical text exceeds the limit, so that each accepted one can be read back.

Conclusion: an accepted selector can be carried.

--- a/libs/state/src/Selector.cpp
+++ b/libs/state/src/Selector.cpp
@@ -1,5 +1,6 @@
 #include <state/Selector.h>
 
+#include "Limits.h"
 #include "SelectorParser.h"
 
 #include <absl/strings/str_join.h>
@@ -55,6 +56,12 @@
 {
     auto selector = Selector();
     selector.terms = detail::SelectorParser(text, source, findings).parseTerms();
+    // A selector is stored and sent as its canonical text, which can be longer than the given one.
+    if (text.size() <= detail::MAX_SELECTOR_BYTES
+        && selector.toString().size() > detail::MAX_SELECTOR_BYTES) {
+        findings.add(Place{source, 0, "", "column 1"},
+                     "in canonical form is longer than 4096 bytes");
+    }
     return selector;
 }
 
--- a/libs/state/tests/SelectorTest.cpp
+++ b/libs/state/tests/SelectorTest.cpp
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <string>
 #include <tuple>
 
 namespace auburnrail {
@@ -66,4 +67,25 @@
         CHECK(findings.all()[index].place.key == expected[index]);
 }
 
+// Guards against a selector that is accepted and then can't be read back: its canonical text has a
+// blank before each value list, also where the given text has none.
+TEST_CASE("a selector whose canonical text is too long is refused")
+{
+    const auto [terms, accepted] = GENERATE(table<int, bool>({
+        std::tuple(455, true),
+        std::tuple(456, false),
+    }));
+    CAPTURE(terms);
+    auto text = std::string("a in(b)");
+    for (auto term = 1; term < terms; ++term)
+        text += ",a in(b)";
+    REQUIRE(text.size() <= 4096);
+    auto findings = Findings();
+    const auto selector = Selector::parse(text, "test", findings);
+    REQUIRE(findings.empty() == accepted);
+    if (accepted)
+        CHECK(Selector::parse(selector.toString(), "test", findings) == selector);
+    CHECK(findings.empty() == accepted);
+}
+
 } // namespace auburnrail
