Metrics are printed with all their digits

Callers saw: nothing. From a million on, a scraper saw a counter in steps (1.23457e+06), so that a rate over it reads 0 and then a jump; from 1.0e7 on the steps are 100.

Cause: values were passed to StrAppend(), which prints a double with six significant digits.

Change: values are printed with std::to_chars(), the shortest text that reads back as the same value; not-a-number and the infinities have the names of the text format.

Conclusion: a counter reads as it was counted.

--- a/libs/observe/src/Metrics.cpp
+++ b/libs/observe/src/Metrics.cpp
@@ -5,7 +5,10 @@
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_replace.h>
 
+#include <array>
 #include <cassert>
+#include <charconv>
+#include <cmath>
 #include <utility>
 
 namespace auburnrail {
@@ -14,6 +17,18 @@
 
 const auto OVERFLOW_LABELS = Labels{{"overflow", "true"}};
 
+/// The shortest text that reads back as `value`. StrCat alone rounds to six digits.
+auto printValue(double value) -> std::string
+{
+    if (std::isnan(value))
+        return "NaN";
+    if (std::isinf(value))
+        return value > 0 ? "+Inf" : "-Inf";
+    auto buffer = std::array<char, 32>();
+    const auto printed = std::to_chars(buffer.data(), buffer.data() + buffer.size(), value);
+    return {buffer.data(), printed.ptr};
+}
+
 /// `{a="b",c="d"}`, or nothing without labels.
 auto printLabels(const Labels &labels) -> std::string
 {
@@ -94,7 +109,8 @@
             continue;
         }
         for (const auto &[labels, id] : family.series)
-            absl::StrAppend(&text, name, printLabels(labels), " ", this->rows[id].value, "\n");
+            absl::StrAppend(&text, name, printLabels(labels), " ", printValue(this->rows[id].value),
+                            "\n");
     }
     return text;
 }
@@ -108,13 +124,13 @@
         for (auto i = std::size_t(0); i < QUANTILES.size(); ++i) {
             auto quantileLabels = labels;
             quantileLabels["quantile"] = absl::StrCat(QUANTILES[i]);
-            absl::StrAppend(&text, name, printLabels(quantileLabels), " ", summary.quantiles[i],
-                            "\n");
+            absl::StrAppend(&text, name, printLabels(quantileLabels), " ",
+                            printValue(summary.quantiles[i]), "\n");
         }
         const auto suffix = printLabels(labels);
-        absl::StrAppend(&text, name, "_sum", suffix, " ", summary.sum, "\n");
+        absl::StrAppend(&text, name, "_sum", suffix, " ", printValue(summary.sum), "\n");
         absl::StrAppend(&text, name, "_count", suffix, " ", summary.count, "\n");
-        absl::StrAppend(&maxima, name, "_max", suffix, " ", summary.max, "\n");
+        absl::StrAppend(&maxima, name, "_max", suffix, " ", printValue(summary.max), "\n");
     }
     printHead(text, name + "_max", "Greatest value of " + name, nameOf(MetricKind::Gauge));
     text += maxima;
--- a/libs/observe/tests/MetricsTest.cpp
+++ b/libs/observe/tests/MetricsTest.cpp
@@ -48,6 +48,22 @@
              "wait_ms_max 4\n");
 }
 
+// Guards against a counter that seems to stand still: it was printed with six digits.
+TEST_CASE("large values are printed in full")
+{
+    auto metrics = Metrics(10);
+    metrics.add(metrics.series(MetricKind::Counter, "served_total", "Served."), 1'234'567);
+    metrics.set(metrics.series(MetricKind::Gauge, "time_ms", "Time."), 1'796'592'000'123.5);
+    const auto waits = metrics.series(MetricKind::Distribution, "wait_ms", "Wait.");
+    metrics.record(waits, 12'345'678);
+    const auto text = metrics.toText();
+    CHECK_THAT(text, Catch::Contains("\nserved_total 1234567\n"));
+    CHECK_THAT(text, Catch::Contains("\ntime_ms 1796592000123.5\n"));
+    CHECK_THAT(text, Catch::Contains("\nwait_ms{quantile=\"0.95\"} 12345678\n"));
+    CHECK_THAT(text, Catch::Contains("\nwait_ms_sum 12345678\n"));
+    CHECK_THAT(text, Catch::Contains("\nwait_ms_max 12345678\n"));
+}
+
 // Guards against memory that grows with the number of organisations.
 TEST_CASE("series past the limit share one")
 {
