A target of 1 is reported with finite figures

Callers saw: nothing. With one objective whose target is 1, which operators may set, the burn report has figures that are not finite, and a JSON reader refuses it with all its objectives.

Cause: BurnReport divides by the budget, 1 minus the target, which is 0.

Ruled out: refusing the target. Objectives with it may be stored, and the check of objects is part of the replicated state, where members of two versions would decide differently.

Change: the budget is at least one bad event in 10^9, so that rates are finite, and each bad event burns.

Conclusion: each accepted objective can be reported.

--- a/libs/observe/src/BurnReport.cpp
+++ b/libs/observe/src/BurnReport.cpp
@@ -12,6 +12,9 @@
 namespace {
 
 constexpr auto MINUTE_MILLIS = std::int64_t(60'000);
+/// Part of bad events that counts as the budget of a target of 1. Rates are divided by the budget,
+/// and JSON has no text for the result of a division by 0.
+constexpr auto SMALLEST_BUDGET = 1e-9;
 constexpr auto SPENDERS_SHOWN = std::size_t(10);
 
 auto badPart(BurnCount count) -> double
@@ -146,7 +149,7 @@
 {
     auto status =
         BurnStatus{.objective = objective.name, .kind = objective.kind, .target = objective.target};
-    const auto allowed = 1.0 - objective.target;
+    const auto allowed = std::max(1.0 - objective.target, SMALLEST_BUDGET);
     const auto hours = std::chrono::duration_cast<std::chrono::hours>(objective.window).count();
     const auto buckets = std::max<std::int64_t>(hours, 1);
     status.count = this->sum(objective, BurnWidth::Hour, buckets, nowMillis);
--- a/libs/observe/tests/BurnReportTest.cpp
+++ b/libs/observe/tests/BurnReportTest.cpp
@@ -1,3 +1,4 @@
+#include <http/JsonReader.h>
 #include <observe/BurnHtml.h>
 #include <observe/BurnJson.h>
 #include <observe/BurnReport.h>
@@ -6,6 +7,7 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <cmath>
 
 namespace auburnrail {
 
@@ -152,6 +154,27 @@
     CHECK(status.spenders.front().organisation == "other");
 }
 
+// Guards against reports that no JSON reader accepts: a target of 1 leaves no budget, and the rates
+// were divided by it.
+TEST_CASE("a target of 1 is reported with finite figures")
+{
+    const auto bad = GENERATE(0, 1);
+    CAPTURE(bad);
+    auto report = BurnReport("entry-1/1");
+    report.setObjectives({{.name = "up", .target = 1}});
+    record(report, 9, bad, START);
+    const auto status = report.evaluate(START).front();
+    CHECK(std::isfinite(status.remainingBudget));
+    CHECK((status.remainingBudget == 1) == (bad == 0));
+    for (const auto &rate : status.rates) {
+        CHECK(std::isfinite(rate.longRate));
+        CHECK(rate.burning == (bad == 1));
+    }
+    auto reader = JsonReader(burnJson({status}).toString(), "report");
+    CHECK(reader.objects("objectives").size() == 1);
+    CHECK(reader.findings().toString().empty());
+}
+
 // Guards against names that break the page, and against references to other hosts.
 TEST_CASE("the report is printed as text, JSON and a self-contained page")
 {
