`set` keeps the fields that have no option

Callers saw: nothing known. Each was answered as applied.

Cause: makeObject() builds the new object from the options alone, and copies from the existing object only the members that an option sets. SetObject replaces the whole object.

Ruled out: merging in the state machine, where a field that is absent can't be told from a default.

Change: makeObject() copies the fields without an option from the existing object. The expected revision refuses the command if another one changed the object in between, as before.

Conclusion: `set` changes what is given, as its description says.

--- a/libs/operators/src/CommandMaker.cpp
+++ b/libs/operators/src/CommandMaker.cpp
@@ -7,7 +7,9 @@
 #include <absl/strings/numbers.h>
 
 #include <cmath>
+#include <type_traits>
 #include <utility>
+#include <variant>
 
 namespace auburnrail::detail {
 
@@ -68,6 +70,28 @@
     }
 }
 
+/// Copies the fields that no option sets.
+template <typename T>
+auto keepOtherFields(T & /*object*/, const T & /*old*/) -> void
+{
+}
+
+auto keepOtherFields(Service &object, const Service &old) -> void
+{
+    object.connectionLimit = old.connectionLimit;
+    object.synchronousReplicas = old.synchronousReplicas;
+}
+
+auto keepOtherFields(Route &object, const Route &old) -> void
+{
+    object.sessions = old.sessions;
+}
+
+auto keepOtherFields(Endpoint &object, const Endpoint &old) -> void
+{
+    object.leaving = old.leaving;
+}
+
 auto splitLabel(const std::string &argument, Findings &findings)
     -> std::pair<std::string, std::string>
 {
@@ -126,6 +150,16 @@
     writer.labels("labels", parseLabels(invocation.labels, findings));
     auto reader = JsonReader(writer.toString(), "options");
     auto object = decodeObject(reader);
+    if (old.has("kind")) {
+        const auto oldObject = decodeObject(old);
+        std::visit(
+            [&oldObject](auto &value) {
+                using Type = std::decay_t<decltype(value)>;
+                if (const auto *oldValue = std::get_if<Type>(&oldObject); oldValue != nullptr)
+                    keepOtherFields(value, *oldValue);
+            },
+            object);
+    }
     copyFindings(old, findings);
     copyFindings(reader, findings);
     return object;
--- a/libs/operators/tests/OperatorProgramTest.cpp
+++ b/libs/operators/tests/OperatorProgramTest.cpp
@@ -76,6 +76,42 @@
     CHECK(control.run({"organisation", "show", "o"}).code == ExitCode::Refused);
 }
 
+// Guards against settings without an option that a change of another setting resets.
+TEST_CASE("set keeps what the command line has no option for")
+{
+    auto control = FakeControl();
+    const auto store = [&control](FleetObject object) {
+        const auto revision = control.state.revision();
+        const auto command = Command{CommandHeader{.commandId = "c" + std::to_string(revision),
+                                                   .baseRevision = revision,
+                                                   .operatorName = "test"},
+                                     SetObject{std::move(object)}};
+        REQUIRE(applyCommand(control.state, command, revision + 1).status
+                == CommandStatus::Applied);
+    };
+    const auto sessions = SessionPolicy{.database = "d", .priority = 3};
+    store(Service{
+        .name = "s", .group = "g", .connectionLimit = 7, .synchronousReplicas = 2, .labels = {}});
+    store(Route{.name = "r", .service = "s", .open = true, .sessions = sessions, .labels = {}});
+    store(Endpoint{.name = "e",
+                   .group = "g",
+                   .zone = "z",
+                   .address = "127.0.0.1:5",
+                   .leaving = true,
+                   .labels = {}});
+    CHECK(control.run({"service", "set", "s", "--group", "h"}).code == ExitCode::Done);
+    CHECK(control.run({"route", "set", "r", "--isolated-reads", "true"}).code == ExitCode::Done);
+    CHECK(control.run({"endpoint", "set", "e", "--zone", "y"}).code == ExitCode::Done);
+    const auto &objects = control.state.objects();
+    CHECK(objects.find<Service>("s")->group == "h");
+    CHECK(objects.find<Service>("s")->connectionLimit == 7);
+    CHECK(objects.find<Service>("s")->synchronousReplicas == 2);
+    CHECK(objects.find<Route>("r")->isolatedReads);
+    CHECK(objects.find<Route>("r")->sessions == sessions);
+    CHECK(objects.find<Endpoint>("e")->zone == "y");
+    CHECK(objects.find<Endpoint>("e")->leaving);
+}
+
 // Guards against a key whose secret leaves the operator's side, or that does not work.
 TEST_CASE("a created key works, and only its hash is sent")
 {
