key create reads the cluster secret as the members do

Callers saw: nothing known. When the file of the secret starts with white space, key create was answered as applied, and the key is refused with the secret that members read. With a secret of fewer than 8 characters a key was made too, while members refuse to start with it.

Cause: key create strips white space on both sides of the file's text and checks only that something is left; readClusterSecret() strips the trailing white space only and requires 8 characters.

Ruled out: stripping both sides everywhere, which invalidates all keys of a cluster whose secret starts with white space.

Change: parseClusterSecret() reads the text of the file for all three programs. Key create refuses what members refuse, before anything is sent. The secret of the existing test, `cluster`, has 7 characters, which no member accepts; it is `cluster-secret` now, and the test is otherwise unchanged.

Conclusion: a key that is printed works.

--- a/libs/operators/src/OperatorProgram.cpp
+++ b/libs/operators/src/OperatorProgram.cpp
@@ -8,9 +8,9 @@
 #include <operators/CommandJson.h>
 #include <operators/OperatorClient.h>
 #include <operators/StateQuery.h>
+#include <settings/ClusterSecret.h>
 #include <state/KeySecret.h>
 
-#include <absl/strings/ascii.h>
 #include <absl/strings/str_format.h>
 #include <absl/strings/str_split.h>
 
@@ -153,11 +153,12 @@
     {
         auto findings = Findings();
         const auto labels = detail::parseLabels(this->invocation.labels, findings);
-        const auto secret = this->hooks.readFile(this->invocation.secretFile);
-        const auto clusterSecret =
-            secret.ok() ? std::string(absl::StripAsciiWhitespace(*secret)) : std::string();
-        if (clusterSecret.empty())
-            findings.add(Place{this->invocation.secretFile, 0, "", ""}, "has no cluster secret");
+        const auto file = this->hooks.readFile(this->invocation.secretFile);
+        const auto secret = parseClusterSecret(file.ok() ? *file : "", this->invocation.secretFile);
+        if (!secret.ok()) {
+            findings.add(Place{"argument", 0, "", "--secret-file"},
+                         std::string(secret.status().message()));
+        }
         // A repeated id would carry another random key, and print a text that does not work.
         if (!this->invocation.commandId.empty())
             findings.add(Place{"argument", 0, "", "--command-id"}, "does not go with key create");
@@ -166,7 +167,7 @@
         const auto status = this->get("/v1/status");
         if (!status.ok())
             return detail::printFailure(status.status());
-        const auto key = makeKey(this->hooks.random, clusterSecret);
+        const auto key = makeKey(this->hooks.random, *secret);
         auto object = Key{.id = key.id,
                           .organisation = this->invocation.name,
                           .hash = key.hash,
--- a/libs/operators/tests/FakeControl.h
+++ b/libs/operators/tests/FakeControl.h
@@ -47,6 +47,10 @@
             .random = this->random,
             .readFile = [](const std::string &path) -> absl::StatusOr<std::string> {
                 if (path == "secret")
+                    return "cluster-secret\n";
+                if (path == "indented")
+                    return "\tcluster-secret\n";
+                if (path == "short")
                     return "cluster\n";
                 return absl::NotFoundError("no file");
             },
--- a/libs/operators/tests/OperatorProgramTest.cpp
+++ b/libs/operators/tests/OperatorProgramTest.cpp
@@ -112,6 +112,26 @@
     CHECK(objects.find<Endpoint>("e")->leaving);
 }
 
+// Guards against a key that is hashed with another secret than the one that control members and
+// entries read from the same file, which keep leading white space and refuse a short secret.
+TEST_CASE("key create reads the cluster secret as the members do")
+{
+    auto control = FakeControl();
+    (void)control.run({"organisation", "set", "o", "--rate", "5", "--burst", "9"});
+    (void)control.run({"service", "set", "s", "--group", "g"});
+    (void)control.run({"route", "set", "r", "--service", "s", "--selector", "!blocked"});
+    const auto output = control.run({"key", "create", "o", "--secret-file", "indented"});
+    REQUIRE(output.code == ExitCode::Done);
+    const auto start = output.out.find("ar_");
+    REQUIRE(start != std::string::npos);
+    const auto text = output.out.substr(start, output.out.find('\n', start) - start);
+    CHECK(std::holds_alternative<Authorisation>(
+        authorise(control.state.objects(), "s", text, "\tcluster-secret")));
+    const auto refused = control.run({"key", "create", "o", "--secret-file", "short"});
+    CHECK(refused.code == ExitCode::BadInput);
+    CHECK_THAT(refused.err, Catch::Contains("fewer than 8 characters"));
+}
+
 // Guards against a key whose secret leaves the operator's side, or that does not work.
 TEST_CASE("a created key works, and only its hash is sent")
 {
@@ -124,7 +144,7 @@
     const auto start = output.out.find("ar_");
     REQUIRE(start != std::string::npos);
     const auto text = output.out.substr(start, output.out.find('\n', start) - start);
-    const auto granted = authorise(control.state.objects(), "s", text, "cluster");
+    const auto granted = authorise(control.state.objects(), "s", text, "cluster-secret");
     REQUIRE(std::holds_alternative<Authorisation>(granted));
     CHECK(std::get<Authorisation>(granted).organisation == "o");
     const auto listing = control.run({"--json", "key", "list"}).out;
--- a/libs/settings/src/ClusterSecret.cpp
+++ b/libs/settings/src/ClusterSecret.cpp
@@ -13,14 +13,11 @@
 
 } // namespace
 
-auto readClusterSecret(const std::string &path) -> absl::StatusOr<std::string>
+auto parseClusterSecret(std::string_view text, const std::string &path)
+    -> absl::StatusOr<std::string>
 {
-    if (path.empty())
-        return std::string();
-    auto stream = std::ifstream(path);
-    auto text = std::ostringstream();
-    text << stream.rdbuf();
-    auto secret = std::string(absl::StripTrailingAsciiWhitespace(text.str()));
+    auto secret = std::string(
+        absl::StripTrailingAsciiWhitespace(absl::string_view(text.data(), text.size())));
     if (secret.size() < MIN_SECRET_CHARACTERS) {
         return absl::InvalidArgumentError(path
                                           + ": the cluster secret can't be read or has fewer than "
@@ -29,4 +26,14 @@
     return secret;
 }
 
+auto readClusterSecret(const std::string &path) -> absl::StatusOr<std::string>
+{
+    if (path.empty())
+        return std::string();
+    auto stream = std::ifstream(path);
+    auto text = std::ostringstream();
+    text << stream.rdbuf();
+    return parseClusterSecret(text.str(), path);
+}
+
 } // namespace auburnrail
