Numbers of a service and of a route's sessions are checked where they arrive

Callers saw: nothing known.

Cause: the reader of objects converts integers of 64 bits to 32 bits, and milliseconds to nanoseconds, without a check. Only the connection limit of endpoints was checked.

Ruled out: a check in the state machine, which sees the converted values.

Change: members out of range are faults of the body, reported with the others.

Conclusion: a number is stored as it was sent, or refused.

--- a/libs/operators/src/ObjectJson.cpp
+++ b/libs/operators/src/ObjectJson.cpp
@@ -1,5 +1,6 @@
 #include <operators/ObjectJson.h>
 
+#include <limits>
 #include <utility>
 
 namespace auburnrail {
@@ -18,6 +19,28 @@
     return selector;
 }
 
+/// Integer of a member that must be from 0 to `maximum`.
+auto readLimited(JsonReader &reader, const char *member, std::int64_t maximum,
+                 std::int64_t fallback = 0) -> std::int64_t
+{
+    const auto value = reader.integer(member, fallback);
+    if (value >= 0 && value <= maximum)
+        return value;
+    reader.fault(member, "is out of range");
+    return fallback;
+}
+
+auto readUint32(JsonReader &reader, const char *member, std::uint32_t fallback = 0) -> std::uint32_t
+{
+    return static_cast<std::uint32_t>(
+        readLimited(reader, member, std::numeric_limits<std::uint32_t>::max(), fallback));
+}
+
+auto readMillis(JsonReader &reader, const char *member) -> Duration
+{
+    return std::chrono::milliseconds(readLimited(reader, member, toMillis(Duration::max())));
+}
+
 auto writeFields(const Service &object, JsonWriter &writer) -> void
 {
     writer.text("group", object.group);
@@ -54,18 +77,15 @@
 
 auto readPolicy(JsonReader reader) -> SessionPolicy
 {
-    const auto millis = [&reader](const char *member) {
-        return std::chrono::milliseconds(reader.integer(member));
-    };
     auto policy = SessionPolicy();
     policy.database = reader.requiredText("database");
     policy.consistency = readEnum(reader, "consistency", policy.consistency);
-    policy.maxStaleness = millis("max_staleness_ms");
-    policy.statementTimeout = millis("statement_timeout_ms");
-    policy.latencyObjective = millis("latency_objective_ms");
-    policy.transactionIdleLimit = millis("transaction_idle_limit_ms");
-    policy.priority = static_cast<std::uint32_t>(reader.integer("priority"));
-    policy.maxAttempts = static_cast<std::uint32_t>(reader.integer("max_attempts", 1));
+    policy.maxStaleness = readMillis(reader, "max_staleness_ms");
+    policy.statementTimeout = readMillis(reader, "statement_timeout_ms");
+    policy.latencyObjective = readMillis(reader, "latency_objective_ms");
+    policy.transactionIdleLimit = readMillis(reader, "transaction_idle_limit_ms");
+    policy.priority = readUint32(reader, "priority");
+    policy.maxAttempts = readUint32(reader, "max_attempts", 1);
     return policy;
 }
 
@@ -117,8 +137,8 @@
 auto readFields(JsonReader &reader, Service &object) -> void
 {
     object.group = reader.requiredText("group");
-    object.connectionLimit = static_cast<std::uint32_t>(reader.integer("connection_limit"));
-    object.synchronousReplicas = static_cast<std::uint32_t>(reader.integer("synchronous_replicas"));
+    object.connectionLimit = readUint32(reader, "connection_limit");
+    object.synchronousReplicas = readUint32(reader, "synchronous_replicas");
 }
 
 auto readFields(JsonReader &reader, Organisation &object) -> void
--- a/libs/operators/tests/CommandJsonTest.cpp
+++ b/libs/operators/tests/CommandJsonTest.cpp
@@ -46,6 +46,16 @@
         Row{R"({"id":"a","base_revision":1,"operator":"o","command":{"type":"set","object":
                 {"kind":"endpoint","name":"e","connection_limit":-1}}})",
             {"group: ", "zone: ", "address: ", "connection_limit: is out of range"}},
+        Row{R"({"id":"a","base_revision":1,"operator":"o","command":{"type":"set","object":
+                {"kind":"service","name":"s","group":"g","connection_limit":4294967301,
+                 "synchronous_replicas":-1}}})",
+            {"connection_limit: is out of range", "synchronous_replicas: is out of range"}},
+        Row{R"({"id":"a","base_revision":1,"operator":"o","command":{"type":"set","object":
+                {"kind":"route","name":"r","service":"s","open":true,"sessions":{"database":"d",
+                 "max_staleness_ms":-1,"statement_timeout_ms":9223372036854775807,
+                 "priority":-1,"max_attempts":4294967296}}}})",
+            {"max_staleness_ms: is out of range", "statement_timeout_ms: is out of range",
+             "priority: is out of range", "max_attempts: is out of range"}},
     }));
     CAPTURE(body);
     const auto decoded = decodeCommandJson(body);
