An endpoint keeps its start when an operator changes it

Callers saw: nothing known. After `endpoint set`, an announcement of an earlier process of the endpoint, which control refuses as outdated, could be accepted again.

Cause: the JSON of objects leaves out the start of an endpoint's process, so that a command that sets an endpoint stores 0, "not stated".

Ruled out: keeping the start in the state machine, where members of two versions would differ.

Change: the JSON has `started_at`, and `set` copies it from the existing endpoint.

Conclusion: an operator's change of an endpoint does not change which of its processes is the latest.

--- a/libs/operators/src/CommandMaker.cpp
+++ b/libs/operators/src/CommandMaker.cpp
@@ -90,6 +90,7 @@
 auto keepOtherFields(Endpoint &object, const Endpoint &old) -> void
 {
     object.leaving = old.leaving;
+    object.startedAt = old.startedAt;
 }
 
 auto splitLabel(const std::string &argument, Findings &findings)
--- a/libs/operators/src/ObjectJson.cpp
+++ b/libs/operators/src/ObjectJson.cpp
@@ -113,6 +113,7 @@
     writer.text("address", object.address);
     writer.integer("connection_limit", object.connectionLimit);
     writer.boolean("leaving", object.leaving);
+    writer.integer("started_at", static_cast<std::int64_t>(object.startedAt));
 }
 
 auto writeFields(const ConfigurationDocument &object, JsonWriter &writer) -> void
@@ -182,6 +183,8 @@
         reader.fault("connection_limit", "is out of range");
     object.connectionLimit = static_cast<std::uint32_t>(limit);
     object.leaving = reader.boolean("leaving");
+    object.startedAt = static_cast<std::uint64_t>(
+        readLimited(reader, "started_at", std::numeric_limits<std::int64_t>::max()));
 }
 
 auto readFields(JsonReader &reader, ConfigurationDocument &object) -> void
--- a/libs/operators/tests/CommandJsonTest.cpp
+++ b/libs/operators/tests/CommandJsonTest.cpp
@@ -26,6 +26,17 @@
     }));
 }
 
+// Guards against an endpoint whose earlier process is accepted again after an operator's change.
+TEST_CASE("an endpoint keeps its start in JSON")
+{
+    const auto start = std::uint64_t(1'796'592'000'123);
+    const auto endpoint = Endpoint{
+        .name = "e", .group = "g", .zone = "z", .address = "127.0.0.1:1", .startedAt = start};
+    const auto decoded = decodeCommandJson(encodeCommandJson(command("1", SetObject{endpoint})));
+    REQUIRE(decoded.ok());
+    CHECK(std::get<Endpoint>(std::get<SetObject>(decoded->body).object).startedAt == start);
+}
+
 // Guards against bodies whose faults are reported one a request, and against commands made of
 // defaults where the body is faulty.
 TEST_CASE("all faults of a command's body are reported together")
--- a/libs/operators/tests/OperatorProgramTest.cpp
+++ b/libs/operators/tests/OperatorProgramTest.cpp
@@ -98,6 +98,7 @@
                    .zone = "z",
                    .address = "127.0.0.1:5",
                    .leaving = true,
+                   .startedAt = 9,
                    .labels = {}});
     CHECK(control.run({"service", "set", "s", "--group", "h"}).code == ExitCode::Done);
     CHECK(control.run({"route", "set", "r", "--isolated-reads", "true"}).code == ExitCode::Done);
@@ -110,6 +111,7 @@
     CHECK(objects.find<Route>("r")->sessions == sessions);
     CHECK(objects.find<Endpoint>("e")->zone == "y");
     CHECK(objects.find<Endpoint>("e")->leaving);
+    CHECK(objects.find<Endpoint>("e")->startedAt == 9);
 }
 
 // Guards against a key that is hashed with another secret than the one that control members and
