The instance and the zone of an entry's settings must be names

Callers saw: nothing known. By the code, an entry whose instance name has a blank starts without a finding and is never registered; no such entry was run.

Cause: control registers an entry with SetObject, which refuses a name that isName() does not accept; the entry's settings took any text. The zone is compared with the zones of endpoints, which are names.

Ruled out: the name of a control member, which is an IP when seeds are set, and may be one in brackets.

Change: settings of the new kind `name` are checked with isName() where the file is read, so that `auburnrail check` reports them too.

Conclusion: an instance name that control can't register is refused at the start.

--- a/libs/settings/include/settings/SettingKind.h
+++ b/libs/settings/include/settings/SettingKind.h
@@ -12,6 +12,7 @@
     Text,
     Integer,
     Boolean,
+    Name,    ///< As isName() has it.
     Address, ///< IP:port
     List,    ///< Items separated by commas.
 };
@@ -21,6 +22,7 @@
     {SettingKind::Text, "text"},
     {SettingKind::Integer, "integer"},
     {SettingKind::Boolean, "true or false"},
+    {SettingKind::Name, "name"},
     {SettingKind::Address, "IP:port"},
     {SettingKind::List, "list"},
 });
--- a/libs/settings/src/EntrySettings.cpp
+++ b/libs/settings/src/EntrySettings.cpp
@@ -7,8 +7,16 @@
 namespace {
 
 constexpr auto ENTRY_SETTINGS = std::to_array<SettingSpec>({
-    {.section = "entry", .key = "instance", .required = true, .meaning = "unique instance name"},
-    {.section = "entry", .key = "zone", .required = true, .meaning = "availability zone"},
+    {.section = "entry",
+     .key = "instance",
+     .kind = SettingKind::Name,
+     .required = true,
+     .meaning = "unique instance name"},
+    {.section = "entry",
+     .key = "zone",
+     .kind = SettingKind::Name,
+     .required = true,
+     .meaning = "availability zone"},
     {.section = "entry",
      .key = "callers_address",
      .kind = SettingKind::Address,
--- a/libs/settings/src/SettingsFile.cpp
+++ b/libs/settings/src/SettingsFile.cpp
@@ -2,6 +2,8 @@
 
 #include "IniLineIndex.h"
 
+#include <core/Name.h>
+
 #include <Poco/AutoPtr.h>
 #include <Poco/Exception.h>
 #include <Poco/Net/SocketAddress.h>
@@ -64,6 +66,8 @@
     }
     case SettingKind::Boolean:
         return value == "true" || value == "false" ? "" : "'" + value + "' is not true or false";
+    case SettingKind::Name:
+        return isName(value) ? "" : "'" + value + "' is not a name";
     case SettingKind::Address:
         return isAddress(value) ? "" : "'" + value + "' is not IP:port";
     case SettingKind::Text:
--- a/libs/settings/tests/SettingsFileTest.cpp
+++ b/libs/settings/tests/SettingsFileTest.cpp
@@ -77,6 +77,22 @@
     CHECK(text.find("[control] members: must be set") != std::string::npos);
 }
 
+// Guards against an entry that starts and never gets a lease: control registers only names.
+TEST_CASE("the names of an entry's settings are names")
+{
+    const auto text = findingsOf(R"([entry]
+instance = entry 1
+zone = coast,a
+sessions_address = 127.0.0.1:7001
+operators_address = 127.0.0.1:7002
+[control]
+members = a@127.0.0.1:7101
+)");
+    CHECK(text
+          == "entry.ini:2: [entry] instance: 'entry 1' is not a name\n"
+             "entry.ini:3: [entry] zone: 'coast,a' is not a name\n");
+}
+
 // Guards against crashes on damaged files.
 TEST_CASE("arbitrary bytes never crash the settings parser")
 {
