Members of a settings file need a name and a port

Callers saw: nothing. `auburnrail check` had no finding for `members = b@nowhere`, an address without a port, nor for a member's name with a blank.

Cause: parseMemberAddresses() checked only that there is text on both sides of the `@`.

Ruled out: requiring an IP, since a host name is resolved when a connection is opened.

--- a/libs/settings/tests/ControlSettingsTest.cpp
+++ b/libs/settings/tests/ControlSettingsTest.cpp
@@ -32,6 +32,11 @@
     CHECK(controlFindings("a@127.0.0.1:3, a@127.0.0.1:4", "").find("'a' is listed twice")
           != std::string::npos);
     CHECK(controlFindings("a", "").find("'a' is not name@IP:port") != std::string::npos);
+    CHECK(controlFindings("a@127.0.0.1:3, b@nowhere", "").find("'b@nowhere' is not name@IP:port")
+          != std::string::npos);
+    CHECK(controlFindings("a@127.0.0.1:3, b c@127.0.0.1:4", "")
+              .find("'b c@127.0.0.1:4' is not name@IP:port")
+          != std::string::npos);
     CHECK(controlFindings("a@127.0.0.1:3", "heartbeat_ms = 400\n").find("at least 3 times")
           != std::string::npos);
 }
