Control characters of a record are shown escaped

Callers saw: nothing. A text of a record with a line feed was printed by `explain` as a line of its own, and escape sequences reached the operator's terminal. This was shown with a scripted answer of an entry; which texts of callers or servers get there with such characters was not tried.

Cause: RecordList prints the texts of a record unchanged.

Ruled out: escaping in the JSON output, where the JSON writer does it already.

Change: the text output shows control characters of ASCII and backslashes as in C. Other bytes are unchanged.

Conclusion: one record is shown as its own lines only.

--- a/libs/operators/src/RecordList.cpp
+++ b/libs/operators/src/RecordList.cpp
@@ -4,6 +4,8 @@
 #include <Poco/JSON/Object.h>
 #include <Poco/JSON/Parser.h>
 
+#include <absl/strings/ascii.h>
+#include <absl/strings/escaping.h>
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_join.h>
 
@@ -29,6 +31,18 @@
     return object.isNull() ? 0 : object->optValue<Poco::Int64>(member, 0);
 }
 
+/// `text` on one line, with the control characters of ASCII and backslashes escaped as in C.
+auto printable(const std::string &text) -> std::string
+{
+    auto result = std::string();
+    for (const auto character : text) {
+        const auto escaped =
+            absl::ascii_iscntrl(static_cast<unsigned char>(character)) || character == '\\';
+        result += escaped ? absl::CHexEscape(std::string(1, character)) : std::string(1, character);
+    }
+    return result;
+}
+
 auto appendText(const Object &object, const std::string &indent, std::string &text) -> void
 {
     auto fields = std::vector<std::string>();
@@ -42,10 +56,11 @@
                 if (const auto inner = objectOf(item); !inner.isNull())
                     appendText(*inner, indent + "  ", nested);
                 else
-                    absl::StrAppend(&nested, indent, "  ", item.convert<std::string>(), "\n");
+                    absl::StrAppend(&nested, indent, "  ", printable(item.convert<std::string>()),
+                                    "\n");
             }
         } else {
-            const auto shown = value.convert<std::string>();
+            const auto shown = printable(value.convert<std::string>());
             if (!shown.empty())
                 fields.push_back(absl::StrCat(name, "=", shown));
         }
--- a/libs/operators/tests/FleetQueryTest.cpp
+++ b/libs/operators/tests/FleetQueryTest.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+
 namespace auburnrail {
 
 namespace {
@@ -68,6 +70,18 @@
           == (output.err.find("did not answer") != std::string::npos));
 }
 
+// Guards against a caller's text that is shown as a record of its own, or that a terminal runs.
+TEST_CASE("control characters of a record are escaped as text")
+{
+    auto control = makeFleet();
+    control.answers[{"e2:1", "/v1/explain/request?id=r1"}] =
+        body(R"({"records":[{"service":"a\nreason=completed\u001b[2J\t\\é","at_ms":5}]})");
+    const auto output = control.run({"explain", "request", "r1"});
+    CHECK(output.code == ExitCode::Done);
+    CHECK_THAT(output.out, Catch::Contains("service=a\\nreason=completed\\x1b[2J\\t\\\\é"));
+    CHECK(std::count(output.out.begin(), output.out.end(), '\n') == 1);
+}
+
 // Guards against a promotion that is sent twice, or one whose lost answer reads as "nothing
 // changed".
 TEST_CASE("promote is sent once, to the leader, and its exit code tells what is known")
