An operator's endpoint needs an IP and a port

Callers saw: nothing known. A command that sets an endpoint whose address is not IP:port, such as `e 1:5`, was answered as applied; no connection can be opened to it.

Cause: the state machine checks that the address has 1 to 128 bytes, with a message that speaks of IP:port. Announcements are checked with isConnectableAddress(), operators' commands were not.

Ruled out: the check in the state machine, where members of two versions would decide differently on one command.

Change: decodeCommandJson() refuses such an address with the other faults of the body. Objects that are read for display are not checked, so that a stored address can be replaced.

Conclusion: operators and endpoints state addresses of the same form.

--- a/libs/operators/src/CommandJson.cpp
+++ b/libs/operators/src/CommandJson.cpp
@@ -1,5 +1,6 @@
 #include <operators/CommandJson.h>
 
+#include <net/TcpAddress.h>
 #include <operators/ObjectJson.h>
 
 #include "ResultStatusTable.h"
@@ -89,6 +90,9 @@
         auto object = reader.object("object");
         auto body = SetObject{decodeObject(object)};
         refuseEntry(reader, kindOf(body.object));
+        const auto *endpoint = std::get_if<Endpoint>(&body.object);
+        if (endpoint != nullptr && !isConnectableAddress(endpoint->address))
+            object.fault("address", "must be an IP and a port from 1 to 65535");
         return body;
     }
     if (type == "withdraw-key")
--- a/libs/operators/tests/CommandJsonTest.cpp
+++ b/libs/operators/tests/CommandJsonTest.cpp
@@ -57,6 +57,9 @@
         Row{R"({"id":"a","base_revision":1,"operator":"o","command":{"type":"set","object":
                 {"kind":"endpoint","name":"e","connection_limit":-1}}})",
             {"group: ", "zone: ", "address: ", "connection_limit: is out of range"}},
+        Row{R"({"id":"a","base_revision":1,"operator":"o","command":{"type":"set","object":
+                {"kind":"endpoint","name":"e","group":"g","zone":"z","address":"e 1:5"}}})",
+            {"command.object.address: must be an IP and a port from 1 to 65535"}},
         Row{R"({"id":"a","base_revision":1,"operator":"o","command":{"type":"set","object":
                 {"kind":"service","name":"s","group":"g","connection_limit":4294967301,
                  "synchronous_replicas":-1}}})",
