--- a/libs/control/tests/CheckAnnouncementTest.cpp
+++ b/libs/control/tests/CheckAnnouncementTest.cpp
@@ -54,8 +54,7 @@
 // Guards against a name that a server reads as two fields of a message, or as its end.
 TEST_CASE("announcements with a name that no message can carry are refused")
 {
-    for (const auto *name :
-         {"", "i 7f", "i-7f%20x", "i-7f?x=1", "i\r\nQUERY - STEPDOWN 99", "i\t"}) {
+    for (const auto *name : {"", "i 7f", "i-7f%20x", "i-7f?x=1", "i\r\nQUERY x", "i\t"}) {
         INFO(name);
         for (const auto member :
              {&Announcement::endpoint, &Announcement::group, &Announcement::zone}) {
