--- a/libs/proxy/include/proxy/ProxySession.h
+++ b/libs/proxy/include/proxy/ProxySession.h
@@ -76,9 +76,10 @@
     auto prepare(const ClientStatement &statement) -> void;
     auto deallocate(const ClientStatement &statement) -> void;
 
-    /// Reserves room for text under a name that replaces `replaced` bytes; false, and an error to
-    /// the client, when there is none.
-    auto reserveState(std::size_t replaced, std::size_t added) -> bool;
+    /// Reserves room for `added` under `name`, in place of `replaced` when that is set; false, and
+    /// an error to the client, when there is none.
+    auto reserveState(const std::string &name, const std::string *replaced,
+                      const std::string &added) -> bool;
     auto begin(const ClientStatement &statement) -> void;
     auto rollBack() -> void;
     auto commit(const ClientStatement &statement) -> void;
--- a/libs/proxy/include/proxy/StatementRun.h
+++ b/libs/proxy/include/proxy/StatementRun.h
@@ -74,8 +74,8 @@
     /// The connection was lost, or a time limit passed, while a request was in progress.
     auto lost(const ServerOutcome &outcome) -> void;
 
-    /// The server refused a preparation, the beginning of a transaction or the statement; the
-    /// refused request had no effect.
+    /// The server refused a preparation, the beginning of a transaction or the statement. The
+    /// client's statement had no effect; a preparation may have changed the connection.
     auto refused(const StatementResponse &response) -> void;
 
     /// The server does not have the prepared statement; the statement had no effect.
--- a/libs/proxy/src/ProxySessionStatements.cpp
+++ b/libs/proxy/src/ProxySessionStatements.cpp
@@ -27,9 +27,11 @@
     }
 }
 
-auto ProxySession::reserveState(std::size_t replaced, std::size_t added) -> bool
+auto ProxySession::reserveState(const std::string &name, const std::string *replaced,
+                                const std::string &added) -> bool
 {
-    const auto wanted = this->stateBytes - replaced + added;
+    const auto freed = replaced == nullptr ? 0 : name.size() + replaced->size();
+    const auto wanted = this->stateBytes - freed + name.size() + added.size();
     if (wanted > MAX_STATE_BYTES) {
         this->respondFailure(StatementError::Malformed,
                              "the session's values and prepared statements are too long");
@@ -42,9 +44,8 @@
 auto ProxySession::setValue(const ClientStatement &statement) -> void
 {
     const auto found = this->values.find(statement.name);
-    const auto replaced =
-        found == this->values.end() ? 0 : statement.name.size() + found->second.size();
-    if (!this->reserveState(replaced, statement.name.size() + statement.value.size()))
+    const auto *replaced = found == this->values.end() ? nullptr : &found->second;
+    if (!this->reserveState(statement.name, replaced, statement.value))
         return;
     this->values.insert_or_assign(statement.name, statement.value);
     this->respond(StatementResponse());
@@ -53,9 +54,8 @@
 auto ProxySession::prepare(const ClientStatement &statement) -> void
 {
     const auto found = this->prepared.find(statement.name);
-    const auto replaced =
-        found == this->prepared.end() ? 0 : statement.name.size() + found->second.shape.size();
-    if (!this->reserveState(replaced, statement.name.size() + statement.shape.size()))
+    const auto *replaced = found == this->prepared.end() ? nullptr : &found->second.shape;
+    if (!this->reserveState(statement.name, replaced, statement.shape))
         return;
     this->prepared.insert_or_assign(statement.name,
                                     PreparedStatement{statement.shape, statement.writes});
