The log names what a promotion relies on, and what the promoted server has

`failover completed` had one position, that of the chosen endpoint at its fence, so that none of the three hypotheses on LOST could be told from another.

Ruled out: a longer line at the end of a failover; a leader that is replaced meanwhile would never write it.

Change: `promotion ordered`, before each order: every endpoint that was compared with its position and the age of that position, who was not fenced, the try, and since when no live lease is of an earlier term (`never`: H1 is possible). `promotion took effect` or `promotion not seen in time`: the server's own term and position (a position below the one before: H2; another server's name or a term that control didn't order: H3).

Before and after: no decision changes.

Conclusion: the hypotheses can be told apart by one group's lines.

--- a/libs/control/include/control/EndpointRoleHooks.h
+++ b/libs/control/include/control/EndpointRoleHooks.h
@@ -1,6 +1,8 @@
 #ifndef AUBURNRAIL_CONTROL_ENDPOINTROLEHOOKS_H
 #define AUBURNRAIL_CONTROL_ENDPOINTROLEHOOKS_H
 
+#include <control/EndpointRoleStatus.h>
+
 #include <failover/FenceResponse.h>
 #include <failover/GroupEndpoint.h>
 
@@ -27,9 +29,11 @@
                       ->bool>
         promote;
 
-    /// Optional: whether an endpoint that accepted the promotion is the primary by now. When not
-    /// set, an endpoint that accepted it counts as primary at once.
-    std::function<auto(const GroupEndpoint &endpoint, const std::string &group)->bool> isPrimary;
+    /// Optional: what an endpoint that accepted the promotion is by now; nothing when it doesn't
+    /// say. When not set, an endpoint that accepted it counts as primary at once.
+    std::function<auto(const GroupEndpoint &endpoint, const std::string &group)
+                      ->std::optional<EndpointRoleStatus>>
+        status;
 
     /// True when the endpoint now replicates from `primary`.
     std::function<auto(const GroupEndpoint &endpoint, const std::string &group, std::uint64_t term,
--- a/libs/control/src/ControlTablesFailover.cpp
+++ b/libs/control/src/ControlTablesFailover.cpp
@@ -5,6 +5,7 @@
 #include <daemon/Logging.h>
 
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
 
 namespace auburnrail {
 
@@ -14,6 +15,11 @@
 /// milliseconds.
 constexpr auto PRIMARY_CHECK_INTERVAL = std::chrono::milliseconds(60);
 
+auto positionText(const Position &position) -> std::string
+{
+    return absl::StrCat(position.term, ".", position.index);
+}
+
 auto logFailover(const FailoverRecord &record) -> void
 {
     const auto began = record.phases.empty() ? record.endedAt : record.phases.front().startedAt;
@@ -23,11 +29,51 @@
              {"old_primary", record.oldPrimary},
              {"new_primary", record.newPrimary},
              {"term", absl::StrCat(record.term)},
-             {"position", absl::StrCat(record.position.term, ".", record.position.index)},
+             {"position", positionText(record.position)},
              {"duration_ms", absl::StrCat(toMillis(record.endedAt - began))},
              {"note", record.note}});
 }
 
+/// One word for each endpoint that was compared: name, position, its age, and its former role.
+auto fencedText(const PromotionEvidence &evidence) -> std::string
+{
+    return absl::StrJoin(evidence.fenced, " ", [&](std::string *text, const FenceEvidence &fenced) {
+        absl::StrAppend(text, fenced.endpoint, "@", positionText(fenced.position), "/",
+                        toMillis(evidence.orderedAt - fenced.receivedAt), "ms",
+                        fenced.wasPrimary ? "/primary" : "");
+    });
+}
+
+auto logPromotion(const PromotionEvidence &evidence) -> void
+{
+    const auto confirmed =
+        evidence.leasesConfirmedAt
+            ? absl::StrCat(toMillis(evidence.orderedAt - *evidence.leasesConfirmedAt))
+            : std::string("never");
+    logLine(LogLevel::Info, "failover", "promotion ordered",
+            {{"group", evidence.group},
+             {"term", absl::StrCat(evidence.term)},
+             {"cause", std::string(nameOf(evidence.cause))},
+             {"endpoint", evidence.endpoint},
+             {"old_primary", evidence.oldPrimary},
+             {"try", absl::StrCat(evidence.tries)},
+             {"leases_confirmed_ms_ago", confirmed},
+             {"fenced", fencedText(evidence)},
+             {"not_fenced", absl::StrJoin(evidence.notFenced, " ")}});
+}
+
+auto logPromotionSeen(const GroupEndpoint &endpoint, const std::string &group,
+                      const std::optional<EndpointRoleStatus> &status) -> void
+{
+    const auto leads = status && status->isPrimary;
+    logLine(leads ? LogLevel::Info : LogLevel::Warning, "failover",
+            leads ? "promotion took effect" : "promotion not seen in time",
+            {{"group", group},
+             {"endpoint", endpoint.name},
+             {"endpoint_term", status ? absl::StrCat(status->term) : ""},
+             {"position", status ? positionText(status->position) : ""}});
+}
+
 } // namespace
 
 auto ControlTables::makeFailoverHooks() -> FailoverHooks
@@ -77,6 +123,7 @@
             done(isConfirmed, this->executor.now());
         });
     };
+    failoverHooks.promotionOrdered = logPromotion;
     failoverHooks.failoverEnded = [this](const FailoverRecord &record) {
         logFailover(record);
         this->failovers.add(record);
@@ -93,7 +140,7 @@
         done(false, this->executor.now());
         return;
     }
-    if (!this->endpointHooks.isPrimary) {
+    if (!this->endpointHooks.status) {
         done(true, this->executor.now());
         return;
     }
@@ -106,12 +153,15 @@
                                  const std::function<auto(bool, TimePoint)->void> &done) -> void
 {
     this->executor.postAfter(PRIMARY_CHECK_INTERVAL, [this, endpoint, group, deadline, done] {
-        const auto leads = this->endpointHooks.isPrimary(endpoint, group);
+        const auto status = this->endpointHooks.status(endpoint, group);
+        const auto leads = status && status->isPrimary;
         const auto now = this->executor.now();
-        if (leads || now >= deadline)
-            done(leads, now);
-        else
+        if (!leads && now < deadline) {
             this->awaitPrimary(endpoint, group, deadline, done);
+            return;
+        }
+        logPromotionSeen(endpoint, group, status);
+        done(leads, now);
     });
 }
 
--- a/libs/control/src/EndpointCommander.cpp
+++ b/libs/control/src/EndpointCommander.cpp
@@ -71,7 +71,7 @@
                    const std::vector<GroupEndpoint> &members) {
                 return this->promote(endpoint, term, members);
             },
-        .isPrimary = {},
+        .status = {},
         .follow =
             [this](const GroupEndpoint &endpoint, const std::string & /*group*/, std::uint64_t term,
                    const GroupEndpoint &primary) {
--- a/libs/failover/include/failover/FailoverHooks.h
+++ b/libs/failover/include/failover/FailoverHooks.h
@@ -4,6 +4,7 @@
 #include <failover/FailoverRecord.h>
 #include <failover/FenceResponse.h>
 #include <failover/GroupEndpoint.h>
+#include <failover/PromotionEvidence.h>
 
 #include <core/Revision.h>
 #include <core/Time.h>
@@ -57,6 +58,9 @@
                       ->void>
         follow;
 
+    /// Receives what a promotion relies on, right before it is ordered. May be empty.
+    std::function<auto(const PromotionEvidence &evidence)->void> promotionOrdered;
+
     /// Receives the record of a failover that ended.
     std::function<auto(const FailoverRecord &record)->void> failoverEnded;
 };
--- /dev/null
+++ b/libs/failover/include/failover/PromotionEvidence.h
@@ -0,0 +1,35 @@
+#ifndef AUBURNRAIL_FAILOVER_PROMOTIONEVIDENCE_H
+#define AUBURNRAIL_FAILOVER_PROMOTIONEVIDENCE_H
+
+#include <failover/FailoverCause.h>
+#include <failover/FenceEvidence.h>
+
+#include <core/Time.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace auburnrail {
+
+/// What a promotion relies on at the time when it is ordered.
+struct PromotionEvidence
+{
+    std::string group;
+    std::uint64_t term = 0;
+    FailoverCause cause = FailoverCause::Suspicion;
+    std::string endpoint; ///< The one that is promoted.
+    std::string oldPrimary;
+    std::size_t tries = 0; ///< Orders in this term, with this one.
+    TimePoint orderedAt;
+    /// Since when every live lease names the term; nothing if that isn't so.
+    std::optional<TimePoint> leasesConfirmedAt;
+    std::vector<FenceEvidence> fenced;  ///< The endpoints that were compared.
+    std::vector<std::string> notFenced; ///< Members that were not.
+};
+
+} // namespace auburnrail
+
+#endif
--- a/libs/failover/include/failover/detail/FailoverAttempt.h
+++ b/libs/failover/include/failover/detail/FailoverAttempt.h
@@ -5,6 +5,7 @@
 #include <failover/FailoverLimits.h>
 #include <failover/FailoverRecord.h>
 #include <failover/FenceResponse.h>
+#include <failover/PromotionEvidence.h>
 
 #include <core/Revision.h>
 
@@ -26,10 +27,14 @@
     std::optional<TimePoint> confirmedAt;
     bool oldPrimaryFailed = false; ///< The old primary did not confirm a promotion of this attempt.
     std::map<std::string, FenceResponse, std::less<>> fences;
+    std::map<std::string, TimePoint, std::less<>> fencedAt; ///< When the responses were received.
     GroupEndpoint chosen;
     std::size_t tries = 0; ///< Number of tries of the current phase's step.
     TimePoint nextTryAt;
 
+    /// What the promotion of the chosen endpoint relies on.
+    [[nodiscard]] auto evidence(TimePoint now) const -> PromotionEvidence;
+
     /// Whether a majority of the endpoints accepted the fence. Endpoints that are rebuilding count
     /// only if the group never had a primary.
     [[nodiscard]] auto hasMajority() const -> bool;
--- a/libs/failover/src/FailoverAttempt.cpp
+++ b/libs/failover/src/FailoverAttempt.cpp
@@ -6,6 +6,30 @@
 
 namespace auburnrail::detail {
 
+auto FailoverAttempt::evidence(TimePoint now) const -> PromotionEvidence
+{
+    auto evidence = PromotionEvidence{.group = this->record.group,
+                                      .term = this->record.term,
+                                      .cause = this->record.cause,
+                                      .endpoint = this->chosen.name,
+                                      .oldPrimary = this->view.primary,
+                                      .tries = this->tries,
+                                      .orderedAt = now,
+                                      .leasesConfirmedAt = this->confirmedAt};
+    for (const auto &endpoint : this->view.endpoints) {
+        const auto found = this->fences.find(endpoint.name);
+        if (found == this->fences.end()) {
+            evidence.notFenced.push_back(endpoint.name);
+            continue;
+        }
+        evidence.fenced.push_back(FenceEvidence{.endpoint = endpoint.name,
+                                                .position = found->second.position,
+                                                .wasPrimary = found->second.wasPrimary,
+                                                .receivedAt = this->fencedAt.at(endpoint.name)});
+    }
+    return evidence;
+}
+
 auto FailoverAttempt::hasMajority() const -> bool
 {
     const auto counts = [this](const GroupEndpoint &endpoint) {
--- a/libs/failover/src/FailoverSteps.cpp
+++ b/libs/failover/src/FailoverSteps.cpp
@@ -183,6 +183,7 @@
     }
     const auto awaitedOldPrimary = !attempt.mayFenceReplicas(this->limits, now);
     attempt.fences.insert_or_assign(endpoint, response);
+    attempt.fencedAt.insert_or_assign(endpoint, now);
     if (awaitedOldPrimary && attempt.mayFenceReplicas(this->limits, now))
         this->issueStep(attempt, now, effects);
     if (attempt.phase == FailoverPhase::Fencing && attempt.hasMajority())
@@ -242,7 +243,10 @@
                 });
     };
     effects.emplace_back([this, chosen = attempt.chosen, group, term = attempt.record.term,
-                          members = attempt.view.endpoints, done = std::move(done)] {
+                          members = attempt.view.endpoints, evidence = attempt.evidence(now),
+                          done = std::move(done)] {
+        if (this->hooks.promotionOrdered)
+            this->hooks.promotionOrdered(evidence);
         this->hooks.promote(chosen, group, term, members, done);
     });
 }
