--- a/idl/Control.thrift
+++ b/idl/Control.thrift
@@ -33,6 +33,13 @@
   3: optional i64 unreachableMillis
 }
 
+struct AcknowledgedReportMessage {
+  1: string group
+  2: i64 term
+  3: i64 positionTerm
+  4: i64 positionIndex
+}
+
 struct BurnRowMessage {
   1: string objective
   2: string serviceName
@@ -65,6 +72,7 @@
   14: i64 unusedMicros
   15: optional string relayAddress
   16: optional i64 peersFingerprint
+  17: optional list<AcknowledgedReportMessage> acknowledged
 }
 
 struct RelayPeerMessage {
--- a/libs/control/src/ControlTables.cpp
+++ b/libs/control/src/ControlTables.cpp
@@ -42,7 +42,8 @@
     for (const auto &name : objects.endpointsOf(group.name)) {
         if (const auto *endpoint = objects.find<Endpoint>(name)) {
             view.endpoints.push_back(GroupEndpoint{endpoint->name, endpoint->address,
-                                                   isOutOfService(objects, *endpoint)});
+                                                   isOutOfService(objects, *endpoint),
+                                                   endpoint->startedAt});
         }
     }
     objects.table<Service>().forEach([&](const Service &service) {
--- a/libs/control/src/ControlTablesFailover.cpp
+++ b/libs/control/src/ControlTablesFailover.cpp
@@ -50,16 +50,18 @@
         evidence.leasesConfirmedAt
             ? absl::StrCat(toMillis(evidence.orderedAt - *evidence.leasesConfirmedAt))
             : std::string("never");
-    logLine(LogLevel::Info, "failover", "promotion ordered",
-            {{"group", evidence.group},
-             {"term", absl::StrCat(evidence.term)},
-             {"cause", std::string(nameOf(evidence.cause))},
-             {"endpoint", evidence.endpoint},
-             {"old_primary", evidence.oldPrimary},
-             {"try", absl::StrCat(evidence.tries)},
-             {"leases_confirmed_ms_ago", confirmed},
-             {"fenced", fencedText(evidence)},
-             {"not_fenced", absl::StrJoin(evidence.notFenced, " ")}});
+    logLine(
+        LogLevel::Info, "failover", "promotion ordered",
+        {{"group", evidence.group},
+         {"term", absl::StrCat(evidence.term)},
+         {"cause", std::string(nameOf(evidence.cause))},
+         {"endpoint", evidence.endpoint},
+         {"old_primary", evidence.oldPrimary},
+         {"try", absl::StrCat(evidence.tries)},
+         {"leases_confirmed_ms_ago", confirmed},
+         {"acknowledged", evidence.acknowledged ? positionText(*evidence.acknowledged) : "unknown"},
+         {"fenced", fencedText(evidence)},
+         {"not_fenced", absl::StrJoin(evidence.notFenced, " ")}});
 }
 
 auto logPromotionSeen(const GroupEndpoint &endpoint, const std::string &group,
@@ -97,6 +99,12 @@
     failoverHooks.isInForce = [this](Revision revision, TimePoint now) {
         return this->leases.isInForce(revision, now);
     };
+    failoverHooks.clock = [this] {
+        return this->executor.now();
+    };
+    failoverHooks.leaseCensus = [this](TimePoint now) {
+        return this->leases.census(now);
+    };
     failoverHooks.promote = [this](const GroupEndpoint &endpoint, const std::string &group,
                                    std::uint64_t term, const std::vector<GroupEndpoint> &members,
                                    auto done) {
--- a/libs/control/src/HeartbeatService.cpp
+++ b/libs/control/src/HeartbeatService.cpp
@@ -12,6 +12,8 @@
 /// Upper bound of the hold limit that an entry may request. Leaves an entry that renews its lease
 /// with each response more than a second to find another leader when this one falls silent.
 constexpr auto MAX_HOLD = LEASE_DURATION * 3 / 8;
+/// Upper bound while a failover waits for the entries' reports.
+constexpr auto REPORT_HOLD = ACKNOWLEDGEMENT_GRACE * (100 + LEASE_DRIFT_PERCENT) / 100;
 
 } // namespace
 
@@ -40,9 +42,11 @@
     const auto isKnown = heartbeat.shares.leadership == this->tables.ledger.leadership();
     const auto holdLimit =
         isKnown || !accepted.mayGrantShares ? heartbeat.holdLimit : Duration::zero();
+    // An entry reports what it has acknowledged with its next heartbeat after the grace time.
+    const auto maxHold = this->tables.failover.awaitsReports() ? Duration(REPORT_HOLD) : MAX_HOLD;
     this->tables.heldResponses.hold(
         accepted.holder, accepted.appliedRevision,
-        now + std::clamp<Duration>(holdLimit, Duration::zero(), MAX_HOLD),
+        now + std::clamp<Duration>(holdLimit, Duration::zero(), maxHold),
         [this, accepted, done] { this->send(this->compose(accepted), done); });
 }
 
@@ -115,6 +119,10 @@
         if (isFirst)
             this->tables.heldResponses.releaseAll(now);
     }
+    for (const auto &report : heartbeat.acknowledged) {
+        this->tables.failover.reportAcknowledged({heartbeat.instance, heartbeat.incarnation},
+                                                 report.group, report.term, report.position, now);
+    }
     for (const auto &contribution : heartbeat.burn)
         std::ignore = this->tables.burn.merge(contribution, this->tables.hooks.wallClock());
     if (heartbeat.endpoints.empty())
--- a/libs/entry/include/entry/EntryTables.h
+++ b/libs/entry/include/entry/EntryTables.h
@@ -1,6 +1,7 @@
 #ifndef AUBURNRAIL_ENTRY_ENTRYTABLES_H
 #define AUBURNRAIL_ENTRY_ENTRYTABLES_H
 
+#include <entry/AcknowledgedPositions.h>
 #include <entry/AnnouncedEndpoints.h>
 #include <entry/EndpointSockets.h>
 #include <entry/EntryIdentity.h>
@@ -97,6 +98,7 @@
     TransactionTable transactions;
     RetryBudget retries;
     SessionTokenCodec sessions;
+    AcknowledgedPositions acknowledged;
     AnnouncedEndpoints announced;
     ExplainLog explain;
     BurnReport burn;
--- a/libs/entry/src/EntryNode.cpp
+++ b/libs/entry/src/EntryNode.cpp
@@ -132,6 +132,10 @@
                 this->tables.admission.admit(request, this->tables.executor.now(), std::move(done));
             },
         .report = [this](const StatementReport &report) { this->statements.add(report); },
+        .recordAcknowledged =
+            [this](const std::string &group, std::optional<Position> position) {
+                this->tables.acknowledged.record(group, position);
+            },
         .relay =
             [this](const Placement &placement, const StatementRequest &request) {
                 return this->relay != nullptr ? this->relay->relay(placement, request) : nullptr;
--- a/libs/entry/src/EntryTables.cpp
+++ b/libs/entry/src/EntryTables.cpp
@@ -163,6 +163,10 @@
             this->pool.setLimit(name, endpoint->connectionLimit);
         }
         this->replication.setGroup(group.name, group.term, names);
+        if (group.phase == GroupPhase::Fencing)
+            this->acknowledged.primaryReplaced(group.name, group.term, this->executor.now());
+        else
+            this->acknowledged.primaryPublished(group.name);
     });
     this->endpoints.updateFromState(descriptions, this->executor.now());
     this->burn.setObjectives(burnObjectivesOf(objects));
--- a/libs/entry/src/HeartbeatLoop.cpp
+++ b/libs/entry/src/HeartbeatLoop.cpp
@@ -168,6 +168,7 @@
     heartbeat.appliedRevision = revision;
     heartbeat.endpoints = this->tables.announced.differences(*state, this->tables.executor.now());
     heartbeat.primaries = this->primaryReports(*state);
+    heartbeat.acknowledged = this->tables.acknowledged.finalReports(this->tables.executor.now());
     heartbeat.holdLimit = holdLimit;
     return heartbeat;
 }
--- a/libs/failover/include/failover/FailoverCoordinator.h
+++ b/libs/failover/include/failover/FailoverCoordinator.h
@@ -52,6 +52,14 @@
     auto reportSuspicion(const std::string &instance, const std::string &group, std::uint64_t term,
                          std::optional<Duration> suspectedFor, TimePoint now) -> bool;
 
+    /// Handles the final report of an entry on a group whose primary is being replaced: it has
+    /// acknowledged nothing beyond `position` in terms before `term`, and will not.
+    auto reportAcknowledged(const LeaseId &holder, const std::string &group, std::uint64_t term,
+                            Position position, TimePoint now) -> void;
+
+    /// Whether a failover waits for such reports.
+    [[nodiscard]] auto awaitsReports() const -> bool;
+
     /// Handles the term that an endpoint announced. An endpoint that missed the group's last
     /// failover is told to follow the primary.
     auto endpointSeen(const std::string &group, const std::string &endpoint, std::uint64_t term)
@@ -79,6 +87,17 @@
     using Effects = std::vector<std::function<auto()->void>>;
     using Completion = std::function<auto(detail::FailoverAttempt &, Effects &)->void>;
 
+    /// An attempt whose time to promote may have come.
+    struct WaitingAttempt
+    {
+        std::string group;
+        std::uint64_t attemptId = 0;
+        Revision revision = 0;
+        std::optional<TimePoint> confirmedAt;
+    };
+
+    auto checkWaiting(const WaitingAttempt &waiting, TimePoint now) -> void;
+
     ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
     auto startFailover(const FailoverGroup &view, FailoverCause cause, const std::string &requested,
                        TimePoint now, Effects &effects) -> void;
@@ -94,6 +113,7 @@
     auto issueStep(detail::FailoverAttempt &attempt, TimePoint now, Effects &effects) -> void;
     ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
     auto issueGrant(detail::FailoverAttempt &attempt, Effects &effects) -> void;
+    [[nodiscard]] auto leaseCensus(TimePoint now) const -> std::optional<LeaseCensus>;
     ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
     auto grantRefused(detail::FailoverAttempt &attempt, TimePoint now, Effects &effects) -> void;
     ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
@@ -107,7 +127,8 @@
                              const FenceResponse &response, TimePoint now, Effects &effects)
         -> void;
     ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
-    auto entriesConfirmed(detail::FailoverAttempt &attempt, TimePoint now) -> void;
+    auto entriesConfirmed(detail::FailoverAttempt &attempt,
+                          const std::optional<LeaseCensus> &leases, TimePoint now) -> void;
     ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
     auto promoteWhenReady(detail::FailoverAttempt &attempt, TimePoint now, Effects &effects)
         -> void;
--- a/libs/failover/include/failover/FailoverHooks.h
+++ b/libs/failover/include/failover/FailoverHooks.h
@@ -6,6 +6,8 @@
 #include <failover/GroupEndpoint.h>
 #include <failover/PromotionEvidence.h>
 
+#include <lease/LeaseCensus.h>
+
 #include <core/Revision.h>
 #include <core/Time.h>
 
@@ -37,6 +39,14 @@
     /// Whether every live lease names `revision` or a later one.
     std::function<auto(Revision revision, TimePoint now)->bool> isInForce;
 
+    /// The present time, for what must not be older than the check before it. May be empty: the
+    /// time that the caller of the coordinator passed is used.
+    std::function<auto()->TimePoint> clock;
+
+    /// The live leases of entries; nothing while it isn't certain that all are known. May be empty:
+    /// it never is.
+    std::function<auto(TimePoint now)->std::optional<LeaseCensus>> leaseCensus;
+
     /// Makes the endpoint primary of the term. Idempotent for the same endpoint and term.
     std::function<auto(const GroupEndpoint &endpoint, const std::string &group, std::uint64_t term,
                        const std::vector<GroupEndpoint> &members,
--- a/libs/failover/include/failover/FailoverLimits.h
+++ b/libs/failover/include/failover/FailoverLimits.h
@@ -25,9 +25,16 @@
     /// With synchronous replicas: how long an entry may acknowledge commits of the old term after
     /// it has confirmed the new one, on the leader's clock. Meanwhile the replicas receive them.
     Duration acknowledgementGrace = ACKNOWLEDGEMENT_GRACE * (100 + LEASE_DRIFT_PERCENT) / 100;
-    /// With synchronous replicas: how long the entries have to confirm the new term before the old
-    /// primary is fenced without waiting for the rest of them.
-    Duration entryConfirmationWait = std::chrono::milliseconds(500);
+    /// With synchronous replicas: how long to wait, once nothing more is acknowledged, for the
+    /// positions up to which the entries have acknowledged.
+    Duration acknowledgedReportWait = std::chrono::milliseconds(500);
+    /// With synchronous replicas: how long after its lease has expired an entry that doesn't report
+    /// may have acknowledged something that no registered replica has received since.
+    Duration acknowledgedSettleTime = std::chrono::seconds(10);
+    /// With synchronous replicas: how long to wait, once nothing more is acknowledged, for an
+    /// endpoint that has everything that was acknowledged. A replica that control doesn't know yet
+    /// may be the only one.
+    Duration holderWait = std::chrono::seconds(3);
     /// Pause after a planned promotion that left the old primary in place.
     Duration plannedRetryDelay = std::chrono::seconds(1);
     /// With synchronous replicas: how long to wait for the fence responses of all replicas after a
--- a/libs/failover/include/failover/PromotionEvidence.h
+++ b/libs/failover/include/failover/PromotionEvidence.h
@@ -26,6 +26,8 @@
     TimePoint orderedAt;
     /// Since when every live lease names the term; nothing if that isn't so.
     std::optional<TimePoint> leasesConfirmedAt;
+    /// Highest position that entries have acknowledged; nothing if that isn't known.
+    std::optional<Position> acknowledged;
     std::vector<FenceEvidence> fenced;  ///< The endpoints that were compared.
     std::vector<std::string> notFenced; ///< Members that were not.
 };
--- a/libs/failover/include/failover/detail/FailoverAttempt.h
+++ b/libs/failover/include/failover/detail/FailoverAttempt.h
@@ -6,6 +6,7 @@
 #include <failover/FailoverRecord.h>
 #include <failover/FenceResponse.h>
 #include <failover/PromotionEvidence.h>
+#include <failover/detail/AcknowledgedPosition.h>
 
 #include <core/Revision.h>
 
@@ -20,18 +21,28 @@
 {
     std::uint64_t id = 0; ///< Changes with each term; completions of earlier terms are ignored.
     FailoverGroup view;   ///< The group at the time when the term was chosen.
+    /// Reports on what was acknowledged before this term, or a later one, are final.
+    std::uint64_t firstTerm = 0;
     FailoverPhase phase = FailoverPhase::GrantingTerm;
     FailoverRecord record;
     Revision revision = 0; ///< Revision of the change that granted the term.
-    /// Since when no live lease names a revision before the new term; see hasOldTermEnded().
+    /// Since when no live lease names a revision before the new term; see hasOldTermEnded(). Stays
+    /// when a further term is needed, unless a primary may have been published meanwhile.
     std::optional<TimePoint> confirmedAt;
+    AcknowledgedPosition acknowledged;
     bool oldPrimaryFailed = false; ///< The old primary did not confirm a promotion of this attempt.
     std::map<std::string, FenceResponse, std::less<>> fences;
     std::map<std::string, TimePoint, std::less<>> fencedAt; ///< When the responses were received.
+    /// A replica was removed before it was fenced: it may have had what the others lack.
+    bool hasLostReplica = false;
     GroupEndpoint chosen;
     std::size_t tries = 0; ///< Number of tries of the current phase's step.
     TimePoint nextTryAt;
 
+    /// Takes over the group's present members. What a process said that has ended since is dropped.
+    /// Returns whether a process is new.
+    auto updateMembers(const std::vector<GroupEndpoint> &members) -> bool;
+
     /// What the promotion of the chosen endpoint relies on.
     [[nodiscard]] auto evidence(TimePoint now) const -> PromotionEvidence;
 
@@ -45,30 +56,39 @@
     /// Whether every endpoint other than the old primary is fenced.
     [[nodiscard]] auto areReplicasFenced() const -> bool;
 
-    /// Whether no entry acknowledges writes of the old term any more.
+    /// Whether no entry acknowledges writes of the old term any more. This lasts, whatever happens
+    /// to the endpoints afterwards.
     [[nodiscard]] auto hasOldTermEnded(const FailoverLimits &limits, TimePoint now) const -> bool;
 
-    /// Whether the old primary may be fenced. With synchronous replicas it goes on for a short
-    /// time, so that the entries learn of the new term and the replicas receive what was
-    /// acknowledged.
-    [[nodiscard]] auto mayFenceOldPrimary(const FailoverLimits &limits, TimePoint now) const
-        -> bool;
+    /// Whether endpoints may be fenced. With synchronous replicas only when nothing more is
+    /// acknowledged: a position that is read before may have changed when the promotion that rests
+    /// on it takes effect, since a restart or a late order undoes a fence.
+    [[nodiscard]] auto mayFence(const FailoverLimits &limits, TimePoint now) const -> bool;
 
-    /// Whether replicas may be fenced. With synchronous replicas only when nothing more can be
-    /// acknowledged: a replica that is not registered may confirm writes to the old primary while
-    /// the fenced ones receive nothing.
-    [[nodiscard]] auto mayFenceReplicas(const FailoverLimits &limits, TimePoint now) const -> bool;
+    /// Whether the endpoint is fenced and has everything that was acknowledged, as far as known.
+    [[nodiscard]] auto isHolder(const std::string &endpoint) const -> bool;
+
+    /// Whether the acknowledged position is known and an endpoint other than `except` has it.
+    [[nodiscard]] auto hasHolder(const std::string &except = {}) const -> bool;
+
+    /// Whether nothing more has been acknowledged for FailoverLimits::holderWait.
+    [[nodiscard]] auto hasWaitedForHolder(const FailoverLimits &limits, TimePoint now) const
+        -> bool;
 
     /// Whether the fenced endpoints together hold every acknowledged write, in a group with
     /// synchronous replicas. Always true in other groups.
-    [[nodiscard]] auto holdsEveryWrite() const -> bool;
+    [[nodiscard]] auto holdsEveryWrite(const FailoverLimits &limits, TimePoint now) const -> bool;
+
+    /// Whether a response that is still on its way may make a better choice.
+    [[nodiscard]] auto awaitsBetterChoice(const FailoverLimits &limits, TimePoint now) const
+        -> bool;
 
     /// Whether the fenced old primary has entries that no fenced replica has.
     [[nodiscard]] auto isOldPrimaryAhead() const -> bool;
 
     /// Whether the old primary may become primary again. With synchronous replicas it may if not
-    /// all replicas are fenced, or if it is ahead of them and was not suspected: a replica that is
-    /// not registered may have confirmed the entries that the others lack.
+    /// all replicas are fenced, or if it is ahead of them and nobody knows what was acknowledged: a
+    /// replica that is not registered, or that has left, may have confirmed what the others lack.
     [[nodiscard]] auto mayKeepOldPrimary() const -> bool;
 
     /// The most advanced endpoint that may become primary. Among equally advanced endpoints, one
--- a/libs/failover/src/FailoverAttempt.cpp
+++ b/libs/failover/src/FailoverAttempt.cpp
@@ -6,6 +6,37 @@
 
 namespace auburnrail::detail {
 
+auto FailoverAttempt::updateMembers(const std::vector<GroupEndpoint> &members) -> bool
+{
+    const auto sameProcess = [](const GroupEndpoint &left, const GroupEndpoint &right) {
+        return left.name == right.name && left.startedAt == right.startedAt;
+    };
+    const auto isIn = [&](const std::vector<GroupEndpoint> &list, const GroupEndpoint &endpoint) {
+        return std::any_of(list.begin(), list.end(), [&](const GroupEndpoint &other) {
+            return sameProcess(other, endpoint);
+        });
+    };
+    for (const auto &former : this->view.endpoints) {
+        if (isIn(members, former))
+            continue;
+        // A server that starts at the address has the log of the one before.
+        const auto hasSuccessor =
+            std::any_of(members.begin(), members.end(), [&](const GroupEndpoint &other) {
+                return other.address == former.address;
+            });
+        this->hasLostReplica |= !hasSuccessor && former.name != this->view.primary
+                                && !this->fences.contains(former.name);
+        this->fences.erase(former.name);
+        this->fencedAt.erase(former.name);
+    }
+    const auto hasNew =
+        std::any_of(members.begin(), members.end(), [&](const GroupEndpoint &endpoint) {
+            return !isIn(this->view.endpoints, endpoint);
+        });
+    this->view.endpoints = members;
+    return hasNew;
+}
+
 auto FailoverAttempt::evidence(TimePoint now) const -> PromotionEvidence
 {
     auto evidence = PromotionEvidence{.group = this->record.group,
@@ -15,7 +46,8 @@
                                       .oldPrimary = this->view.primary,
                                       .tries = this->tries,
                                       .orderedAt = now,
-                                      .leasesConfirmedAt = this->confirmedAt};
+                                      .leasesConfirmedAt = this->confirmedAt,
+                                      .acknowledged = this->acknowledged.known()};
     for (const auto &endpoint : this->view.endpoints) {
         const auto found = this->fences.find(endpoint.name);
         if (found == this->fences.end()) {
@@ -67,22 +99,52 @@
     return now >= *this->confirmedAt + grace;
 }
 
-auto FailoverAttempt::mayFenceOldPrimary(const FailoverLimits &limits, TimePoint now) const -> bool
+auto FailoverAttempt::mayFence(const FailoverLimits &limits, TimePoint now) const -> bool
+{
+    return this->view.synchronousReplicas == 0 || this->hasOldTermEnded(limits, now);
+}
+
+auto FailoverAttempt::isHolder(const std::string &endpoint) const -> bool
 {
-    return this->mayFenceReplicas(limits, now)
-           || now - this->record.phases.back().startedAt >= limits.entryConfirmationWait;
+    const auto position = this->acknowledged.known();
+    const auto found = this->fences.find(endpoint);
+    return position && found != this->fences.end() && !found->second.rebuilding
+           && std::is_gteq(found->second.position <=> *position);
 }
 
-auto FailoverAttempt::mayFenceReplicas(const FailoverLimits &limits, TimePoint now) const -> bool
+auto FailoverAttempt::hasHolder(const std::string &except) const -> bool
 {
-    return this->view.synchronousReplicas == 0 || this->isOldPrimaryFenced()
-           || this->hasOldTermEnded(limits, now);
+    return std::any_of(this->view.endpoints.begin(), this->view.endpoints.end(),
+                       [&](const GroupEndpoint &endpoint) {
+                           return endpoint.name != except && this->isHolder(endpoint.name);
+                       });
 }
 
-auto FailoverAttempt::holdsEveryWrite() const -> bool
+auto FailoverAttempt::hasWaitedForHolder(const FailoverLimits &limits, TimePoint now) const -> bool
 {
-    return this->view.synchronousReplicas == 0 || this->isOldPrimaryFenced()
-           || this->areReplicasFenced();
+    return this->confirmedAt
+           && now - *this->confirmedAt >= limits.acknowledgementGrace + limits.holderWait;
+}
+
+auto FailoverAttempt::holdsEveryWrite(const FailoverLimits &limits, TimePoint now) const -> bool
+{
+    if (this->view.synchronousReplicas == 0)
+        return true;
+    if (!this->isOldPrimaryFenced() && !this->areReplicasFenced())
+        return false;
+    const auto isHeld = this->acknowledged.known()
+                            ? this->hasHolder()
+                            : this->isOldPrimaryFenced() || !this->hasLostReplica;
+    return isHeld || this->hasWaitedForHolder(limits, now);
+}
+
+auto FailoverAttempt::awaitsBetterChoice(const FailoverLimits &limits, TimePoint now) const -> bool
+{
+    if (this->view.synchronousReplicas == 0)
+        return false;
+    const auto waitedFor = now - this->record.phases.back().startedAt;
+    return (this->acknowledged.isAwaited() && waitedFor < limits.acknowledgedReportWait)
+           || (!this->areReplicasFenced() && waitedFor < limits.replicaFenceWait);
 }
 
 auto FailoverAttempt::isOldPrimaryAhead() const -> bool
@@ -102,16 +164,11 @@
 {
     if (this->view.synchronousReplicas == 0 || this->view.endpoints.size() == 1)
         return true;
+    if (this->hasHolder(this->view.primary))
+        return false;
     if (!this->areReplicasFenced())
         return true;
-    if (this->oldPrimaryFailed)
-        return false;
-    const auto *old = this->view.find(this->view.primary);
-    const auto isPlanned =
-        this->record.cause == FailoverCause::Planned
-        // The cause that an earlier leader had is not known; a leaving primary is replaced by plan.
-        || (this->record.cause == FailoverCause::Resumed && old != nullptr && old->leaving);
-    return isPlanned && this->isOldPrimaryAhead();
+    return !this->oldPrimaryFailed && this->isOldPrimaryAhead();
 }
 
 auto FailoverAttempt::mostAdvanced() const -> GroupEndpoint
--- a/libs/failover/src/FailoverCoordinator.cpp
+++ b/libs/failover/src/FailoverCoordinator.cpp
@@ -2,6 +2,7 @@
 
 #include <core/RankedLock.h>
 
+#include <algorithm>
 #include <cassert>
 
 namespace auburnrail {
@@ -52,8 +53,11 @@
             // Endpoints and their addresses may change while the attempt waits for a majority.
             if (attempt.phase == FailoverPhase::GrantingTerm
                 || attempt.phase == FailoverPhase::Fencing
-                || attempt.phase == FailoverPhase::WaitingForceOrConfirmation)
-                attempt.view.endpoints = view.endpoints;
+                || attempt.phase == FailoverPhase::WaitingForceOrConfirmation) {
+                // A server that is new may be the only one that has an acknowledged write.
+                if (attempt.updateMembers(view.endpoints))
+                    attempt.nextTryAt = std::min(attempt.nextTryAt, now);
+            }
             // A higher term was granted by another leader: this attempt, planned or not, ends.
             if (completed || view.term > attempt.record.term)
                 this->finishAttempt(attempt, completed, now, effects);
@@ -120,6 +124,34 @@
     return this->suspicions.report(instance, group, suspectedFor, now);
 }
 
+auto FailoverCoordinator::reportAcknowledged(const LeaseId &holder, const std::string &group,
+                                             std::uint64_t term, Position position, TimePoint now)
+    -> void
+{
+    auto effects = Effects();
+    {
+        const RankedLock lock(this->mutex);
+        const auto found = this->attempts.find(group);
+        if (found == this->attempts.end() || term < found->second.firstTerm)
+            return;
+        auto &attempt = found->second;
+        attempt.acknowledged.report(holder, position);
+        if (attempt.phase == FailoverPhase::WaitingForceOrConfirmation)
+            this->promoteWhenReady(attempt, now, effects);
+    }
+    runAll(effects);
+}
+
+auto FailoverCoordinator::awaitsReports() const -> bool
+{
+    const RankedLock lock(this->mutex);
+    return std::any_of(this->attempts.begin(), this->attempts.end(), [](const auto &row) {
+        const auto &attempt = row.second;
+        return attempt.view.synchronousReplicas > 0
+               && (!attempt.confirmedAt || attempt.acknowledged.isAwaited());
+    });
+}
+
 auto FailoverCoordinator::endpointSeen(const std::string &group, const std::string &endpoint,
                                        std::uint64_t term) -> void
 {
@@ -170,8 +202,7 @@
 auto FailoverCoordinator::tick(TimePoint now) -> void
 {
     auto effects = Effects();
-    auto waiting = std::vector<std::pair<std::string, std::uint64_t>>();
-    auto revisions = std::vector<Revision>();
+    auto waiting = std::vector<WaitingAttempt>();
     {
         const RankedLock lock(this->mutex);
         if (!this->leading)
@@ -180,31 +211,36 @@
         this->issueFollows(now, effects);
         for (auto &[group, attempt] : this->attempts) {
             if (attempt.phase == FailoverPhase::Fencing
-                || attempt.phase == FailoverPhase::WaitingForceOrConfirmation) {
-                waiting.emplace_back(group, attempt.id);
-                revisions.push_back(attempt.revision);
-            }
+                || attempt.phase == FailoverPhase::WaitingForceOrConfirmation)
+                waiting.push_back({group, attempt.id, attempt.revision, attempt.confirmedAt});
             if (now >= attempt.nextTryAt)
                 this->issueStep(attempt, now, effects);
         }
     }
     runAll(effects);
-    for (auto i = std::size_t(0); i < waiting.size(); ++i) {
-        if (!this->hooks.isInForce(revisions[i], now))
-            continue;
-        const auto &[group, attemptId] = waiting[i];
-        this->completeStep(group, attemptId, FailoverPhase::Fencing,
-                           [this, now](detail::FailoverAttempt &attempt, Effects &)
-                               ABSL_EXCLUSIVE_LOCKS_REQUIRED(this->mutex) {
-                                   this->entriesConfirmed(attempt, now);
-                               });
-        this->completeStep(group, attemptId, FailoverPhase::WaitingForceOrConfirmation,
-                           [this, now](detail::FailoverAttempt &attempt, Effects &more)
-                               ABSL_EXCLUSIVE_LOCKS_REQUIRED(this->mutex) {
-                                   this->entriesConfirmed(attempt, now);
-                                   this->promoteWhenReady(attempt, now, more);
-                               });
-    }
+    for (const auto &attempt : waiting)
+        this->checkWaiting(attempt, now);
+}
+
+auto FailoverCoordinator::checkWaiting(const WaitingAttempt &waiting, TimePoint now) -> void
+{
+    const auto isConfirmed = waiting.confirmedAt.has_value();
+    if (!isConfirmed && !this->hooks.isInForce(waiting.revision, now))
+        return;
+    // `now` may have been read long before the check: the grace time counts from after it.
+    const auto checkedAt = this->hooks.clock ? this->hooks.clock() : now;
+    const auto leases = isConfirmed ? std::nullopt : this->leaseCensus(checkedAt);
+    this->completeStep(waiting.group, waiting.attemptId, FailoverPhase::Fencing,
+                       [this, checkedAt, &leases](detail::FailoverAttempt &attempt, Effects &)
+                           ABSL_EXCLUSIVE_LOCKS_REQUIRED(this->mutex) {
+                               this->entriesConfirmed(attempt, leases, checkedAt);
+                           });
+    this->completeStep(waiting.group, waiting.attemptId, FailoverPhase::WaitingForceOrConfirmation,
+                       [this, checkedAt, &leases](detail::FailoverAttempt &attempt, Effects &more)
+                           ABSL_EXCLUSIVE_LOCKS_REQUIRED(this->mutex) {
+                               this->entriesConfirmed(attempt, leases, checkedAt);
+                               this->promoteWhenReady(attempt, checkedAt, more);
+                           });
 }
 
 auto FailoverCoordinator::phaseOf(const std::string &group) const -> FailoverPhase
--- a/libs/failover/src/FailoverSteps.cpp
+++ b/libs/failover/src/FailoverSteps.cpp
@@ -18,6 +18,8 @@
     this->suspicions.clear(view.name);
     auto &attempt = this->attempts[view.name];
     attempt.view = view;
+    // In a group without a published primary nothing is acknowledged in its own term either.
+    attempt.firstTerm = view.phase == GroupPhase::Fencing ? view.term : view.term + 1;
     attempt.record = FailoverRecord{.group = view.name,
                                     .cause = cause,
                                     .oldPrimary = view.primary,
@@ -30,10 +32,17 @@
                                              Effects &effects) -> void
 {
     attempt.id = ++this->lastAttemptId;
-    attempt.view = this->groups[attempt.record.group];
+    const auto &present = this->groups[attempt.record.group];
+    attempt.updateMembers(present.endpoints);
+    attempt.view = present;
     attempt.record.term = std::max(highestTerm, attempt.view.term) + 1;
     attempt.fences.clear();
-    attempt.confirmedAt.reset();
+    // A publication that was not confirmed may have been committed.
+    if (attempt.phase == FailoverPhase::Publishing) {
+        attempt.confirmedAt.reset();
+        attempt.acknowledged = detail::AcknowledgedPosition();
+        attempt.firstTerm = attempt.record.term;
+    }
     if (!note.empty())
         attempt.record.note = note;
     this->enterPhase(attempt, FailoverPhase::GrantingTerm, now, effects);
@@ -80,11 +89,12 @@
         // While waiting for the leases, endpoints that did not respond are asked again: the old
         // primary may confirm the fence, and a more advanced endpoint may respond.
         this->issueFences(attempt, now, effects);
-        if (attempt.mayFenceOldPrimary(this->limits, now)) {
+        if (attempt.mayFence(this->limits, now)) {
             attempt.nextTryAt = now + this->limits.retryDelay(attempt.tries);
         } else {
             attempt.tries = 0;
-            attempt.nextTryAt = now + this->limits.entryConfirmationWait;
+            if (attempt.confirmedAt)
+                attempt.nextTryAt = *attempt.confirmedAt + this->limits.acknowledgementGrace;
         }
         if (attempt.phase == FailoverPhase::WaitingForceOrConfirmation && attempt.tries > 1)
             this->promoteWhenReady(attempt, now, effects);
@@ -119,6 +129,11 @@
     });
 }
 
+auto FailoverCoordinator::leaseCensus(TimePoint now) const -> std::optional<LeaseCensus>
+{
+    return this->hooks.leaseCensus ? this->hooks.leaseCensus(now) : std::nullopt;
+}
+
 auto FailoverCoordinator::grantRefused(FailoverAttempt &attempt, TimePoint now, Effects &effects)
     -> void
 {
@@ -134,6 +149,8 @@
 auto FailoverCoordinator::issueFences(FailoverAttempt &attempt, TimePoint now, Effects &effects)
     -> void
 {
+    if (!attempt.mayFence(this->limits, now))
+        return;
     const auto group = attempt.record.group;
     const auto attemptId = attempt.id;
     const auto requestedIsBehind = attempt.isRequestedPrimaryBehind();
@@ -150,9 +167,6 @@
         }
         if (fenced && !mustCatchUp)
             continue;
-        if (endpoint.name == attempt.view.primary ? !attempt.mayFenceOldPrimary(this->limits, now)
-                                                  : !attempt.mayFenceReplicas(this->limits, now))
-            continue;
         auto done = [this, group, attemptId,
                      name = endpoint.name](std::optional<FenceResponse> response, TimePoint at) {
             if (!response)
@@ -181,24 +195,24 @@
                                  "endpoint " + endpoint + " knows a later term", now, effects);
         return;
     }
-    const auto awaitedOldPrimary = !attempt.mayFenceReplicas(this->limits, now);
     attempt.fences.insert_or_assign(endpoint, response);
     attempt.fencedAt.insert_or_assign(endpoint, now);
-    if (awaitedOldPrimary && attempt.mayFenceReplicas(this->limits, now))
-        this->issueStep(attempt, now, effects);
     if (attempt.phase == FailoverPhase::Fencing && attempt.hasMajority())
         this->enterPhase(attempt, FailoverPhase::WaitingForceOrConfirmation, now, effects);
     if (attempt.phase == FailoverPhase::WaitingForceOrConfirmation)
         this->promoteWhenReady(attempt, now, effects);
 }
 
-auto FailoverCoordinator::entriesConfirmed(FailoverAttempt &attempt, TimePoint now) -> void
+auto FailoverCoordinator::entriesConfirmed(FailoverAttempt &attempt,
+                                           const std::optional<LeaseCensus> &leases, TimePoint now)
+    -> void
 {
     if (attempt.confirmedAt)
         return;
     attempt.confirmedAt = now;
     if (attempt.view.synchronousReplicas == 0)
         return;
+    attempt.acknowledged.expect(leases, now - this->limits.acknowledgedSettleTime);
     // What could not be fenced before is fenced as soon as the last acknowledgement may have come.
     attempt.tries = 0;
     attempt.nextTryAt = std::min(attempt.nextTryAt, now + this->limits.acknowledgementGrace);
@@ -210,12 +224,12 @@
     const auto waitedFor = now - attempt.record.phases.back().startedAt;
     const auto mustCatchUp =
         attempt.isRequestedPrimaryBehind() && waitedFor < this->limits.catchUpLimit;
-    // A replica whose response is still on its way may be a better choice than the old primary.
-    const auto awaitsReplicas = attempt.view.synchronousReplicas > 0 && !attempt.areReplicasFenced()
-                                && waitedFor < this->limits.replicaFenceWait;
+    // A fence by the project's own protocol lasts: the endpoint remembers the term.
     const auto acknowledgesNothing =
-        attempt.hasOldTermEnded(this->limits, now) || attempt.isOldPrimaryFenced();
-    if (acknowledgesNothing && attempt.holdsEveryWrite() && !mustCatchUp && !awaitsReplicas)
+        attempt.hasOldTermEnded(this->limits, now)
+        || (attempt.view.synchronousReplicas == 0 && attempt.isOldPrimaryFenced());
+    if (acknowledgesNothing && !mustCatchUp && !attempt.awaitsBetterChoice(this->limits, now)
+        && attempt.holdsEveryWrite(this->limits, now))
         this->enterPhase(attempt, FailoverPhase::Promoting, now, effects);
 }
 
@@ -223,7 +237,10 @@
     -> void
 {
     if (attempt.tries > this->limits.maxPromoteTries) {
-        attempt.oldPrimaryFailed |= attempt.chosen.name == attempt.view.primary;
+        // The only server that has the acknowledged position is given up last.
+        const auto mayGiveUp =
+            !attempt.isHolder(attempt.chosen.name) || attempt.hasWaitedForHolder(this->limits, now);
+        attempt.oldPrimaryFailed |= attempt.chosen.name == attempt.view.primary && mayGiveUp;
         this->restartWithNewTerm(
             attempt, attempt.record.term,
             "endpoint " + attempt.chosen.name + " did not confirm its promotion", now, effects);
--- a/libs/failover/tests/ExploredWorld.h
+++ b/libs/failover/tests/ExploredWorld.h
@@ -73,7 +73,9 @@
     auto writeFrom(std::size_t entry) -> void;
     auto acknowledge(std::size_t entry, std::uint64_t viewTerm, ExploredWrite write,
                      Position position, TimePoint sentAt, TimePoint completedAt) -> void;
+    auto reportAcknowledged(const Entry &entry) -> void;
     auto expireLeases() -> void;
+    [[nodiscard]] auto leaseCensus(std::size_t leader) const -> std::optional<LeaseCensus>;
     auto replicate(ExploredServer &replica) -> void;
     auto completeWrites(ExploredServer &primary) -> void;
     auto changeLeader(Duration unnoticedFor) -> void;
--- a/libs/failover/tests/ExploredWorldControl.cpp
+++ b/libs/failover/tests/ExploredWorldControl.cpp
@@ -83,6 +83,7 @@
             },
         .isInForce = [this, leader](Revision revision,
                                     TimePoint) { return this->isInForce(leader, revision); },
+        .leaseCensus = [this, leader](TimePoint) { return this->leaseCensus(leader); },
         .promote =
             [this](const GroupEndpoint &endpoint, const std::string &, std::uint64_t term,
                    const std::vector<GroupEndpoint> &members, auto done) {
@@ -158,6 +159,18 @@
               });
 }
 
+auto ExploredWorld::leaseCensus(std::size_t leader) const -> std::optional<LeaseCensus>
+{
+    if (!this->isCurrent(leader) || this->scheduler.now() < this->earlierLeasesEnd)
+        return std::nullopt;
+    auto census = LeaseCensus{.lastExpiry = this->lastLeaseExpiry};
+    for (const auto &entry : this->entries) {
+        if (entry.isLeaseLive)
+            census.holders.push_back({entry.name, 1});
+    }
+    return census;
+}
+
 auto ExploredWorld::checkPublished(const FailoverRecord &record) -> void
 {
     const auto *chosen = this->server(record.newPrimary);
--- a/libs/failover/tests/ExploredWorldEntries.cpp
+++ b/libs/failover/tests/ExploredWorldEntries.cpp
@@ -19,6 +19,7 @@
     entry.view = this->view;
     entry.leaseEnd = now + LEASE_DURATION;
     entry.isLeaseLive = true;
+    this->reportAcknowledged(entry);
     const auto *primary = this->server(entry.view.primary);
     // The platform's servers refuse changes once they are replicas, which counts as a failure.
     const auto serves = this->protocol == ExploredProtocol::Endpoint || primary->isPrimary;
@@ -30,6 +31,14 @@
                                               now);
 }
 
+auto ExploredWorld::reportAcknowledged(const Entry &entry) -> void
+{
+    const auto now = this->scheduler.now();
+    if (entry.view.phase == GroupPhase::Fencing && now - entry.appliedAt > ACKNOWLEDGEMENT_GRACE)
+        this->coordinators.back().reportAcknowledged({entry.name, 1}, GROUP, entry.view.term,
+                                                     entry.acknowledged, now);
+}
+
 auto ExploredWorld::expireLeases() -> void
 {
     const auto margin = LEASE_LIVE_DURATION - LEASE_DURATION;
--- a/libs/failover/tests/FailoverExplorationTest.cpp
+++ b/libs/failover/tests/FailoverExplorationTest.cpp
@@ -25,6 +25,7 @@
 struct ExploredCase
 {
     ExploredProtocol protocol = ExploredProtocol::Endpoint;
+    bool checksService = true; ///< Whether rules beside the loss of writes are checked.
     std::size_t servers = 3;
     std::uint32_t synchronousReplicas = 1;
     std::uint64_t seed = 0;
@@ -78,10 +79,11 @@
 
 auto breaksRule(const ExploredCase &explored, const Schedule &schedule) -> bool
 {
-    if (!play(explored, schedule, &ExploredWorld::losses).empty())
-        return true;
-    return explored.protocol == ExploredProtocol::Endpoint
-           && !play(explored, schedule, &ExploredWorld::violations).empty();
+    const auto isBroken = [&](std::vector<std::string> ExploredWorld::*rules) {
+        return !play(explored, schedule, rules).empty();
+    };
+    return isBroken(&ExploredWorld::losses)
+           || (explored.checksService && isBroken(&ExploredWorld::violations));
 }
 
 /// Leaves out events as long as the case still fails.
@@ -114,10 +116,12 @@
     return text;
 }
 
-auto checkSeeds(ExploredProtocol protocol, std::uint64_t first, std::uint64_t count) -> void
+auto checkSeeds(ExploredProtocol protocol, bool checksService, std::uint64_t first,
+                std::uint64_t count) -> void
 {
     for (auto seed = first; seed < first + count; ++seed) {
-        const auto explored = makeCase(protocol, seed);
+        auto explored = makeCase(protocol, seed);
+        explored.checksService = checksService;
         if (breaksRule(explored, explored.schedule))
             FAIL_CHECK(describe(explored));
     }
@@ -138,7 +142,7 @@
 // EXPLORED_FIRST and EXPLORED_COUNT choose other seeds.
 TEST_CASE("no order of explored events breaks a rule of the failover")
 {
-    checkSeeds(ExploredProtocol::Endpoint, numberFrom("EXPLORED_FIRST", 1),
+    checkSeeds(ExploredProtocol::Endpoint, true, numberFrom("EXPLORED_FIRST", 1),
                numberFrom("EXPLORED_COUNT", 500));
 }
 
@@ -146,7 +150,7 @@
 // promotion relied on had changed before it took effect.
 TEST_CASE("no order of late calls and orders makes a promotion lose an acknowledged write")
 {
-    checkSeeds(ExploredProtocol::Platform, numberFrom("EXPLORED_FIRST", 1),
+    checkSeeds(ExploredProtocol::Platform, false, numberFrom("EXPLORED_FIRST", 1),
                numberFrom("EXPLORED_COUNT", 500));
 }
 
@@ -155,13 +159,20 @@
 TEST_CASE("a promoted server has what a replica confirmed that registers during the promotion")
 {
     for (const auto seed : {8738, 19244, 24610, 31489})
-        checkSeeds(ExploredProtocol::Platform, static_cast<std::uint64_t>(seed), 1);
+        checkSeeds(ExploredProtocol::Platform, false, static_cast<std::uint64_t>(seed), 1);
+}
+
+// Guards against a group without a primary, and replicas that stay paused, after late orders.
+TEST_CASE("a group serves with all its replicas again after late calls and orders")
+{
+    checkSeeds(ExploredProtocol::Platform, true, numberFrom("EXPLORED_FIRST", 1),
+               numberFrom("EXPLORED_COUNT", 500));
 }
 
 // Guards against a replica that follows a server that is not the primary.
 TEST_CASE("a late order to catch up doesn't replace the order to follow the primary")
 {
-    checkSeeds(ExploredProtocol::Endpoint, 1221, 1);
+    checkSeeds(ExploredProtocol::Endpoint, true, 1221, 1);
 }
 
 } // namespace auburnrail
--- a/libs/failover/tests/GroupSimulation.h
+++ b/libs/failover/tests/GroupSimulation.h
@@ -3,6 +3,8 @@
 
 #include <failover/FailoverCoordinator.h>
 
+#include <lease/LeaseTiming.h>
+
 #include <core/VirtualScheduler.h>
 
 #include <map>
@@ -70,7 +72,10 @@
     std::set<std::string> cutOffEntries;
     std::map<std::string, TimePoint> suspectedSince;
     TimePoint inForceAt = TimePoint::max(); ///< When the latest revision is in force everywhere.
+    TimePoint promotionOrderedAt; ///< When the last order to become primary was sent.
     Duration leaseWait = std::chrono::milliseconds(2100);
+    /// How far the entries have acknowledged; nothing: they can't tell.
+    std::optional<Position> acknowledged;
     bool stateWritable = true;
     bool losesGrantConfirmation = false; ///< The next grant is committed and not confirmed.
     std::string crashOnPromotion;        ///< Endpoint that applies a promotion but never responds.
@@ -118,9 +123,11 @@
                     });
                 },
             .isInForce = [this](Revision, TimePoint now) { return now >= this->inForceAt; },
+            .leaseCensus = [this](TimePoint) { return this->leaseCensus(); },
             .promote =
                 [this](const GroupEndpoint &endpoint, const std::string &, std::uint64_t term,
                        const std::vector<GroupEndpoint> &, auto done) {
+                    this->promotionOrderedAt = this->scheduler.now();
                     this->callEndpoint(endpoint.name, [this, term, done,
                                                        name = endpoint.name](Endpoint &state) {
                         if (term == state.term) {
@@ -178,6 +185,13 @@
         };
     }
 
+    [[nodiscard]] auto leaseCensus() const -> std::optional<LeaseCensus>
+    {
+        if (!this->acknowledged)
+            return std::nullopt;
+        return LeaseCensus{.holders = {{"e1", 1}, {"e2", 1}, {"e3", 1}}};
+    }
+
     auto postDelayed(Task task) -> void
     {
         this->scheduler.executor().postAfter(std::chrono::milliseconds(5), std::move(task));
@@ -208,6 +222,10 @@
                 entry, "logs", this->view.term,
                 healthy ? std::nullopt : std::optional<Duration>(now - this->suspectedSince[entry]),
                 now);
+            if (this->acknowledged && this->view.phase == GroupPhase::Fencing
+                && now > this->inForceAt + ACKNOWLEDGEMENT_GRACE)
+                this->coordinator->reportAcknowledged({entry, 1}, "logs", this->view.term,
+                                                      *this->acknowledged, now);
         }
         for (const auto &[name, endpoint] : this->endpoints) {
             if (endpoint.reachable)
--- a/libs/heartbeat/include/heartbeat/Heartbeat.h
+++ b/libs/heartbeat/include/heartbeat/Heartbeat.h
@@ -1,6 +1,7 @@
 #ifndef AUBURNRAIL_HEARTBEAT_HEARTBEAT_H
 #define AUBURNRAIL_HEARTBEAT_HEARTBEAT_H
 
+#include <heartbeat/AcknowledgedReport.h>
 #include <heartbeat/PrimaryReport.h>
 
 #include <endpoint/Announcement.h>
@@ -30,6 +31,7 @@
     ShareReport shares;
     std::vector<Announcement> endpoints; ///< Arrivals and changes that the state does not show yet.
     std::vector<PrimaryReport> primaries;
+    std::vector<AcknowledgedReport> acknowledged; ///< Of groups whose primary is being replaced.
     std::vector<BurnContribution> burn; ///< What this run of the entry counted; see BurnSender.
     Duration holdLimit{}; ///< Longest time the answer may be held for a newer revision.
 };
--- a/libs/lease/include/lease/LeaseTable.h
+++ b/libs/lease/include/lease/LeaseTable.h
@@ -2,6 +2,7 @@
 #define AUBURNRAIL_LEASE_LEASETABLE_H
 
 #include <lease/InForceCallback.h>
+#include <lease/LeaseCensus.h>
 #include <lease/LeaseGrant.h>
 #include <lease/LeaseId.h>
 #include <lease/LeaseTableHooks.h>
@@ -55,6 +56,10 @@
     /// Earliest time at which advance() can have an effect; nothing when no lease is live.
     [[nodiscard]] auto nextExpiry(TimePoint now) const -> std::optional<TimePoint>;
 
+    /// The live leases; nothing while leases of the previous leader may be live, which this table
+    /// doesn't know, or when this member does not lead.
+    [[nodiscard]] auto census(TimePoint now) -> std::optional<LeaseCensus>;
+
     /// Number of leases in the table, including expired ones that have not been removed yet.
     [[nodiscard]] auto size() const -> std::size_t;
 
@@ -87,6 +92,7 @@
         ABSL_GUARDED_BY(mutex){};              ///< When leases of the previous leader have expired.
     Revision floor ABSL_GUARDED_BY(mutex) = 0; ///< No lease may be used at a lower revision.
     Rows rows ABSL_GUARDED_BY(mutex);
+    std::optional<TimePoint> lastExpiry ABSL_GUARDED_BY(mutex);
     std::set<std::pair<TimePoint, const LeaseId *>> expiries ABSL_GUARDED_BY(mutex);
     std::map<Revision, std::size_t>
         leaseCounts ABSL_GUARDED_BY(mutex); ///< Leases by Row::usableFrom.
--- a/libs/lease/src/LeaseTable.cpp
+++ b/libs/lease/src/LeaseTable.cpp
@@ -32,6 +32,8 @@
     this->expiries.clear();
     this->leaseCounts.clear();
     this->rows.clear();
+    // Leases of the previous leader expire until then, unseen.
+    this->lastExpiry = this->earlierLeasesEnd;
 }
 
 auto LeaseTable::endLeadership() -> void
@@ -128,6 +130,18 @@
     return next ? std::min(*next, first) : first;
 }
 
+auto LeaseTable::census(TimePoint now) -> std::optional<LeaseCensus>
+{
+    const RankedLock lock(this->mutex);
+    if (!this->leading || now < this->earlierLeasesEnd)
+        return std::nullopt;
+    this->dropExpired(now);
+    auto result = LeaseCensus{.lastExpiry = this->lastExpiry};
+    for (const auto &[id, row] : this->rows)
+        result.holders.push_back(id);
+    return result;
+}
+
 auto LeaseTable::size() const -> std::size_t
 {
     const RankedLock lock(this->mutex);
@@ -138,6 +152,7 @@
 {
     while (!this->expiries.empty() && this->expiries.begin()->first <= now) {
         const auto row = this->rows.find(*this->expiries.begin()->second);
+        this->lastExpiry = row->second.expiresAt;
         this->removeFromIndexes(row);
         this->rows.erase(row);
     }
--- a/libs/lease/tests/LeaseTableTest.cpp
+++ b/libs/lease/tests/LeaseTableTest.cpp
@@ -111,4 +111,23 @@
     CHECK(holder.revision() == 5);
 }
 
+// Guards against a failover that takes the entries which hold a lease for all that acknowledged.
+TEST_CASE("a census names the live leases and when one last expired")
+{
+    auto quorum = true;
+    auto table = leader(quorum);
+    CHECK_FALSE(table.census(START).has_value());
+    table.beginLeadership(5, START);
+    (void)table.renew({"a", 1}, 5, START);
+    // The leases of the previous leader are not known.
+    CHECK_FALSE(table.census(AFTER_WAIT - Duration(1)).has_value());
+    (void)table.renew({"a", 1}, 5, AFTER_WAIT);
+    (void)table.renew({"b", 1}, 5, AFTER_WAIT - Duration(1));
+    CHECK(table.census(AFTER_WAIT)->holders == std::vector<LeaseId>{{"a", 1}, {"b", 1}});
+    CHECK(table.census(AFTER_WAIT)->lastExpiry == AFTER_WAIT);
+    const auto afterB = AFTER_WAIT + LEASE_LIVE_DURATION - Duration(1);
+    CHECK(table.census(afterB)->holders == std::vector<LeaseId>{{"a", 1}});
+    CHECK(table.census(afterB)->lastExpiry == afterB);
+}
+
 } // namespace auburnrail
--- a/libs/proxy/include/proxy/ProxyServerHooks.h
+++ b/libs/proxy/include/proxy/ProxyServerHooks.h
@@ -15,12 +15,14 @@
 #include <routing/EndpointView.h>
 #include <state/FleetObjects.h>
 
+#include <core/Position.h>
 #include <core/RandomSource.h>
 #include <core/RefusalHook.h>
 #include <core/Time.h>
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace auburnrail {
@@ -41,6 +43,10 @@
 
     std::function<auto(const StatementReport &report)->void> report;
 
+    /// Hook of StatementHooks with the same name; may be empty.
+    std::function<auto(const std::string &group, std::optional<Position> position)->void>
+        recordAcknowledged;
+
     /// Hooks of ServerConnectionsHooks with the same names; may be empty.
     std::function<
         auto(const Placement &placement, const StatementRequest &request)->PooledConnectionPointer>
--- a/libs/proxy/include/proxy/StatementHooks.h
+++ b/libs/proxy/include/proxy/StatementHooks.h
@@ -8,6 +8,7 @@
 #include <proxy/StatementRequest.h>
 
 #include <core/Executor.h>
+#include <core/Position.h>
 
 #include <absl/status/statusor.h>
 
@@ -55,6 +56,11 @@
     /// Ends the lease. A connection that is not reusable is closed.
     std::function<auto(const PooledConnectionPointer &connection, bool reusable)->void> release;
 
+    /// Called before the run decides whether it acknowledges a write that the server has completed.
+    /// May be empty.
+    std::function<auto(const std::string &group, std::optional<Position> position)->void>
+        recordAcknowledged;
+
     /// Records what a response, or the lack of one, tells about the server.
     std::function<auto(const PooledConnection &connection, const ServerOutcome &outcome)->void>
         observe;
--- a/libs/proxy/src/StatementRun.cpp
+++ b/libs/proxy/src/StatementRun.cpp
@@ -259,6 +259,8 @@
     this->statementSent = true;
     this->exchange(this->serverRequest(), [now](StatementRun &run, StatementResponse response) {
         run.statementSent = false;
+        if (!response.failure && run.acknowledgesCommit() && run.hooks.recordAcknowledged)
+            run.hooks.recordAcknowledged(run.statementRequest.group, response.position);
         const auto isLate = run.hooks.executor.now() - now > ACKNOWLEDGEMENT_GRACE;
         if (!response.failure && isLate && run.acknowledgesCommit() && !run.mayChangeData()) {
             run.dropConnection(false);
--- a/libs/proxy/tests/FakeServers.h
+++ b/libs/proxy/tests/FakeServers.h
@@ -66,6 +66,10 @@
                 [this](const PooledConnectionPointer &connection, bool reusable) {
                     this->released.emplace_back(connection->handle.endpoint, reusable);
                 },
+            .recordAcknowledged =
+                [this](const std::string &, std::optional<Position> position) {
+                    this->acknowledged.push_back(position);
+                },
             .observe =
                 [](const PooledConnection &, const ServerOutcome &) {
                 }};
@@ -115,6 +119,7 @@
     bool leased = true;
     bool leaseExpected = false; ///< While there is no lease, requests for it wait for `grantLease`.
     std::vector<std::function<auto(bool)->void>> leaseWaiters;
+    std::vector<std::optional<Position>> acknowledged; ///< What was recorded as acknowledged.
     int unplaceable = 0;
     std::uint64_t term = 1; ///< Of the group.
     Duration requestTime = std::chrono::milliseconds(1);
--- a/libs/proxy/tests/StatementTransactionTest.cpp
+++ b/libs/proxy/tests/StatementTransactionTest.cpp
@@ -1,5 +1,7 @@
 #include "StatementRunFixture.h"
 
+#include <lease/LeaseTiming.h>
+
 namespace auburnrail {
 
 namespace {
@@ -122,6 +124,36 @@
     }
 }
 
+// Guards against a commit that is acknowledged after the entry has told control how far it has
+// acknowledged.
+TEST_CASE("the position of a write is recorded before it is acknowledged or left in doubt")
+{
+    for (const auto requestTime : {1ms, 160ms}) {
+        auto servers = FakeServers();
+        const auto connection = openTransaction(servers);
+        CHECK(servers.acknowledged.empty());
+        servers.requestTime = requestTime;
+        auto request = requestFor(StatementKind::Commit, servers);
+        request.transactionWrote = true;
+        servers.script(ServerOperation::Forward,
+                       FakeServers::withResponse({.completed = true, .position = Position{3, 9}}));
+        servers.scheduler.executor().postAfter(5ms, [&servers] { servers.term = 2; });
+        const auto result = runToEnd(servers, request, connection);
+        CHECK(errorOf(result).has_value() == (requestTime > ACKNOWLEDGEMENT_GRACE));
+        CHECK(servers.acknowledged
+              == std::vector<std::optional<Position>>{Position{3, 9}});
+    }
+}
+
+TEST_CASE("reads and refused writes are not recorded as acknowledged")
+{
+    auto servers = FakeServers();
+    CHECK_FALSE(errorOf(runToEnd(servers, requestFor(StatementKind::Read, servers))));
+    servers.script(ServerOperation::Forward, FakeServers::refused(StatementError::Failed));
+    CHECK(errorOf(runToEnd(servers, requestFor(StatementKind::Write, servers))).has_value());
+    CHECK(servers.acknowledged.empty());
+}
+
 TEST_CASE("a write whose primary is replaced while it is prepared goes to the next primary")
 {
     auto servers = FakeServers();
--- a/libs/wire/src/HeartbeatCodec.cpp
+++ b/libs/wire/src/HeartbeatCodec.cpp
@@ -134,6 +134,25 @@
     return report;
 }
 
+auto toAcknowledgedMessage(const AcknowledgedReport &report) -> thriftgen::AcknowledgedReportMessage
+{
+    auto message = thriftgen::AcknowledgedReportMessage();
+    message.group = report.group;
+    message.term = static_cast<std::int64_t>(report.term);
+    message.positionTerm = static_cast<std::int64_t>(report.position.term);
+    message.positionIndex = static_cast<std::int64_t>(report.position.index);
+    return message;
+}
+
+auto fromAcknowledgedMessage(const thriftgen::AcknowledgedReportMessage &message)
+    -> AcknowledgedReport
+{
+    return AcknowledgedReport{.group = message.group,
+                              .term = static_cast<std::uint64_t>(message.term),
+                              .position = {static_cast<std::uint64_t>(message.positionTerm),
+                                           static_cast<std::uint64_t>(message.positionIndex)}};
+}
+
 /// Decodes a value of the type that `decode` returns, which is compressed if its size is given.
 template <typename T>
 auto decodePayload(const std::string &bytes, std::optional<std::int32_t> uncompressedBytes,
@@ -203,6 +222,10 @@
         message.endpoints.push_back(toAnnouncementMessage(announcement));
     for (const auto &report : heartbeat.primaries)
         message.primaries.push_back(toPrimaryMessage(report));
+    for (const auto &report : heartbeat.acknowledged) {
+        message.acknowledged.push_back(toAcknowledgedMessage(report));
+        message.__isset.acknowledged = true;
+    }
     for (const auto &contribution : heartbeat.burn)
         message.burn.push_back(toBurnMessage(contribution));
     message.holdMillis = toMillis(heartbeat.holdLimit);
@@ -230,6 +253,8 @@
         heartbeat.endpoints.push_back(fromAnnouncementMessage(announcement));
     for (const auto &report : message.primaries)
         heartbeat.primaries.push_back(fromPrimaryMessage(report));
+    for (const auto &report : message.acknowledged)
+        heartbeat.acknowledged.push_back(fromAcknowledgedMessage(report));
     for (const auto &contribution : message.burn)
         heartbeat.burn.push_back(fromBurnMessage(contribution));
     heartbeat.holdLimit = std::chrono::milliseconds(message.holdMillis);
--- a/libs/wire/src/gen/Control_types.cpp
+++ b/libs/wire/src/gen/Control_types.cpp
@@ -796,6 +796,173 @@
 }
 
 
+AcknowledgedReportMessage::~AcknowledgedReportMessage() noexcept {
+}
+
+
+void AcknowledgedReportMessage::__set_group(const std::string& val) {
+  this->group = val;
+}
+
+void AcknowledgedReportMessage::__set_term(const int64_t val) {
+  this->term = val;
+}
+
+void AcknowledgedReportMessage::__set_positionTerm(const int64_t val) {
+  this->positionTerm = val;
+}
+
+void AcknowledgedReportMessage::__set_positionIndex(const int64_t val) {
+  this->positionIndex = val;
+}
+std::ostream& operator<<(std::ostream& out, const AcknowledgedReportMessage& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t AcknowledgedReportMessage::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->group);
+          this->__isset.group = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->term);
+          this->__isset.term = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->positionTerm);
+          this->__isset.positionTerm = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->positionIndex);
+          this->__isset.positionIndex = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t AcknowledgedReportMessage::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("AcknowledgedReportMessage");
+
+  xfer += oprot->writeFieldBegin("group", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->group);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->term);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("positionTerm", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->positionTerm);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("positionIndex", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->positionIndex);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(AcknowledgedReportMessage &a, AcknowledgedReportMessage &b) {
+  using ::std::swap;
+  swap(a.group, b.group);
+  swap(a.term, b.term);
+  swap(a.positionTerm, b.positionTerm);
+  swap(a.positionIndex, b.positionIndex);
+  swap(a.__isset, b.__isset);
+}
+
+AcknowledgedReportMessage::AcknowledgedReportMessage(const AcknowledgedReportMessage& other24) {
+  group = other24.group;
+  term = other24.term;
+  positionTerm = other24.positionTerm;
+  positionIndex = other24.positionIndex;
+  __isset = other24.__isset;
+}
+AcknowledgedReportMessage::AcknowledgedReportMessage(AcknowledgedReportMessage&& other25) noexcept {
+  group = std::move(other25.group);
+  term = other25.term;
+  positionTerm = other25.positionTerm;
+  positionIndex = other25.positionIndex;
+  __isset = other25.__isset;
+}
+AcknowledgedReportMessage& AcknowledgedReportMessage::operator=(const AcknowledgedReportMessage& other26) {
+  group = other26.group;
+  term = other26.term;
+  positionTerm = other26.positionTerm;
+  positionIndex = other26.positionIndex;
+  __isset = other26.__isset;
+  return *this;
+}
+AcknowledgedReportMessage& AcknowledgedReportMessage::operator=(AcknowledgedReportMessage&& other27) noexcept {
+  group = std::move(other27.group);
+  term = other27.term;
+  positionTerm = other27.positionTerm;
+  positionIndex = other27.positionIndex;
+  __isset = other27.__isset;
+  return *this;
+}
+void AcknowledgedReportMessage::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "AcknowledgedReportMessage(";
+  out << "group=" << to_string(group);
+  out << ", " << "term=" << to_string(term);
+  out << ", " << "positionTerm=" << to_string(positionTerm);
+  out << ", " << "positionIndex=" << to_string(positionIndex);
+  out << ")";
+}
+
+
 BurnRowMessage::~BurnRowMessage() noexcept {
 }
 
@@ -956,42 +1123,42 @@
   swap(a.__isset, b.__isset);
 }
 
-BurnRowMessage::BurnRowMessage(const BurnRowMessage& other24) {
-  objective = other24.objective;
-  serviceName = other24.serviceName;
-  organisation = other24.organisation;
-  reason = other24.reason;
-  good = other24.good;
-  bad = other24.bad;
-  __isset = other24.__isset;
-}
-BurnRowMessage::BurnRowMessage(BurnRowMessage&& other25) noexcept {
-  objective = std::move(other25.objective);
-  serviceName = std::move(other25.serviceName);
-  organisation = std::move(other25.organisation);
-  reason = other25.reason;
-  good = other25.good;
-  bad = other25.bad;
-  __isset = other25.__isset;
-}
-BurnRowMessage& BurnRowMessage::operator=(const BurnRowMessage& other26) {
-  objective = other26.objective;
-  serviceName = other26.serviceName;
-  organisation = other26.organisation;
-  reason = other26.reason;
-  good = other26.good;
-  bad = other26.bad;
-  __isset = other26.__isset;
+BurnRowMessage::BurnRowMessage(const BurnRowMessage& other28) {
+  objective = other28.objective;
+  serviceName = other28.serviceName;
+  organisation = other28.organisation;
+  reason = other28.reason;
+  good = other28.good;
+  bad = other28.bad;
+  __isset = other28.__isset;
+}
+BurnRowMessage::BurnRowMessage(BurnRowMessage&& other29) noexcept {
+  objective = std::move(other29.objective);
+  serviceName = std::move(other29.serviceName);
+  organisation = std::move(other29.organisation);
+  reason = other29.reason;
+  good = other29.good;
+  bad = other29.bad;
+  __isset = other29.__isset;
+}
+BurnRowMessage& BurnRowMessage::operator=(const BurnRowMessage& other30) {
+  objective = other30.objective;
+  serviceName = other30.serviceName;
+  organisation = other30.organisation;
+  reason = other30.reason;
+  good = other30.good;
+  bad = other30.bad;
+  __isset = other30.__isset;
   return *this;
 }
-BurnRowMessage& BurnRowMessage::operator=(BurnRowMessage&& other27) noexcept {
-  objective = std::move(other27.objective);
-  serviceName = std::move(other27.serviceName);
-  organisation = std::move(other27.organisation);
-  reason = other27.reason;
-  good = other27.good;
-  bad = other27.bad;
-  __isset = other27.__isset;
+BurnRowMessage& BurnRowMessage::operator=(BurnRowMessage&& other31) noexcept {
+  objective = std::move(other31.objective);
+  serviceName = std::move(other31.serviceName);
+  organisation = std::move(other31.organisation);
+  reason = other31.reason;
+  good = other31.good;
+  bad = other31.bad;
+  __isset = other31.__isset;
   return *this;
 }
 void BurnRowMessage::printTo(std::ostream& out) const {
@@ -1070,14 +1237,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rows.clear();
-            uint32_t _size28;
-            ::apache::thrift::protocol::TType _etype31;
-            xfer += iprot->readListBegin(_etype31, _size28);
-            this->rows.resize(_size28);
-            uint32_t _i32;
-            for (_i32 = 0; _i32 < _size28; ++_i32)
+            uint32_t _size32;
+            ::apache::thrift::protocol::TType _etype35;
+            xfer += iprot->readListBegin(_etype35, _size32);
+            this->rows.resize(_size32);
+            uint32_t _i36;
+            for (_i36 = 0; _i36 < _size32; ++_i36)
             {
-              xfer += this->rows[_i32].read(iprot);
+              xfer += this->rows[_i36].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1114,10 +1281,10 @@
   xfer += oprot->writeFieldBegin("rows", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rows.size()));
-    std::vector<BurnRowMessage> ::const_iterator _iter33;
-    for (_iter33 = this->rows.begin(); _iter33 != this->rows.end(); ++_iter33)
+    std::vector<BurnRowMessage> ::const_iterator _iter37;
+    for (_iter37 = this->rows.begin(); _iter37 != this->rows.end(); ++_iter37)
     {
-      xfer += (*_iter33).write(oprot);
+      xfer += (*_iter37).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1136,30 +1303,30 @@
   swap(a.__isset, b.__isset);
 }
 
-BurnContributionMessage::BurnContributionMessage(const BurnContributionMessage& other34) {
-  source = other34.source;
-  startMillis = other34.startMillis;
-  rows = other34.rows;
-  __isset = other34.__isset;
+BurnContributionMessage::BurnContributionMessage(const BurnContributionMessage& other38) {
+  source = other38.source;
+  startMillis = other38.startMillis;
+  rows = other38.rows;
+  __isset = other38.__isset;
 }
-BurnContributionMessage::BurnContributionMessage(BurnContributionMessage&& other35) noexcept {
-  source = std::move(other35.source);
-  startMillis = other35.startMillis;
-  rows = std::move(other35.rows);
-  __isset = other35.__isset;
+BurnContributionMessage::BurnContributionMessage(BurnContributionMessage&& other39) noexcept {
+  source = std::move(other39.source);
+  startMillis = other39.startMillis;
+  rows = std::move(other39.rows);
+  __isset = other39.__isset;
 }
-BurnContributionMessage& BurnContributionMessage::operator=(const BurnContributionMessage& other36) {
-  source = other36.source;
-  startMillis = other36.startMillis;
-  rows = other36.rows;
-  __isset = other36.__isset;
+BurnContributionMessage& BurnContributionMessage::operator=(const BurnContributionMessage& other40) {
+  source = other40.source;
+  startMillis = other40.startMillis;
+  rows = other40.rows;
+  __isset = other40.__isset;
   return *this;
 }
-BurnContributionMessage& BurnContributionMessage::operator=(BurnContributionMessage&& other37) noexcept {
-  source = std::move(other37.source);
-  startMillis = other37.startMillis;
-  rows = std::move(other37.rows);
-  __isset = other37.__isset;
+BurnContributionMessage& BurnContributionMessage::operator=(BurnContributionMessage&& other41) noexcept {
+  source = std::move(other41.source);
+  startMillis = other41.startMillis;
+  rows = std::move(other41.rows);
+  __isset = other41.__isset;
   return *this;
 }
 void BurnContributionMessage::printTo(std::ostream& out) const {
@@ -1241,6 +1408,11 @@
   this->peersFingerprint = val;
 __isset.peersFingerprint = true;
 }
+
+void HeartbeatMessage::__set_acknowledged(const std::vector<AcknowledgedReportMessage> & val) {
+  this->acknowledged = val;
+__isset.acknowledged = true;
+}
 std::ostream& operator<<(std::ostream& out, const HeartbeatMessage& obj)
 {
   obj.printTo(out);
@@ -1313,14 +1485,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->demands.clear();
-            uint32_t _size38;
-            ::apache::thrift::protocol::TType _etype41;
-            xfer += iprot->readListBegin(_etype41, _size38);
-            this->demands.resize(_size38);
-            uint32_t _i42;
-            for (_i42 = 0; _i42 < _size38; ++_i42)
+            uint32_t _size42;
+            ::apache::thrift::protocol::TType _etype45;
+            xfer += iprot->readListBegin(_etype45, _size42);
+            this->demands.resize(_size42);
+            uint32_t _i46;
+            for (_i46 = 0; _i46 < _size42; ++_i46)
             {
-              xfer += this->demands[_i42].read(iprot);
+              xfer += this->demands[_i46].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1333,14 +1505,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->heldShares.clear();
-            uint32_t _size43;
-            ::apache::thrift::protocol::TType _etype46;
-            xfer += iprot->readListBegin(_etype46, _size43);
-            this->heldShares.resize(_size43);
-            uint32_t _i47;
-            for (_i47 = 0; _i47 < _size43; ++_i47)
+            uint32_t _size47;
+            ::apache::thrift::protocol::TType _etype50;
+            xfer += iprot->readListBegin(_etype50, _size47);
+            this->heldShares.resize(_size47);
+            uint32_t _i51;
+            for (_i51 = 0; _i51 < _size47; ++_i51)
             {
-              xfer += this->heldShares[_i47].read(iprot);
+              xfer += this->heldShares[_i51].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1353,14 +1525,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->endpoints.clear();
-            uint32_t _size48;
-            ::apache::thrift::protocol::TType _etype51;
-            xfer += iprot->readListBegin(_etype51, _size48);
-            this->endpoints.resize(_size48);
-            uint32_t _i52;
-            for (_i52 = 0; _i52 < _size48; ++_i52)
+            uint32_t _size52;
+            ::apache::thrift::protocol::TType _etype55;
+            xfer += iprot->readListBegin(_etype55, _size52);
+            this->endpoints.resize(_size52);
+            uint32_t _i56;
+            for (_i56 = 0; _i56 < _size52; ++_i56)
             {
-              xfer += this->endpoints[_i52].read(iprot);
+              xfer += this->endpoints[_i56].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1373,14 +1545,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->primaries.clear();
-            uint32_t _size53;
-            ::apache::thrift::protocol::TType _etype56;
-            xfer += iprot->readListBegin(_etype56, _size53);
-            this->primaries.resize(_size53);
-            uint32_t _i57;
-            for (_i57 = 0; _i57 < _size53; ++_i57)
+            uint32_t _size57;
+            ::apache::thrift::protocol::TType _etype60;
+            xfer += iprot->readListBegin(_etype60, _size57);
+            this->primaries.resize(_size57);
+            uint32_t _i61;
+            for (_i61 = 0; _i61 < _size57; ++_i61)
             {
-              xfer += this->primaries[_i57].read(iprot);
+              xfer += this->primaries[_i61].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1409,14 +1581,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->burn.clear();
-            uint32_t _size58;
-            ::apache::thrift::protocol::TType _etype61;
-            xfer += iprot->readListBegin(_etype61, _size58);
-            this->burn.resize(_size58);
-            uint32_t _i62;
-            for (_i62 = 0; _i62 < _size58; ++_i62)
+            uint32_t _size62;
+            ::apache::thrift::protocol::TType _etype65;
+            xfer += iprot->readListBegin(_etype65, _size62);
+            this->burn.resize(_size62);
+            uint32_t _i66;
+            for (_i66 = 0; _i66 < _size62; ++_i66)
             {
-              xfer += this->burn[_i62].read(iprot);
+              xfer += this->burn[_i66].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1457,6 +1629,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 17:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->acknowledged.clear();
+            uint32_t _size67;
+            ::apache::thrift::protocol::TType _etype70;
+            xfer += iprot->readListBegin(_etype70, _size67);
+            this->acknowledged.resize(_size67);
+            uint32_t _i71;
+            for (_i71 = 0; _i71 < _size67; ++_i71)
+            {
+              xfer += this->acknowledged[_i71].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.acknowledged = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1497,10 +1689,10 @@
   xfer += oprot->writeFieldBegin("demands", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->demands.size()));
-    std::vector<DemandMessage> ::const_iterator _iter63;
-    for (_iter63 = this->demands.begin(); _iter63 != this->demands.end(); ++_iter63)
+    std::vector<DemandMessage> ::const_iterator _iter72;
+    for (_iter72 = this->demands.begin(); _iter72 != this->demands.end(); ++_iter72)
     {
-      xfer += (*_iter63).write(oprot);
+      xfer += (*_iter72).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1509,10 +1701,10 @@
   xfer += oprot->writeFieldBegin("heldShares", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->heldShares.size()));
-    std::vector<ShareMessage> ::const_iterator _iter64;
-    for (_iter64 = this->heldShares.begin(); _iter64 != this->heldShares.end(); ++_iter64)
+    std::vector<ShareMessage> ::const_iterator _iter73;
+    for (_iter73 = this->heldShares.begin(); _iter73 != this->heldShares.end(); ++_iter73)
     {
-      xfer += (*_iter64).write(oprot);
+      xfer += (*_iter73).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1521,10 +1713,10 @@
   xfer += oprot->writeFieldBegin("endpoints", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->endpoints.size()));
-    std::vector<AnnouncementMessage> ::const_iterator _iter65;
-    for (_iter65 = this->endpoints.begin(); _iter65 != this->endpoints.end(); ++_iter65)
+    std::vector<AnnouncementMessage> ::const_iterator _iter74;
+    for (_iter74 = this->endpoints.begin(); _iter74 != this->endpoints.end(); ++_iter74)
     {
-      xfer += (*_iter65).write(oprot);
+      xfer += (*_iter74).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1533,10 +1725,10 @@
   xfer += oprot->writeFieldBegin("primaries", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->primaries.size()));
-    std::vector<PrimaryReportMessage> ::const_iterator _iter66;
-    for (_iter66 = this->primaries.begin(); _iter66 != this->primaries.end(); ++_iter66)
+    std::vector<PrimaryReportMessage> ::const_iterator _iter75;
+    for (_iter75 = this->primaries.begin(); _iter75 != this->primaries.end(); ++_iter75)
     {
-      xfer += (*_iter66).write(oprot);
+      xfer += (*_iter75).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1553,10 +1745,10 @@
   xfer += oprot->writeFieldBegin("burn", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->burn.size()));
-    std::vector<BurnContributionMessage> ::const_iterator _iter67;
-    for (_iter67 = this->burn.begin(); _iter67 != this->burn.end(); ++_iter67)
+    std::vector<BurnContributionMessage> ::const_iterator _iter76;
+    for (_iter76 = this->burn.begin(); _iter76 != this->burn.end(); ++_iter76)
     {
-      xfer += (*_iter67).write(oprot);
+      xfer += (*_iter76).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1580,6 +1772,19 @@
     xfer += oprot->writeI64(this->peersFingerprint);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.acknowledged) {
+    xfer += oprot->writeFieldBegin("acknowledged", ::apache::thrift::protocol::T_LIST, 17);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->acknowledged.size()));
+      std::vector<AcknowledgedReportMessage> ::const_iterator _iter77;
+      for (_iter77 = this->acknowledged.begin(); _iter77 != this->acknowledged.end(); ++_iter77)
+      {
+        xfer += (*_iter77).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1603,85 +1808,90 @@
   swap(a.unusedMicros, b.unusedMicros);
   swap(a.relayAddress, b.relayAddress);
   swap(a.peersFingerprint, b.peersFingerprint);
+  swap(a.acknowledged, b.acknowledged);
   swap(a.__isset, b.__isset);
 }
 
-HeartbeatMessage::HeartbeatMessage(const HeartbeatMessage& other68) {
-  instance = other68.instance;
-  incarnation = other68.incarnation;
-  zone = other68.zone;
-  appliedRevision = other68.appliedRevision;
-  shareSequence = other68.shareSequence;
-  demands = other68.demands;
-  heldShares = other68.heldShares;
-  endpoints = other68.endpoints;
-  primaries = other68.primaries;
-  holdMillis = other68.holdMillis;
-  operatorsAddress = other68.operatorsAddress;
-  burn = other68.burn;
-  shareLeadership = other68.shareLeadership;
-  unusedMicros = other68.unusedMicros;
-  relayAddress = other68.relayAddress;
-  peersFingerprint = other68.peersFingerprint;
-  __isset = other68.__isset;
-}
-HeartbeatMessage::HeartbeatMessage(HeartbeatMessage&& other69) noexcept {
-  instance = std::move(other69.instance);
-  incarnation = other69.incarnation;
-  zone = std::move(other69.zone);
-  appliedRevision = other69.appliedRevision;
-  shareSequence = other69.shareSequence;
-  demands = std::move(other69.demands);
-  heldShares = std::move(other69.heldShares);
-  endpoints = std::move(other69.endpoints);
-  primaries = std::move(other69.primaries);
-  holdMillis = other69.holdMillis;
-  operatorsAddress = std::move(other69.operatorsAddress);
-  burn = std::move(other69.burn);
-  shareLeadership = other69.shareLeadership;
-  unusedMicros = other69.unusedMicros;
-  relayAddress = std::move(other69.relayAddress);
-  peersFingerprint = other69.peersFingerprint;
-  __isset = other69.__isset;
-}
-HeartbeatMessage& HeartbeatMessage::operator=(const HeartbeatMessage& other70) {
-  instance = other70.instance;
-  incarnation = other70.incarnation;
-  zone = other70.zone;
-  appliedRevision = other70.appliedRevision;
-  shareSequence = other70.shareSequence;
-  demands = other70.demands;
-  heldShares = other70.heldShares;
-  endpoints = other70.endpoints;
-  primaries = other70.primaries;
-  holdMillis = other70.holdMillis;
-  operatorsAddress = other70.operatorsAddress;
-  burn = other70.burn;
-  shareLeadership = other70.shareLeadership;
-  unusedMicros = other70.unusedMicros;
-  relayAddress = other70.relayAddress;
-  peersFingerprint = other70.peersFingerprint;
-  __isset = other70.__isset;
+HeartbeatMessage::HeartbeatMessage(const HeartbeatMessage& other78) {
+  instance = other78.instance;
+  incarnation = other78.incarnation;
+  zone = other78.zone;
+  appliedRevision = other78.appliedRevision;
+  shareSequence = other78.shareSequence;
+  demands = other78.demands;
+  heldShares = other78.heldShares;
+  endpoints = other78.endpoints;
+  primaries = other78.primaries;
+  holdMillis = other78.holdMillis;
+  operatorsAddress = other78.operatorsAddress;
+  burn = other78.burn;
+  shareLeadership = other78.shareLeadership;
+  unusedMicros = other78.unusedMicros;
+  relayAddress = other78.relayAddress;
+  peersFingerprint = other78.peersFingerprint;
+  acknowledged = other78.acknowledged;
+  __isset = other78.__isset;
+}
+HeartbeatMessage::HeartbeatMessage(HeartbeatMessage&& other79) noexcept {
+  instance = std::move(other79.instance);
+  incarnation = other79.incarnation;
+  zone = std::move(other79.zone);
+  appliedRevision = other79.appliedRevision;
+  shareSequence = other79.shareSequence;
+  demands = std::move(other79.demands);
+  heldShares = std::move(other79.heldShares);
+  endpoints = std::move(other79.endpoints);
+  primaries = std::move(other79.primaries);
+  holdMillis = other79.holdMillis;
+  operatorsAddress = std::move(other79.operatorsAddress);
+  burn = std::move(other79.burn);
+  shareLeadership = other79.shareLeadership;
+  unusedMicros = other79.unusedMicros;
+  relayAddress = std::move(other79.relayAddress);
+  peersFingerprint = other79.peersFingerprint;
+  acknowledged = std::move(other79.acknowledged);
+  __isset = other79.__isset;
+}
+HeartbeatMessage& HeartbeatMessage::operator=(const HeartbeatMessage& other80) {
+  instance = other80.instance;
+  incarnation = other80.incarnation;
+  zone = other80.zone;
+  appliedRevision = other80.appliedRevision;
+  shareSequence = other80.shareSequence;
+  demands = other80.demands;
+  heldShares = other80.heldShares;
+  endpoints = other80.endpoints;
+  primaries = other80.primaries;
+  holdMillis = other80.holdMillis;
+  operatorsAddress = other80.operatorsAddress;
+  burn = other80.burn;
+  shareLeadership = other80.shareLeadership;
+  unusedMicros = other80.unusedMicros;
+  relayAddress = other80.relayAddress;
+  peersFingerprint = other80.peersFingerprint;
+  acknowledged = other80.acknowledged;
+  __isset = other80.__isset;
   return *this;
 }
-HeartbeatMessage& HeartbeatMessage::operator=(HeartbeatMessage&& other71) noexcept {
-  instance = std::move(other71.instance);
-  incarnation = other71.incarnation;
-  zone = std::move(other71.zone);
-  appliedRevision = other71.appliedRevision;
-  shareSequence = other71.shareSequence;
-  demands = std::move(other71.demands);
-  heldShares = std::move(other71.heldShares);
-  endpoints = std::move(other71.endpoints);
-  primaries = std::move(other71.primaries);
-  holdMillis = other71.holdMillis;
-  operatorsAddress = std::move(other71.operatorsAddress);
-  burn = std::move(other71.burn);
-  shareLeadership = other71.shareLeadership;
-  unusedMicros = other71.unusedMicros;
-  relayAddress = std::move(other71.relayAddress);
-  peersFingerprint = other71.peersFingerprint;
-  __isset = other71.__isset;
+HeartbeatMessage& HeartbeatMessage::operator=(HeartbeatMessage&& other81) noexcept {
+  instance = std::move(other81.instance);
+  incarnation = other81.incarnation;
+  zone = std::move(other81.zone);
+  appliedRevision = other81.appliedRevision;
+  shareSequence = other81.shareSequence;
+  demands = std::move(other81.demands);
+  heldShares = std::move(other81.heldShares);
+  endpoints = std::move(other81.endpoints);
+  primaries = std::move(other81.primaries);
+  holdMillis = other81.holdMillis;
+  operatorsAddress = std::move(other81.operatorsAddress);
+  burn = std::move(other81.burn);
+  shareLeadership = other81.shareLeadership;
+  unusedMicros = other81.unusedMicros;
+  relayAddress = std::move(other81.relayAddress);
+  peersFingerprint = other81.peersFingerprint;
+  acknowledged = std::move(other81.acknowledged);
+  __isset = other81.__isset;
   return *this;
 }
 void HeartbeatMessage::printTo(std::ostream& out) const {
@@ -1703,6 +1913,7 @@
   out << ", " << "unusedMicros=" << to_string(unusedMicros);
   out << ", " << "relayAddress="; (__isset.relayAddress ? (out << to_string(relayAddress)) : (out << "<null>"));
   out << ", " << "peersFingerprint="; (__isset.peersFingerprint ? (out << to_string(peersFingerprint)) : (out << "<null>"));
+  out << ", " << "acknowledged="; (__isset.acknowledged ? (out << to_string(acknowledged)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1816,30 +2027,30 @@
   swap(a.__isset, b.__isset);
 }
 
-RelayPeerMessage::RelayPeerMessage(const RelayPeerMessage& other72) {
-  instance = other72.instance;
-  zone = other72.zone;
-  address = other72.address;
-  __isset = other72.__isset;
+RelayPeerMessage::RelayPeerMessage(const RelayPeerMessage& other82) {
+  instance = other82.instance;
+  zone = other82.zone;
+  address = other82.address;
+  __isset = other82.__isset;
 }
-RelayPeerMessage::RelayPeerMessage(RelayPeerMessage&& other73) noexcept {
-  instance = std::move(other73.instance);
-  zone = std::move(other73.zone);
-  address = std::move(other73.address);
-  __isset = other73.__isset;
+RelayPeerMessage::RelayPeerMessage(RelayPeerMessage&& other83) noexcept {
+  instance = std::move(other83.instance);
+  zone = std::move(other83.zone);
+  address = std::move(other83.address);
+  __isset = other83.__isset;
 }
-RelayPeerMessage& RelayPeerMessage::operator=(const RelayPeerMessage& other74) {
-  instance = other74.instance;
-  zone = other74.zone;
-  address = other74.address;
-  __isset = other74.__isset;
+RelayPeerMessage& RelayPeerMessage::operator=(const RelayPeerMessage& other84) {
+  instance = other84.instance;
+  zone = other84.zone;
+  address = other84.address;
+  __isset = other84.__isset;
   return *this;
 }
-RelayPeerMessage& RelayPeerMessage::operator=(RelayPeerMessage&& other75) noexcept {
-  instance = std::move(other75.instance);
-  zone = std::move(other75.zone);
-  address = std::move(other75.address);
-  __isset = other75.__isset;
+RelayPeerMessage& RelayPeerMessage::operator=(RelayPeerMessage&& other85) noexcept {
+  instance = std::move(other85.instance);
+  zone = std::move(other85.zone);
+  address = std::move(other85.address);
+  __isset = other85.__isset;
   return *this;
 }
 void RelayPeerMessage::printTo(std::ostream& out) const {
@@ -1996,14 +2207,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->shares.clear();
-            uint32_t _size76;
-            ::apache::thrift::protocol::TType _etype79;
-            xfer += iprot->readListBegin(_etype79, _size76);
-            this->shares.resize(_size76);
-            uint32_t _i80;
-            for (_i80 = 0; _i80 < _size76; ++_i80)
+            uint32_t _size86;
+            ::apache::thrift::protocol::TType _etype89;
+            xfer += iprot->readListBegin(_etype89, _size86);
+            this->shares.resize(_size86);
+            uint32_t _i90;
+            for (_i90 = 0; _i90 < _size86; ++_i90)
             {
-              xfer += this->shares[_i80].read(iprot);
+              xfer += this->shares[_i90].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2064,14 +2275,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->peers.clear();
-            uint32_t _size81;
-            ::apache::thrift::protocol::TType _etype84;
-            xfer += iprot->readListBegin(_etype84, _size81);
-            this->peers.resize(_size81);
-            uint32_t _i85;
-            for (_i85 = 0; _i85 < _size81; ++_i85)
+            uint32_t _size91;
+            ::apache::thrift::protocol::TType _etype94;
+            xfer += iprot->readListBegin(_etype94, _size91);
+            this->peers.resize(_size91);
+            uint32_t _i95;
+            for (_i95 = 0; _i95 < _size91; ++_i95)
             {
-              xfer += this->peers[_i85].read(iprot);
+              xfer += this->peers[_i95].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2126,10 +2337,10 @@
   xfer += oprot->writeFieldBegin("shares", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->shares.size()));
-    std::vector<ShareMessage> ::const_iterator _iter86;
-    for (_iter86 = this->shares.begin(); _iter86 != this->shares.end(); ++_iter86)
+    std::vector<ShareMessage> ::const_iterator _iter96;
+    for (_iter96 = this->shares.begin(); _iter96 != this->shares.end(); ++_iter96)
     {
-      xfer += (*_iter86).write(oprot);
+      xfer += (*_iter96).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2165,10 +2376,10 @@
     xfer += oprot->writeFieldBegin("peers", ::apache::thrift::protocol::T_LIST, 14);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->peers.size()));
-      std::vector<RelayPeerMessage> ::const_iterator _iter87;
-      for (_iter87 = this->peers.begin(); _iter87 != this->peers.end(); ++_iter87)
+      std::vector<RelayPeerMessage> ::const_iterator _iter97;
+      for (_iter97 = this->peers.begin(); _iter97 != this->peers.end(); ++_iter97)
       {
-        xfer += (*_iter87).write(oprot);
+        xfer += (*_iter97).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2198,74 +2409,74 @@
   swap(a.__isset, b.__isset);
 }
 
-HeartbeatAnswerMessage::HeartbeatAnswerMessage(const HeartbeatAnswerMessage& other88) {
-  status = other88.status;
-  leader = other88.leader;
-  leaseMillis = other88.leaseMillis;
-  update = other88.update;
-  snapshot = other88.snapshot;
-  shareSequence = other88.shareSequence;
-  shares = other88.shares;
-  minimumRevision = other88.minimumRevision;
-  entries = other88.entries;
-  zoneEntries = other88.zoneEntries;
-  shareLeadership = other88.shareLeadership;
-  updateBytes = other88.updateBytes;
-  snapshotBytes = other88.snapshotBytes;
-  peers = other88.peers;
-  __isset = other88.__isset;
-}
-HeartbeatAnswerMessage::HeartbeatAnswerMessage(HeartbeatAnswerMessage&& other89) noexcept {
-  status = other89.status;
-  leader = std::move(other89.leader);
-  leaseMillis = other89.leaseMillis;
-  update = std::move(other89.update);
-  snapshot = std::move(other89.snapshot);
-  shareSequence = other89.shareSequence;
-  shares = std::move(other89.shares);
-  minimumRevision = other89.minimumRevision;
-  entries = other89.entries;
-  zoneEntries = other89.zoneEntries;
-  shareLeadership = other89.shareLeadership;
-  updateBytes = other89.updateBytes;
-  snapshotBytes = other89.snapshotBytes;
-  peers = std::move(other89.peers);
-  __isset = other89.__isset;
-}
-HeartbeatAnswerMessage& HeartbeatAnswerMessage::operator=(const HeartbeatAnswerMessage& other90) {
-  status = other90.status;
-  leader = other90.leader;
-  leaseMillis = other90.leaseMillis;
-  update = other90.update;
-  snapshot = other90.snapshot;
-  shareSequence = other90.shareSequence;
-  shares = other90.shares;
-  minimumRevision = other90.minimumRevision;
-  entries = other90.entries;
-  zoneEntries = other90.zoneEntries;
-  shareLeadership = other90.shareLeadership;
-  updateBytes = other90.updateBytes;
-  snapshotBytes = other90.snapshotBytes;
-  peers = other90.peers;
-  __isset = other90.__isset;
+HeartbeatAnswerMessage::HeartbeatAnswerMessage(const HeartbeatAnswerMessage& other98) {
+  status = other98.status;
+  leader = other98.leader;
+  leaseMillis = other98.leaseMillis;
+  update = other98.update;
+  snapshot = other98.snapshot;
+  shareSequence = other98.shareSequence;
+  shares = other98.shares;
+  minimumRevision = other98.minimumRevision;
+  entries = other98.entries;
+  zoneEntries = other98.zoneEntries;
+  shareLeadership = other98.shareLeadership;
+  updateBytes = other98.updateBytes;
+  snapshotBytes = other98.snapshotBytes;
+  peers = other98.peers;
+  __isset = other98.__isset;
+}
+HeartbeatAnswerMessage::HeartbeatAnswerMessage(HeartbeatAnswerMessage&& other99) noexcept {
+  status = other99.status;
+  leader = std::move(other99.leader);
+  leaseMillis = other99.leaseMillis;
+  update = std::move(other99.update);
+  snapshot = std::move(other99.snapshot);
+  shareSequence = other99.shareSequence;
+  shares = std::move(other99.shares);
+  minimumRevision = other99.minimumRevision;
+  entries = other99.entries;
+  zoneEntries = other99.zoneEntries;
+  shareLeadership = other99.shareLeadership;
+  updateBytes = other99.updateBytes;
+  snapshotBytes = other99.snapshotBytes;
+  peers = std::move(other99.peers);
+  __isset = other99.__isset;
+}
+HeartbeatAnswerMessage& HeartbeatAnswerMessage::operator=(const HeartbeatAnswerMessage& other100) {
+  status = other100.status;
+  leader = other100.leader;
+  leaseMillis = other100.leaseMillis;
+  update = other100.update;
+  snapshot = other100.snapshot;
+  shareSequence = other100.shareSequence;
+  shares = other100.shares;
+  minimumRevision = other100.minimumRevision;
+  entries = other100.entries;
+  zoneEntries = other100.zoneEntries;
+  shareLeadership = other100.shareLeadership;
+  updateBytes = other100.updateBytes;
+  snapshotBytes = other100.snapshotBytes;
+  peers = other100.peers;
+  __isset = other100.__isset;
   return *this;
 }
-HeartbeatAnswerMessage& HeartbeatAnswerMessage::operator=(HeartbeatAnswerMessage&& other91) noexcept {
-  status = other91.status;
-  leader = std::move(other91.leader);
-  leaseMillis = other91.leaseMillis;
-  update = std::move(other91.update);
-  snapshot = std::move(other91.snapshot);
-  shareSequence = other91.shareSequence;
-  shares = std::move(other91.shares);
-  minimumRevision = other91.minimumRevision;
-  entries = other91.entries;
-  zoneEntries = other91.zoneEntries;
-  shareLeadership = other91.shareLeadership;
-  updateBytes = other91.updateBytes;
-  snapshotBytes = other91.snapshotBytes;
-  peers = std::move(other91.peers);
-  __isset = other91.__isset;
+HeartbeatAnswerMessage& HeartbeatAnswerMessage::operator=(HeartbeatAnswerMessage&& other101) noexcept {
+  status = other101.status;
+  leader = std::move(other101.leader);
+  leaseMillis = other101.leaseMillis;
+  update = std::move(other101.update);
+  snapshot = std::move(other101.snapshot);
+  shareSequence = other101.shareSequence;
+  shares = std::move(other101.shares);
+  minimumRevision = other101.minimumRevision;
+  entries = other101.entries;
+  zoneEntries = other101.zoneEntries;
+  shareLeadership = other101.shareLeadership;
+  updateBytes = other101.updateBytes;
+  snapshotBytes = other101.snapshotBytes;
+  peers = std::move(other101.peers);
+  __isset = other101.__isset;
   return *this;
 }
 void HeartbeatAnswerMessage::printTo(std::ostream& out) const {
@@ -2381,26 +2592,26 @@
   swap(a.__isset, b.__isset);
 }
 
-TokenDemandMessage::TokenDemandMessage(const TokenDemandMessage& other92) {
-  organisation = other92.organisation;
-  tokens = other92.tokens;
-  __isset = other92.__isset;
+TokenDemandMessage::TokenDemandMessage(const TokenDemandMessage& other102) {
+  organisation = other102.organisation;
+  tokens = other102.tokens;
+  __isset = other102.__isset;
 }
-TokenDemandMessage::TokenDemandMessage(TokenDemandMessage&& other93) noexcept {
-  organisation = std::move(other93.organisation);
-  tokens = other93.tokens;
-  __isset = other93.__isset;
+TokenDemandMessage::TokenDemandMessage(TokenDemandMessage&& other103) noexcept {
+  organisation = std::move(other103.organisation);
+  tokens = other103.tokens;
+  __isset = other103.__isset;
 }
-TokenDemandMessage& TokenDemandMessage::operator=(const TokenDemandMessage& other94) {
-  organisation = other94.organisation;
-  tokens = other94.tokens;
-  __isset = other94.__isset;
+TokenDemandMessage& TokenDemandMessage::operator=(const TokenDemandMessage& other104) {
+  organisation = other104.organisation;
+  tokens = other104.tokens;
+  __isset = other104.__isset;
   return *this;
 }
-TokenDemandMessage& TokenDemandMessage::operator=(TokenDemandMessage&& other95) noexcept {
-  organisation = std::move(other95.organisation);
-  tokens = other95.tokens;
-  __isset = other95.__isset;
+TokenDemandMessage& TokenDemandMessage::operator=(TokenDemandMessage&& other105) noexcept {
+  organisation = std::move(other105.organisation);
+  tokens = other105.tokens;
+  __isset = other105.__isset;
   return *this;
 }
 void TokenDemandMessage::printTo(std::ostream& out) const {
@@ -2475,14 +2686,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->demands.clear();
-            uint32_t _size96;
-            ::apache::thrift::protocol::TType _etype99;
-            xfer += iprot->readListBegin(_etype99, _size96);
-            this->demands.resize(_size96);
-            uint32_t _i100;
-            for (_i100 = 0; _i100 < _size96; ++_i100)
+            uint32_t _size106;
+            ::apache::thrift::protocol::TType _etype109;
+            xfer += iprot->readListBegin(_etype109, _size106);
+            this->demands.resize(_size106);
+            uint32_t _i110;
+            for (_i110 = 0; _i110 < _size106; ++_i110)
             {
-              xfer += this->demands[_i100].read(iprot);
+              xfer += this->demands[_i110].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2519,10 +2730,10 @@
   xfer += oprot->writeFieldBegin("demands", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->demands.size()));
-    std::vector<TokenDemandMessage> ::const_iterator _iter101;
-    for (_iter101 = this->demands.begin(); _iter101 != this->demands.end(); ++_iter101)
+    std::vector<TokenDemandMessage> ::const_iterator _iter111;
+    for (_iter111 = this->demands.begin(); _iter111 != this->demands.end(); ++_iter111)
     {
-      xfer += (*_iter101).write(oprot);
+      xfer += (*_iter111).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2541,30 +2752,30 @@
   swap(a.__isset, b.__isset);
 }
 
-TokenRequestMessage::TokenRequestMessage(const TokenRequestMessage& other102) {
-  instance = other102.instance;
-  incarnation = other102.incarnation;
-  demands = other102.demands;
-  __isset = other102.__isset;
+TokenRequestMessage::TokenRequestMessage(const TokenRequestMessage& other112) {
+  instance = other112.instance;
+  incarnation = other112.incarnation;
+  demands = other112.demands;
+  __isset = other112.__isset;
 }
-TokenRequestMessage::TokenRequestMessage(TokenRequestMessage&& other103) noexcept {
-  instance = std::move(other103.instance);
-  incarnation = other103.incarnation;
-  demands = std::move(other103.demands);
-  __isset = other103.__isset;
+TokenRequestMessage::TokenRequestMessage(TokenRequestMessage&& other113) noexcept {
+  instance = std::move(other113.instance);
+  incarnation = other113.incarnation;
+  demands = std::move(other113.demands);
+  __isset = other113.__isset;
 }
-TokenRequestMessage& TokenRequestMessage::operator=(const TokenRequestMessage& other104) {
-  instance = other104.instance;
-  incarnation = other104.incarnation;
-  demands = other104.demands;
-  __isset = other104.__isset;
+TokenRequestMessage& TokenRequestMessage::operator=(const TokenRequestMessage& other114) {
+  instance = other114.instance;
+  incarnation = other114.incarnation;
+  demands = other114.demands;
+  __isset = other114.__isset;
   return *this;
 }
-TokenRequestMessage& TokenRequestMessage::operator=(TokenRequestMessage&& other105) noexcept {
-  instance = std::move(other105.instance);
-  incarnation = other105.incarnation;
-  demands = std::move(other105.demands);
-  __isset = other105.__isset;
+TokenRequestMessage& TokenRequestMessage::operator=(TokenRequestMessage&& other115) noexcept {
+  instance = std::move(other115.instance);
+  incarnation = other115.incarnation;
+  demands = std::move(other115.demands);
+  __isset = other115.__isset;
   return *this;
 }
 void TokenRequestMessage::printTo(std::ostream& out) const {
@@ -2705,34 +2916,34 @@
   swap(a.__isset, b.__isset);
 }
 
-TokenGrantMessage::TokenGrantMessage(const TokenGrantMessage& other106) {
-  organisation = other106.organisation;
-  tokens = other106.tokens;
-  waitMicros = other106.waitMicros;
-  intervalMicros = other106.intervalMicros;
-  __isset = other106.__isset;
-}
-TokenGrantMessage::TokenGrantMessage(TokenGrantMessage&& other107) noexcept {
-  organisation = std::move(other107.organisation);
-  tokens = other107.tokens;
-  waitMicros = other107.waitMicros;
-  intervalMicros = other107.intervalMicros;
-  __isset = other107.__isset;
-}
-TokenGrantMessage& TokenGrantMessage::operator=(const TokenGrantMessage& other108) {
-  organisation = other108.organisation;
-  tokens = other108.tokens;
-  waitMicros = other108.waitMicros;
-  intervalMicros = other108.intervalMicros;
-  __isset = other108.__isset;
+TokenGrantMessage::TokenGrantMessage(const TokenGrantMessage& other116) {
+  organisation = other116.organisation;
+  tokens = other116.tokens;
+  waitMicros = other116.waitMicros;
+  intervalMicros = other116.intervalMicros;
+  __isset = other116.__isset;
+}
+TokenGrantMessage::TokenGrantMessage(TokenGrantMessage&& other117) noexcept {
+  organisation = std::move(other117.organisation);
+  tokens = other117.tokens;
+  waitMicros = other117.waitMicros;
+  intervalMicros = other117.intervalMicros;
+  __isset = other117.__isset;
+}
+TokenGrantMessage& TokenGrantMessage::operator=(const TokenGrantMessage& other118) {
+  organisation = other118.organisation;
+  tokens = other118.tokens;
+  waitMicros = other118.waitMicros;
+  intervalMicros = other118.intervalMicros;
+  __isset = other118.__isset;
   return *this;
 }
-TokenGrantMessage& TokenGrantMessage::operator=(TokenGrantMessage&& other109) noexcept {
-  organisation = std::move(other109.organisation);
-  tokens = other109.tokens;
-  waitMicros = other109.waitMicros;
-  intervalMicros = other109.intervalMicros;
-  __isset = other109.__isset;
+TokenGrantMessage& TokenGrantMessage::operator=(TokenGrantMessage&& other119) noexcept {
+  organisation = std::move(other119.organisation);
+  tokens = other119.tokens;
+  waitMicros = other119.waitMicros;
+  intervalMicros = other119.intervalMicros;
+  __isset = other119.__isset;
   return *this;
 }
 void TokenGrantMessage::printTo(std::ostream& out) const {
@@ -2797,14 +3008,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->grants.clear();
-            uint32_t _size110;
-            ::apache::thrift::protocol::TType _etype113;
-            xfer += iprot->readListBegin(_etype113, _size110);
-            this->grants.resize(_size110);
-            uint32_t _i114;
-            for (_i114 = 0; _i114 < _size110; ++_i114)
+            uint32_t _size120;
+            ::apache::thrift::protocol::TType _etype123;
+            xfer += iprot->readListBegin(_etype123, _size120);
+            this->grants.resize(_size120);
+            uint32_t _i124;
+            for (_i124 = 0; _i124 < _size120; ++_i124)
             {
-              xfer += this->grants[_i114].read(iprot);
+              xfer += this->grants[_i124].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2837,10 +3048,10 @@
   xfer += oprot->writeFieldBegin("grants", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->grants.size()));
-    std::vector<TokenGrantMessage> ::const_iterator _iter115;
-    for (_iter115 = this->grants.begin(); _iter115 != this->grants.end(); ++_iter115)
+    std::vector<TokenGrantMessage> ::const_iterator _iter125;
+    for (_iter125 = this->grants.begin(); _iter125 != this->grants.end(); ++_iter125)
     {
-      xfer += (*_iter115).write(oprot);
+      xfer += (*_iter125).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2858,26 +3069,26 @@
   swap(a.__isset, b.__isset);
 }
 
-TokenResponseMessage::TokenResponseMessage(const TokenResponseMessage& other116) {
-  granting = other116.granting;
-  grants = other116.grants;
-  __isset = other116.__isset;
+TokenResponseMessage::TokenResponseMessage(const TokenResponseMessage& other126) {
+  granting = other126.granting;
+  grants = other126.grants;
+  __isset = other126.__isset;
 }
-TokenResponseMessage::TokenResponseMessage(TokenResponseMessage&& other117) noexcept {
-  granting = other117.granting;
-  grants = std::move(other117.grants);
-  __isset = other117.__isset;
+TokenResponseMessage::TokenResponseMessage(TokenResponseMessage&& other127) noexcept {
+  granting = other127.granting;
+  grants = std::move(other127.grants);
+  __isset = other127.__isset;
 }
-TokenResponseMessage& TokenResponseMessage::operator=(const TokenResponseMessage& other118) {
-  granting = other118.granting;
-  grants = other118.grants;
-  __isset = other118.__isset;
+TokenResponseMessage& TokenResponseMessage::operator=(const TokenResponseMessage& other128) {
+  granting = other128.granting;
+  grants = other128.grants;
+  __isset = other128.__isset;
   return *this;
 }
-TokenResponseMessage& TokenResponseMessage::operator=(TokenResponseMessage&& other119) noexcept {
-  granting = other119.granting;
-  grants = std::move(other119.grants);
-  __isset = other119.__isset;
+TokenResponseMessage& TokenResponseMessage::operator=(TokenResponseMessage&& other129) noexcept {
+  granting = other129.granting;
+  grants = std::move(other129.grants);
+  __isset = other129.__isset;
   return *this;
 }
 void TokenResponseMessage::printTo(std::ostream& out) const {
--- a/libs/wire/src/gen/Control_types.h
+++ b/libs/wire/src/gen/Control_types.h
@@ -29,6 +29,8 @@
 
 class PrimaryReportMessage;
 
+class AcknowledgedReportMessage;
+
 class BurnRowMessage;
 
 class BurnContributionMessage;
@@ -340,6 +342,72 @@
 
 std::ostream& operator<<(std::ostream& out, const PrimaryReportMessage& obj);
 
+typedef struct _AcknowledgedReportMessage__isset {
+  _AcknowledgedReportMessage__isset() : group(false), term(false), positionTerm(false), positionIndex(false) {}
+  bool group :1;
+  bool term :1;
+  bool positionTerm :1;
+  bool positionIndex :1;
+} _AcknowledgedReportMessage__isset;
+
+class AcknowledgedReportMessage : public virtual ::apache::thrift::TBase {
+ public:
+
+  AcknowledgedReportMessage(const AcknowledgedReportMessage&);
+  AcknowledgedReportMessage(AcknowledgedReportMessage&&) noexcept;
+  AcknowledgedReportMessage& operator=(const AcknowledgedReportMessage&);
+  AcknowledgedReportMessage& operator=(AcknowledgedReportMessage&&) noexcept;
+  AcknowledgedReportMessage() noexcept
+                            : group(),
+                              term(0),
+                              positionTerm(0),
+                              positionIndex(0) {
+  }
+
+  virtual ~AcknowledgedReportMessage() noexcept;
+  std::string group;
+  int64_t term;
+  int64_t positionTerm;
+  int64_t positionIndex;
+
+  _AcknowledgedReportMessage__isset __isset;
+
+  void __set_group(const std::string& val);
+
+  void __set_term(const int64_t val);
+
+  void __set_positionTerm(const int64_t val);
+
+  void __set_positionIndex(const int64_t val);
+
+  bool operator == (const AcknowledgedReportMessage & rhs) const
+  {
+    if (!(group == rhs.group))
+      return false;
+    if (!(term == rhs.term))
+      return false;
+    if (!(positionTerm == rhs.positionTerm))
+      return false;
+    if (!(positionIndex == rhs.positionIndex))
+      return false;
+    return true;
+  }
+  bool operator != (const AcknowledgedReportMessage &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const AcknowledgedReportMessage & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(AcknowledgedReportMessage &a, AcknowledgedReportMessage &b);
+
+std::ostream& operator<<(std::ostream& out, const AcknowledgedReportMessage& obj);
+
 typedef struct _BurnRowMessage__isset {
   _BurnRowMessage__isset() : objective(false), serviceName(false), organisation(false), reason(false), good(false), bad(false) {}
   bool objective :1;
@@ -479,7 +547,7 @@
 std::ostream& operator<<(std::ostream& out, const BurnContributionMessage& obj);
 
 typedef struct _HeartbeatMessage__isset {
-  _HeartbeatMessage__isset() : instance(false), incarnation(false), zone(false), appliedRevision(false), shareSequence(false), demands(false), heldShares(false), endpoints(false), primaries(false), holdMillis(false), operatorsAddress(false), burn(false), shareLeadership(false), unusedMicros(false), relayAddress(false), peersFingerprint(false) {}
+  _HeartbeatMessage__isset() : instance(false), incarnation(false), zone(false), appliedRevision(false), shareSequence(false), demands(false), heldShares(false), endpoints(false), primaries(false), holdMillis(false), operatorsAddress(false), burn(false), shareLeadership(false), unusedMicros(false), relayAddress(false), peersFingerprint(false), acknowledged(false) {}
   bool instance :1;
   bool incarnation :1;
   bool zone :1;
@@ -496,6 +564,7 @@
   bool unusedMicros :1;
   bool relayAddress :1;
   bool peersFingerprint :1;
+  bool acknowledged :1;
 } _HeartbeatMessage__isset;
 
 class HeartbeatMessage : public virtual ::apache::thrift::TBase {
@@ -536,6 +605,7 @@
   int64_t unusedMicros;
   std::string relayAddress;
   int64_t peersFingerprint;
+  std::vector<AcknowledgedReportMessage>  acknowledged;
 
   _HeartbeatMessage__isset __isset;
 
@@ -571,6 +641,8 @@
 
   void __set_peersFingerprint(const int64_t val);
 
+  void __set_acknowledged(const std::vector<AcknowledgedReportMessage> & val);
+
   bool operator == (const HeartbeatMessage & rhs) const
   {
     if (!(instance == rhs.instance))
@@ -609,6 +681,10 @@
       return false;
     else if (__isset.peersFingerprint && !(peersFingerprint == rhs.peersFingerprint))
       return false;
+    if (__isset.acknowledged != rhs.__isset.acknowledged)
+      return false;
+    else if (__isset.acknowledged && !(acknowledged == rhs.acknowledged))
+      return false;
     return true;
   }
   bool operator != (const HeartbeatMessage &rhs) const {
--- a/libs/wire/tests/HeartbeatCodecTest.cpp
+++ b/libs/wire/tests/HeartbeatCodecTest.cpp
@@ -30,6 +30,14 @@
     CHECK(odd.burn.front().rows.front().count == BurnCount{3, 0});
 }
 
+TEST_CASE("a heartbeat carries how far the entry has acknowledged")
+{
+    auto heartbeat = Heartbeat{.instance = "e1", .incarnation = 7};
+    CHECK(fromMessage(toMessage(heartbeat)).acknowledged.empty());
+    heartbeat.acknowledged = {{"g", 4, Position{3, 9}}, {"h", 2, {}}};
+    CHECK(fromMessage(toMessage(heartbeat)).acknowledged == heartbeat.acknowledged);
+}
+
 // Guards against a large configuration that takes the link of an entry for seconds.
 TEST_CASE("a large update is sent compressed, and a damaged one is refused")
 {
