A failover doesn't wait for a member whose process is known to be gone

Cause: a primary that crashes and comes back has a new id at its old address. Control keeps the old id, since removeOthersAtAddress deletes no primary and nothing deletes it after it has lost that role.

Ruled out: to take silence or a refused connection for an end (a server that is dark may come back with its log); to count the gone member as fenced in hasMajority() (with two gone of seven, two logs of five would be a majority). A member that is succeeded leaves the count instead.

FailoverAttempt keeps the gone members. One is not waited for if another endpoint at its address is fenced and isn't rebuilding; for the old primary that counts as its fence. Otherwise it is waited for as before. removalsOfUnresponsive deletes an endpoint that isn't primary and whose address an endpoint of its group that started later has.

Why MISROUTED can't age: it says that the process that was asked has ended at this address, and a process doesn't come back. What may come back is the id ("A server may start again under the id that it had"), in a process that holds nothing of before; it answers for itself. The position is never taken from the answer, only from the successor's own fence. The evidence counts only while the view has both at one address.

--- a/libs/control/include/control/EndpointRegistrar.h
+++ b/libs/control/include/control/EndpointRegistrar.h
@@ -48,7 +48,8 @@
     auto beginLeadership(TimePoint now) -> void;
 
     /// Commands that remove endpoints that have timed out, except for primaries, which only a
-    /// failover replaces, and those that confirm departures.
+    /// failover replaces, those that confirm departures, and those that remove a former primary
+    /// whose address a later endpoint of its group has.
     [[nodiscard]] auto removalsOfUnresponsive(const FleetObjects &state, TimePoint now)
         -> std::vector<CommandBody>;
 
@@ -68,6 +69,9 @@
     ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
     auto departed(const Announcement &announcement, const FleetObjects &state, TimePoint now)
         -> std::vector<CommandBody>;
+    /// An address that is taken over frees its earlier endpoint, except while that is primary.
+    ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
+    auto removalsOfSucceeded(const FleetObjects &state, TimePoint now) -> std::vector<CommandBody>;
     ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
     auto withoutRepeated(std::vector<CommandBody> commands, const std::string &endpoint,
                          TimePoint now) -> std::vector<CommandBody>;
--- a/libs/control/src/EndpointRegistrar.cpp
+++ b/libs/control/src/EndpointRegistrar.cpp
@@ -75,6 +75,19 @@
     return group != nullptr && group->primary == endpoint.name;
 }
 
+/// Whether an endpoint of the group that started later has its address.
+auto isSucceeded(const Endpoint &endpoint, const FleetObjects &state) -> bool
+{
+    auto succeeded = false;
+    state.table<Endpoint>().forEach([&](const Endpoint &other) {
+        succeeded =
+            succeeded
+            || (other.name != endpoint.name && other.group == endpoint.group
+                && other.address == endpoint.address && other.startedAt > endpoint.startedAt);
+    });
+    return succeeded;
+}
+
 auto removeOthersAtAddress(const Announcement &announcement, const FleetObjects &state,
                            std::vector<CommandBody> &commands) -> void
 {
@@ -223,6 +236,21 @@
     this->leaderSince = now;
 }
 
+auto EndpointRegistrar::removalsOfSucceeded(const FleetObjects &state, TimePoint now)
+    -> std::vector<CommandBody>
+{
+    auto commands = std::vector<CommandBody>();
+    state.table<Endpoint>().forEach([&](const Endpoint &endpoint) ABSL_EXCLUSIVE_LOCKS_REQUIRED(
+                                        mutex) {
+        if (isPrimary(endpoint, state) || !isSucceeded(endpoint, state))
+            return;
+        auto removal = std::vector<CommandBody>{DeleteObject{ObjectKind::Endpoint, endpoint.name}};
+        for (auto &command : this->withoutRepeated(std::move(removal), endpoint.name, now))
+            commands.push_back(std::move(command));
+    });
+    return commands;
+}
+
 auto EndpointRegistrar::removalsOfUnresponsive(const FleetObjects &state, TimePoint now)
     -> std::vector<CommandBody>
 {
@@ -231,9 +259,9 @@
                   [now](const auto &row) { return now - row.second.at > RETENTION_S; });
     std::erase_if(this->proposedAt,
                   [now](const auto &row) { return now - row.second > RETENTION_S; });
+    auto commands = this->removalsOfSucceeded(state, now);
     if (this->settings.endpointTimeout <= Duration::zero())
-        return {};
-    auto commands = std::vector<CommandBody>();
+        return commands;
     state.table<Endpoint>().forEach(
         [&](const Endpoint &endpoint) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex) {
             const auto found = this->lastAnnouncements.find(endpoint.name);
--- a/libs/control/tests/EndpointRegistrarTest.cpp
+++ b/libs/control/tests/EndpointRegistrarTest.cpp
@@ -262,4 +262,27 @@
     CHECK(fixture.registrar.removalsOfUnresponsive(fixture.objects, fixture.now + 21s).empty());
 }
 
+// Guards against a former primary that stays a member, and that failovers wait for, though the
+// process that came back at its address has replaced it.
+TEST_CASE("a former primary leaves the group to the endpoint that has its address")
+{
+    auto fixture = RegistrarFixture();
+    auto primary = announcement("old", 5, 1);
+    primary.primary = true;
+    REQUIRE(fixture.receive(primary) == 2);
+    auto replica = announcement("e2", 6, 1);
+    replica.address = "127.0.0.1:2";
+    REQUIRE(fixture.receive(replica) == 1);
+    REQUIRE(fixture.receive(announcement("new", 8, 1)) == 1);
+    const auto removals = [&fixture] {
+        return fixture.registrar.removalsOfUnresponsive(fixture.objects, fixture.now);
+    };
+    CHECK(removals().empty());
+    fixture.objects.put(Group{.name = "g", .term = 2, .primary = "e2"});
+    fixture.apply(removals());
+    CHECK(fixture.objects.find<Endpoint>("old") == nullptr);
+    CHECK(fixture.objects.find<Endpoint>("new") != nullptr);
+    CHECK(fixture.objects.find<Endpoint>("e2") != nullptr);
+}
+
 } // namespace auburnrail
--- a/libs/failover/include/failover/FenceResponse.h
+++ b/libs/failover/include/failover/FenceResponse.h
@@ -17,6 +17,9 @@
     /// The endpoint lost its data and has not caught up since. It does not count towards the
     /// majority, because the lost data may include acknowledged writes.
     bool rebuilding = false;
+    /// The endpoint's address answered as another endpoint: the process that was asked has ended.
+    /// Not set when nothing answered. Then nothing else is.
+    bool isGone = false;
 };
 
 } // namespace auburnrail
--- a/libs/failover/include/failover/detail/FailoverAttempt.h
+++ b/libs/failover/include/failover/detail/FailoverAttempt.h
@@ -12,6 +12,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace auburnrail::detail {
@@ -35,6 +36,8 @@
     std::map<std::string, TimePoint, std::less<>> fencedAt; ///< When the responses were received.
     /// A replica was removed before it was fenced: it may have had what the others lack.
     bool hasLostReplica = false;
+    /// Endpoints whose process has ended. A process doesn't come back, so further terms keep them.
+    std::set<std::string, std::less<>> gone;
     GroupEndpoint chosen;
     std::size_t tries = 0; ///< Number of tries of the current phase's step.
     TimePoint nextTryAt;
@@ -46,14 +49,17 @@
     /// What the promotion of the chosen endpoint relies on.
     [[nodiscard]] auto evidence(TimePoint now) const -> PromotionEvidence;
 
-    /// Whether a majority of the endpoints accepted the fence. Endpoints that are rebuilding count
-    /// only if the group never had a primary.
+    /// Whether the endpoint is gone and a fenced one at its address has the log that it left.
+    [[nodiscard]] auto isSucceeded(const GroupEndpoint &endpoint) const -> bool;
+
+    /// Whether a majority of the endpoints that aren't succeeded accepted the fence. Endpoints that
+    /// are rebuilding count only if the group never had a primary.
     [[nodiscard]] auto hasMajority() const -> bool;
 
-    /// Whether the old primary accepted the fence, or there was none.
+    /// Whether the old primary accepted the fence, is succeeded, or there was none.
     [[nodiscard]] auto isOldPrimaryFenced() const -> bool;
 
-    /// Whether every endpoint other than the old primary is fenced.
+    /// Whether every endpoint other than the old primary is fenced or succeeded.
     [[nodiscard]] auto areReplicasFenced() const -> bool;
 
     /// Whether no entry acknowledges writes of the old term any more. This lasts, whatever happens
--- a/libs/failover/src/FailoverAttempt.cpp
+++ b/libs/failover/src/FailoverAttempt.cpp
@@ -62,6 +62,18 @@
     return evidence;
 }
 
+auto FailoverAttempt::isSucceeded(const GroupEndpoint &endpoint) const -> bool
+{
+    if (!this->gone.contains(endpoint.name) || endpoint.address.empty())
+        return false;
+    return std::any_of(this->view.endpoints.begin(), this->view.endpoints.end(),
+                       [&](const GroupEndpoint &other) {
+                           const auto found = this->fences.find(other.name);
+                           return other.name != endpoint.name && other.address == endpoint.address
+                                  && found != this->fences.end() && !found->second.rebuilding;
+                       });
+}
+
 auto FailoverAttempt::hasMajority() const -> bool
 {
     const auto counts = [this](const GroupEndpoint &endpoint) {
@@ -72,12 +84,19 @@
     };
     const auto fenced =
         std::count_if(this->view.endpoints.begin(), this->view.endpoints.end(), counts);
-    return static_cast<std::size_t>(fenced) * 2 > this->view.endpoints.size();
+    // One log counts once.
+    const auto succeeded = std::count_if(
+        this->view.endpoints.begin(), this->view.endpoints.end(),
+        [this](const GroupEndpoint &endpoint) { return this->isSucceeded(endpoint); });
+    return static_cast<std::size_t>(fenced * 2 + succeeded) > this->view.endpoints.size();
 }
 
 auto FailoverAttempt::isOldPrimaryFenced() const -> bool
 {
-    return this->view.primary.empty() || this->fences.contains(this->view.primary);
+    if (this->view.primary.empty() || this->fences.contains(this->view.primary))
+        return true;
+    const auto *old = this->view.find(this->view.primary);
+    return old != nullptr && this->isSucceeded(*old);
 }
 
 auto FailoverAttempt::areReplicasFenced() const -> bool
@@ -85,7 +104,8 @@
     return std::all_of(this->view.endpoints.begin(), this->view.endpoints.end(),
                        [this](const GroupEndpoint &endpoint) {
                            return endpoint.name == this->view.primary
-                                  || this->fences.contains(endpoint.name);
+                                  || this->fences.contains(endpoint.name)
+                                  || this->isSucceeded(endpoint);
                        });
 }
 
--- a/libs/failover/src/FailoverSteps.cpp
+++ b/libs/failover/src/FailoverSteps.cpp
@@ -190,13 +190,18 @@
                                               const FenceResponse &response, TimePoint now,
                                               Effects &effects) -> void
 {
-    if (!response.accepted) {
+    if (!response.accepted && !response.isGone) {
         this->restartWithNewTerm(attempt, std::max(response.highestTerm, attempt.record.term),
                                  "endpoint " + endpoint + " knows a later term", now, effects);
         return;
     }
-    attempt.fences.insert_or_assign(endpoint, response);
-    attempt.fencedAt.insert_or_assign(endpoint, now);
+    if (response.isGone) {
+        attempt.gone.insert(endpoint);
+        attempt.fences.erase(endpoint);
+    } else {
+        attempt.fences.insert_or_assign(endpoint, response);
+        attempt.fencedAt.insert_or_assign(endpoint, now);
+    }
     if (attempt.phase == FailoverPhase::Fencing && attempt.hasMajority())
         this->enterPhase(attempt, FailoverPhase::WaitingForceOrConfirmation, now, effects);
     if (attempt.phase == FailoverPhase::WaitingForceOrConfirmation)
--- a/libs/failover/tests/GroupSimulation.h
+++ b/libs/failover/tests/GroupSimulation.h
@@ -26,6 +26,7 @@
         bool reachable = true;
         bool refusesOrders = false; ///< It serves, but has no connection left for control.
         bool refusesFollow = false; ///< As refusesOrders, for orders to follow only.
+        bool gone = false;          ///< Unreachable, and another endpoint answers at its address.
         bool deaf = false;          ///< It receives nothing from a primary.
         bool fenced = false; ///< It has been fenced and not promoted or told to follow since.
         std::string following;
@@ -72,7 +73,7 @@
     std::set<std::string> cutOffEntries;
     std::map<std::string, TimePoint> suspectedSince;
     TimePoint inForceAt = TimePoint::max(); ///< When the latest revision is in force everywhere.
-    TimePoint promotionOrderedAt; ///< When the last order to become primary was sent.
+    TimePoint promotionOrderedAt;           ///< When the last order to become primary was sent.
     Duration leaseWait = std::chrono::milliseconds(2100);
     /// How far the entries have acknowledged; nothing: they can't tell.
     std::optional<Position> acknowledged;
@@ -103,6 +104,12 @@
             .fence =
                 [this](const GroupEndpoint &endpoint, const std::string &, std::uint64_t term,
                        auto done) {
+                    if (this->endpoints[endpoint.name].gone) {
+                        this->postDelayed([this, done] {
+                            done(FenceResponse{.isGone = true}, this->scheduler.now());
+                        });
+                        return;
+                    }
                     this->callEndpoint(endpoint.name, [term, done, this](Endpoint &state) {
                         if (state.refusesOrders) {
                             done(std::nullopt, this->scheduler.now());
