An empty process under the id of a gone one passes for no log

Cause: "A server may start again under the id that it had", and holds nothing of before. If the id of a gone member answers again, the member that had the address in between, itself gone, counted as succeeded by it.

Ruled out: to ignore the answers of such an id (the group would wait for it without an end once the registrar has removed the one in between).

Change: what an endpoint answers after it was gone in the same attempt counts as that of one that is rebuilding.

Conclusion: within an attempt an id's use by two processes is told apart. An id that is used again without MISROUTED in between is not; that is as before.

--- a/libs/failover/src/FailoverSteps.cpp
+++ b/libs/failover/src/FailoverSteps.cpp
@@ -199,7 +199,9 @@
         attempt.gone.insert(endpoint);
         attempt.fences.erase(endpoint);
     } else {
-        attempt.fences.insert_or_assign(endpoint, response);
+        auto &fence = attempt.fences.insert_or_assign(endpoint, response).first->second;
+        // The id may be used again, by a process without the log of the one before.
+        fence.rebuilding |= attempt.gone.contains(endpoint);
         attempt.fencedAt.insert_or_assign(endpoint, now);
     }
     if (attempt.phase == FailoverPhase::Fencing && attempt.hasMajority())
--- a/libs/failover/tests/GoneEndpointTest.cpp
+++ b/libs/failover/tests/GoneEndpointTest.cpp
@@ -61,6 +61,23 @@
     CHECK(group.view.phase == GroupPhase::Fencing);
 }
 
+// Guards against an empty process, started under the id of one that is gone, that passes for the
+// log of its address.
+TEST_CASE("an endpoint that starts again under the id that it had succeeds nobody")
+{
+    auto group = GroupSimulation();
+    requireSynchronousReplica(group);
+    replaceProcess(group, "c");
+    group.endpoints["d"].reachable = false;
+    isolatePrimary(group);
+    group.runFor(7s);
+    REQUIRE(group.view.phase == GroupPhase::Fencing);
+    group.endpoints["d"].gone = true;
+    group.endpoints["c"] = GroupSimulation::Endpoint{.term = 0, .position = {}};
+    group.runFor(5s);
+    CHECK(group.view.phase == GroupPhase::Fencing);
+}
+
 // Guards against a failover that waits for the old primary, whose log its successor has, and for a
 // replica that is dark.
 TEST_CASE("the successor of a gone primary counts as its fence")
