Endpoints that another one succeeded are found in one pass

Cause: the check for a successor at the address looked at all endpoints for each endpoint, the square of 75,000 at the size to design for. Ruled out: an index in FleetObjects; the pass runs beside others of the same length. Change: the last start by address and group is collected first. Conclusion: the pass grows with the number of endpoints.

--- a/libs/control/src/EndpointRegistrar.cpp
+++ b/libs/control/src/EndpointRegistrar.cpp
@@ -2,6 +2,10 @@
 
 #include <core/RankedLock.h>
 
+#include <algorithm>
+#include <map>
+#include <utility>
+
 namespace auburnrail {
 
 namespace {
@@ -75,17 +79,17 @@
     return group != nullptr && group->primary == endpoint.name;
 }
 
-/// Whether an endpoint of the group that started later has its address.
-auto isSucceeded(const Endpoint &endpoint, const FleetObjects &state) -> bool
+/// When the last of a group's endpoints at an address started, by address and group.
+using LastStarts = std::map<std::pair<std::string, std::string>, std::uint64_t>;
+
+auto lastStarts(const FleetObjects &state) -> LastStarts
 {
-    auto succeeded = false;
-    state.table<Endpoint>().forEach([&](const Endpoint &other) {
-        succeeded =
-            succeeded
-            || (other.name != endpoint.name && other.group == endpoint.group
-                && other.address == endpoint.address && other.startedAt > endpoint.startedAt);
+    auto starts = LastStarts();
+    state.table<Endpoint>().forEach([&](const Endpoint &endpoint) {
+        auto &last = starts[{endpoint.address, endpoint.group}];
+        last = std::max(last, endpoint.startedAt);
     });
-    return succeeded;
+    return starts;
 }
 
 auto removeOthersAtAddress(const Announcement &announcement, const FleetObjects &state,
@@ -240,9 +244,11 @@
     -> std::vector<CommandBody>
 {
     auto commands = std::vector<CommandBody>();
+    const auto starts = lastStarts(state);
     state.table<Endpoint>().forEach([&](const Endpoint &endpoint) ABSL_EXCLUSIVE_LOCKS_REQUIRED(
                                         mutex) {
-        if (isPrimary(endpoint, state) || !isSucceeded(endpoint, state))
+        const auto isLast = starts.at({endpoint.address, endpoint.group}) == endpoint.startedAt;
+        if (isLast || isPrimary(endpoint, state))
             return;
         auto removal = std::vector<CommandBody>{DeleteObject{ObjectKind::Endpoint, endpoint.name}};
         for (auto &command : this->withoutRepeated(std::move(removal), endpoint.name, now))
