A failover's metrics, and the evidence of its promotion in its record

Cause: the lines of a promotion name what it relies on, but nothing counts failovers, the record has no positions, and an order that was refused leaves the same trace as one that got no answer and may take effect later.

Ruled out: keeping `promote` a bool. The difference between "refused", "not sent" and "no answer" is lost there, and only the last can take effect later. Series made at first use: they would fall into the overflow of a member with many zones (limit 200).

Change: `OrderAnswer` of EndpointRoleHooks::promote, `PromotionOutcome`, a line for each outcome, with the term. `AcknowledgedCheck` says of each order whether the endpoint has what was acknowledged; a warning when it lacks a known part. `FailoverMetrics`, 28 series registered at once. FailoverRecord::lastPromotion, shown by `explain failover`, which finds a failover by an endpoint's id as well.

`auburnrail_failover_tests`: 30 pass. Not run: a build with Clang, the platform's and the process tests.

--- a/libs/control/include/control/ControlMetrics.h
+++ b/libs/control/include/control/ControlMetrics.h
@@ -3,6 +3,7 @@
 
 #include <control/AnnouncementVerdict.h>
 #include <control/ControlGauges.h>
+#include <control/FailoverMetrics.h>
 
 #include <lease/LeaseStatus.h>
 #include <observe/EnumCounters.h>
@@ -39,6 +40,8 @@
     /// Counts a request to replace the whole configuration; `took` is the time until its response.
     auto countConfiguration(const absl::Status &outcome, Duration took) -> void;
 
+    [[nodiscard]] auto failovers() -> FailoverMetrics &;
+
     /// Shows whether operators have evacuated the zone.
     auto setZoneEvacuated(const std::string &zone, bool evacuated) -> void;
 
@@ -54,6 +57,7 @@
     EnumCounters<LeaseStatus>
         heartbeats; ///< Registered once, since heartbeats are the most frequent event.
     EnumCounters<AnnouncementVerdict> announcements;
+    FailoverMetrics failoverMetrics;
     std::atomic<std::uint64_t> heartbeatsResponded{0};
 };
 
--- a/libs/control/include/control/ControlTables.h
+++ b/libs/control/include/control/ControlTables.h
@@ -123,8 +123,14 @@
     auto promoteAndAwait(const GroupEndpoint &endpoint, const std::string &group,
                          std::uint64_t term, const std::vector<GroupEndpoint> &members,
                          const std::function<auto(bool, TimePoint)->void> &done) -> void;
-    auto awaitPrimary(const GroupEndpoint &endpoint, const std::string &group, TimePoint deadline,
-                      const std::function<auto(bool, TimePoint)->void> &done) -> void;
+    auto awaitPrimary(const GroupEndpoint &endpoint, const std::string &group, std::uint64_t term,
+                      TimePoint deadline, const std::function<auto(bool, TimePoint)->void> &done)
+        -> void;
+
+    /// Logs and counts the outcome of a promotion.
+    auto endPromotion(PromotionOutcome outcome, const GroupEndpoint &endpoint,
+                      const std::string &group, std::uint64_t term,
+                      const std::optional<EndpointRoleStatus> &status) -> void;
 
     /// Records a failover against the objectives of the services on its group.
     auto countFailover(const FailoverRecord &record) -> void;
--- a/libs/control/include/control/EndpointCommander.h
+++ b/libs/control/include/control/EndpointCommander.h
@@ -29,9 +29,9 @@
     [[nodiscard]] auto fence(const GroupEndpoint &endpoint, std::uint64_t term)
         -> std::optional<FenceResponse>;
 
-    /// True when the endpoint is now the primary of the term.
+    /// An endpoint that accepts it is now the primary of the term.
     [[nodiscard]] auto promote(const GroupEndpoint &endpoint, std::uint64_t term,
-                               const std::vector<GroupEndpoint> &members) -> bool;
+                               const std::vector<GroupEndpoint> &members) -> OrderAnswer;
 
     /// True when the endpoint now replicates from `primary`.
     [[nodiscard]] auto follow(const GroupEndpoint &endpoint, std::uint64_t term,
--- a/libs/control/include/control/EndpointRoleHooks.h
+++ b/libs/control/include/control/EndpointRoleHooks.h
@@ -2,6 +2,7 @@
 #define AUBURNRAIL_CONTROL_ENDPOINTROLEHOOKS_H
 
 #include <control/EndpointRoleStatus.h>
+#include <control/OrderAnswer.h>
 
 #include <failover/FenceResponse.h>
 #include <failover/GroupEndpoint.h>
@@ -23,10 +24,10 @@
                       ->std::optional<FenceResponse>>
         fence;
 
-    /// True when the endpoint has accepted the request to become primary of the term.
+    /// Requests the endpoint to become primary of the term.
     std::function<auto(const GroupEndpoint &endpoint, const std::string &group, std::uint64_t term,
                        const std::vector<GroupEndpoint> &members)
-                      ->bool>
+                      ->OrderAnswer>
         promote;
 
     /// Optional: what an endpoint that accepted the promotion is by now; nothing when it doesn't
--- a/libs/control/include/control/FailoverLog.h
+++ b/libs/control/include/control/FailoverLog.h
@@ -20,8 +20,8 @@
 
     auto add(FailoverRecord record) -> void;
 
-    /// Records of one group, or of all groups when `group` is empty.
-    [[nodiscard]] auto find(const std::string &group) -> std::vector<FailoverRecord>;
+    /// Records of the group, or those that name the endpoint, with this name; all when it is empty.
+    [[nodiscard]] auto find(const std::string &name) -> std::vector<FailoverRecord>;
 
 private:
     RankedMutex mutex{LockRank::ExplainLog};
--- a/libs/control/src/ControlMetrics.cpp
+++ b/libs/control/src/ControlMetrics.cpp
@@ -17,6 +17,7 @@
                  "Heartbeats of entries answered, by lease status.")
     , announcements(metrics, "auburnrail_announcements_total",
                     "Announcements of endpoints, by verdict.")
+    , failoverMetrics(metrics)
 {
 }
 
@@ -70,6 +71,11 @@
                  "Time from the arrival of a configuration to its answer.", took);
 }
 
+auto ControlMetrics::failovers() -> FailoverMetrics &
+{
+    return this->failoverMetrics;
+}
+
 auto ControlMetrics::setZoneEvacuated(const std::string &zone, bool evacuated) -> void
 {
     const auto gauge =
--- a/libs/control/src/ControlTablesFailover.cpp
+++ b/libs/control/src/ControlTablesFailover.cpp
@@ -1,12 +1,10 @@
 #include <control/ControlTables.h>
 
 #include "FailoverGap.h"
+#include "FailoverLines.h"
 
 #include <daemon/Logging.h>
 
-#include <absl/strings/str_cat.h>
-#include <absl/strings/str_join.h>
-
 namespace auburnrail {
 
 namespace {
@@ -15,67 +13,6 @@
 /// milliseconds.
 constexpr auto PRIMARY_CHECK_INTERVAL = std::chrono::milliseconds(60);
 
-auto positionText(const Position &position) -> std::string
-{
-    return absl::StrCat(position.term, ".", position.index);
-}
-
-auto logFailover(const FailoverRecord &record) -> void
-{
-    const auto began = record.phases.empty() ? record.endedAt : record.phases.front().startedAt;
-    logLine(LogLevel::Info, "failover", record.completed ? "failover completed" : "failover ended",
-            {{"group", record.group},
-             {"cause", std::string(nameOf(record.cause))},
-             {"old_primary", record.oldPrimary},
-             {"new_primary", record.newPrimary},
-             {"term", absl::StrCat(record.term)},
-             {"position", positionText(record.position)},
-             {"duration_ms", absl::StrCat(toMillis(record.endedAt - began))},
-             {"note", record.note}});
-}
-
-/// One word for each endpoint that was compared: name, position, its age, and its former role.
-auto fencedText(const PromotionEvidence &evidence) -> std::string
-{
-    return absl::StrJoin(evidence.fenced, " ", [&](std::string *text, const FenceEvidence &fenced) {
-        absl::StrAppend(text, fenced.endpoint, "@", positionText(fenced.position), "/",
-                        toMillis(evidence.orderedAt - fenced.receivedAt), "ms",
-                        fenced.wasPrimary ? "/primary" : "");
-    });
-}
-
-auto logPromotion(const PromotionEvidence &evidence) -> void
-{
-    const auto confirmed =
-        evidence.leasesConfirmedAt
-            ? absl::StrCat(toMillis(evidence.orderedAt - *evidence.leasesConfirmedAt))
-            : std::string("never");
-    logLine(
-        LogLevel::Info, "failover", "promotion ordered",
-        {{"group", evidence.group},
-         {"term", absl::StrCat(evidence.term)},
-         {"cause", std::string(nameOf(evidence.cause))},
-         {"endpoint", evidence.endpoint},
-         {"old_primary", evidence.oldPrimary},
-         {"try", absl::StrCat(evidence.tries)},
-         {"leases_confirmed_ms_ago", confirmed},
-         {"acknowledged", evidence.acknowledged ? positionText(*evidence.acknowledged) : "unknown"},
-         {"fenced", fencedText(evidence)},
-         {"not_fenced", absl::StrJoin(evidence.notFenced, " ")}});
-}
-
-auto logPromotionSeen(const GroupEndpoint &endpoint, const std::string &group,
-                      const std::optional<EndpointRoleStatus> &status) -> void
-{
-    const auto leads = status && status->isPrimary;
-    logLine(leads ? LogLevel::Info : LogLevel::Warning, "failover",
-            leads ? "promotion took effect" : "promotion not seen in time",
-            {{"group", group},
-             {"endpoint", endpoint.name},
-             {"endpoint_term", status ? absl::StrCat(status->term) : ""},
-             {"position", status ? positionText(status->position) : ""}});
-}
-
 } // namespace
 
 auto ControlTables::makeFailoverHooks() -> FailoverHooks
@@ -131,9 +68,13 @@
             done(isConfirmed, this->executor.now());
         });
     };
-    failoverHooks.promotionOrdered = logPromotion;
+    failoverHooks.promotionOrdered = [this](const PromotionEvidence &evidence) {
+        detail::logPromotion(evidence);
+        this->metrics.failovers().countOrdered(checkAcknowledged(evidence));
+    };
     failoverHooks.failoverEnded = [this](const FailoverRecord &record) {
-        logFailover(record);
+        detail::logFailover(record);
+        this->metrics.failovers().countFailover(record);
         this->failovers.add(record);
         this->countFailover(record);
     };
@@ -144,35 +85,42 @@
                                     std::uint64_t term, const std::vector<GroupEndpoint> &members,
                                     const std::function<auto(bool, TimePoint)->void> &done) -> void
 {
-    if (!this->endpointHooks.promote(endpoint, group, term, members)) {
-        done(false, this->executor.now());
-        return;
-    }
-    if (!this->endpointHooks.status) {
-        done(true, this->executor.now());
+    const auto answer = this->endpointHooks.promote(endpoint, group, term, members);
+    if (answer != OrderAnswer::Accepted || !this->endpointHooks.status) {
+        this->endPromotion(promotionOutcome(answer), endpoint, group, term, std::nullopt);
+        done(answer == OrderAnswer::Accepted, this->executor.now());
         return;
     }
     const auto deadline = this->executor.now() + this->settings.failover.callTimeout;
-    this->awaitPrimary(endpoint, group, deadline, done);
+    this->awaitPrimary(endpoint, group, term, deadline, done);
 }
 
 auto ControlTables::awaitPrimary(const GroupEndpoint &endpoint, const std::string &group,
-                                 TimePoint deadline,
+                                 std::uint64_t term, TimePoint deadline,
                                  const std::function<auto(bool, TimePoint)->void> &done) -> void
 {
-    this->executor.postAfter(PRIMARY_CHECK_INTERVAL, [this, endpoint, group, deadline, done] {
+    this->executor.postAfter(PRIMARY_CHECK_INTERVAL, [this, endpoint, group, term, deadline, done] {
         const auto status = this->endpointHooks.status(endpoint, group);
         const auto leads = status && status->isPrimary;
         const auto now = this->executor.now();
         if (!leads && now < deadline) {
-            this->awaitPrimary(endpoint, group, deadline, done);
+            this->awaitPrimary(endpoint, group, term, deadline, done);
             return;
         }
-        logPromotionSeen(endpoint, group, status);
+        this->endPromotion(leads ? PromotionOutcome::TookEffect : PromotionOutcome::NotSeen,
+                           endpoint, group, term, status);
         done(leads, now);
     });
 }
 
+auto ControlTables::endPromotion(PromotionOutcome outcome, const GroupEndpoint &endpoint,
+                                 const std::string &group, std::uint64_t term,
+                                 const std::optional<EndpointRoleStatus> &status) -> void
+{
+    detail::logPromotionOutcome(outcome, endpoint, group, term, status);
+    this->metrics.failovers().countOutcome(outcome);
+}
+
 auto ControlTables::countFailover(const FailoverRecord &record) -> void
 {
     const auto gap = detail::failoverGap(record, this->settings.failover);
--- a/libs/control/src/EndpointCommander.cpp
+++ b/libs/control/src/EndpointCommander.cpp
@@ -9,15 +9,17 @@
 
 namespace {
 
-/// Sends a request whose response is a ControlResponse. True when the endpoint has accepted it.
-auto isAccepted(const std::string &address, const HttpRequest &request,
-                const std::string &exchangeId) -> bool
+/// Sends a request whose response is a ControlResponse.
+auto sendOrder(const std::string &address, const HttpRequest &request,
+               const std::string &exchangeId) -> OrderAnswer
 {
     const auto result = exchangeOnce(address, request, EndpointCommander::TIME_LIMIT_MS);
     if (result.phase != ExchangePhase::Answered)
-        return false;
+        return answerWithout(result.phase);
     const auto response = decodeControlResponse(result.response);
-    return response.ok() && response->exchangeId == exchangeId && response->accepted;
+    if (!response.ok() || response->exchangeId != exchangeId)
+        return OrderAnswer::NoAnswer;
+    return response->accepted ? OrderAnswer::Accepted : OrderAnswer::Refused;
 }
 
 } // namespace
@@ -46,11 +48,11 @@
 }
 
 auto EndpointCommander::promote(const GroupEndpoint &endpoint, std::uint64_t term,
-                                const std::vector<GroupEndpoint> &members) -> bool
+                                const std::vector<GroupEndpoint> &members) -> OrderAnswer
 {
     const auto request =
         PromoteRequest{.exchangeId = this->newExchangeId(), .term = term, .members = members};
-    return isAccepted(endpoint.address, encodePromoteRequest(request), request.exchangeId);
+    return sendOrder(endpoint.address, encodePromoteRequest(request), request.exchangeId);
 }
 
 auto EndpointCommander::follow(const GroupEndpoint &endpoint, std::uint64_t term,
@@ -58,7 +60,8 @@
 {
     const auto request =
         FollowRequest{.exchangeId = this->newExchangeId(), .term = term, .primary = primary};
-    return isAccepted(endpoint.address, encodeFollowRequest(request), request.exchangeId);
+    return sendOrder(endpoint.address, encodeFollowRequest(request), request.exchangeId)
+           == OrderAnswer::Accepted;
 }
 
 auto EndpointCommander::roleHooks() -> EndpointRoleHooks
--- a/libs/control/src/FailoverJson.cpp
+++ b/libs/control/src/FailoverJson.cpp
@@ -1,7 +1,42 @@
 #include "FailoverJson.h"
 
+#include "FailoverLines.h"
+
+#include <control/AcknowledgedCheck.h>
+
 namespace auburnrail::detail {
 
+namespace {
+
+auto promotionJson(const PromotionEvidence &evidence, TimePoint now) -> JsonWriter
+{
+    auto fenced = std::vector<JsonWriter>();
+    for (const auto &endpoint : evidence.fenced) {
+        auto writer = JsonWriter();
+        writer.text("endpoint", endpoint.endpoint);
+        writer.text("position", positionText(endpoint.position));
+        writer.integer("age_ms", toMillis(evidence.orderedAt - endpoint.receivedAt));
+        writer.boolean("was_primary", endpoint.wasPrimary);
+        writer.boolean("rebuilding", endpoint.rebuilding);
+        fenced.push_back(std::move(writer));
+    }
+    auto writer = JsonWriter();
+    writer.integer("ordered_ms_ago", toMillis(now - evidence.orderedAt));
+    writer.integer("term", static_cast<std::int64_t>(evidence.term));
+    writer.text("endpoint", evidence.endpoint);
+    writer.integer("try", static_cast<std::int64_t>(evidence.tries));
+    if (evidence.leasesConfirmedAt)
+        writer.integer("leases_confirmed_ms_before",
+                       toMillis(evidence.orderedAt - *evidence.leasesConfirmedAt));
+    writer.text("acknowledged",
+                evidence.acknowledged ? positionText(*evidence.acknowledged) : "unknown");
+    writer.text("acknowledged_check", nameOf(checkAcknowledged(evidence)));
+    writer.objects("fenced", fenced).texts("not_fenced", evidence.notFenced);
+    return writer;
+}
+
+} // namespace
+
 auto failoverJson(const FailoverRecord &record, TimePoint now) -> JsonWriter
 {
     const auto end = record.endedAt == TimePoint() ? now : record.endedAt;
@@ -23,6 +58,8 @@
     writer.boolean("completed", record.completed);
     writer.integer("ended_ms_ago", toMillis(now - end));
     writer.objects("phases", phases).text("note", record.note);
+    if (record.lastPromotion)
+        writer.object("last_promotion", promotionJson(*record.lastPromotion, now));
     return writer;
 }
 
--- a/libs/failover/include/failover/FailoverRecord.h
+++ b/libs/failover/include/failover/FailoverRecord.h
@@ -3,9 +3,11 @@
 
 #include <failover/FailoverCause.h>
 #include <failover/PhaseTime.h>
+#include <failover/PromotionEvidence.h>
 
 #include <core/Position.h>
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -21,6 +23,7 @@
     std::string requestedPrimary; ///< Planned promotion: the endpoint that was asked for.
     std::uint64_t term = 0;
     Position position; ///< Position of the chosen endpoint when it was fenced.
+    std::optional<PromotionEvidence> lastPromotion; ///< The last order to become primary.
     bool completed = false;
     TimePoint endedAt;
     std::vector<PhaseTime> phases; ///< In order of time; beyond the limit the oldest are dropped.
--- a/libs/failover/include/failover/FenceEvidence.h
+++ b/libs/failover/include/failover/FenceEvidence.h
@@ -14,6 +14,7 @@
     std::string endpoint;
     Position position;
     bool wasPrimary = false;
+    bool rebuilding = false;
     TimePoint receivedAt; ///< When control received the response.
 };
 
--- a/libs/failover/include/failover/PromotionEvidence.h
+++ b/libs/failover/include/failover/PromotionEvidence.h
@@ -22,6 +22,7 @@
     FailoverCause cause = FailoverCause::Suspicion;
     std::string endpoint; ///< The one that is promoted.
     std::string oldPrimary;
+    std::uint32_t synchronousReplicas = 0;
     std::size_t tries = 0; ///< Orders in this term, with this one.
     TimePoint orderedAt;
     /// Since when every live lease names the term; nothing if that isn't so.
--- a/libs/failover/src/FailoverAttempt.cpp
+++ b/libs/failover/src/FailoverAttempt.cpp
@@ -44,6 +44,7 @@
                                       .cause = this->record.cause,
                                       .endpoint = this->chosen.name,
                                       .oldPrimary = this->view.primary,
+                                      .synchronousReplicas = this->view.synchronousReplicas,
                                       .tries = this->tries,
                                       .orderedAt = now,
                                       .leasesConfirmedAt = this->confirmedAt,
@@ -57,6 +58,7 @@
         evidence.fenced.push_back(FenceEvidence{.endpoint = endpoint.name,
                                                 .position = found->second.position,
                                                 .wasPrimary = found->second.wasPrimary,
+                                                .rebuilding = found->second.rebuilding,
                                                 .receivedAt = this->fencedAt.at(endpoint.name)});
     }
     return evidence;
--- a/libs/failover/src/FailoverSteps.cpp
+++ b/libs/failover/src/FailoverSteps.cpp
@@ -253,6 +253,7 @@
             "endpoint " + attempt.chosen.name + " did not confirm its promotion", now, effects);
         return;
     }
+    attempt.record.lastPromotion = attempt.evidence(now);
     const auto group = attempt.record.group;
     const auto attemptId = attempt.id;
     auto done = [this, group, attemptId](bool promoted, TimePoint at) {
@@ -267,8 +268,8 @@
                 });
     };
     effects.emplace_back([this, chosen = attempt.chosen, group, term = attempt.record.term,
-                          members = attempt.view.endpoints, evidence = attempt.evidence(now),
-                          done = std::move(done)] {
+                          members = attempt.view.endpoints,
+                          evidence = *attempt.record.lastPromotion, done = std::move(done)] {
         if (this->hooks.promotionOrdered)
             this->hooks.promotionOrdered(evidence);
         this->hooks.promote(chosen, group, term, members, done);
--- a/libs/operators/src/CommandLine.cpp
+++ b/libs/operators/src/CommandLine.cpp
@@ -117,7 +117,7 @@
 constexpr auto EXPLANATIONS = std::to_array<Explanation>({
     {"request", "id", "Show what entries recorded of a request"},
     {"refusal", "organisation", "Show the last refusals of an organisation"},
-    {"failover", "group", "Show the failovers of a group with the time of each phase"},
+    {"failover", "group", "Show the failovers of a group or an endpoint, and what they relied on"},
     {"selector", "expression", "Show the objects of every kind that a selector matches"},
 });
 
