The warning of a promotion doesn't say more than is known

Cause: "commits are lost" was said when the promotion is ordered; an order that is refused loses nothing.

Ruled out: logging it once the promotion took effect only: an order without an answer has to be seen as well.

Change: the message ends before that claim.

Process test `acknowledged writes survive a failover exactly once`: passes, once.

Conclusion: ready to merge.

--- a/libs/control/src/FailoverLines.cpp
+++ b/libs/control/src/FailoverLines.cpp
@@ -70,8 +70,8 @@
     logLine(LogLevel::Info, "failover", "promotion ordered", fields);
     const auto check = checkAcknowledged(evidence);
     if (check == AcknowledgedCheck::GivenUp || check == AcknowledgedCheck::Elsewhere)
-        logLine(LogLevel::Warning, "failover",
-                "promotion ordered without what was acknowledged; commits are lost", fields);
+        logLine(LogLevel::Warning, "failover", "promotion ordered without what was acknowledged",
+                fields);
 }
 
 auto logPromotionOutcome(PromotionOutcome outcome, const GroupEndpoint &endpoint,
