--- a/libs/failover/tests/ExploredWorldPlatform.cpp
+++ b/libs/failover/tests/ExploredWorldPlatform.cpp
@@ -165,9 +165,11 @@
             continue;
         const auto isHeld = [&, write = id](const GroupEndpoint &endpoint) {
             const auto *known = this->server(endpoint.name);
-            return endpoint.name != this->view.primary && known->holds(write);
+            const auto isAsked = endpoint.name != this->view.primary
+                                 || this->fencedInTerm[token].contains(endpoint.name);
+            return isAsked && known->holds(write);
         };
-        // Only the old primary, which may be unreachable, or a replica unknown to control has it.
+        // Only the old primary, which wasn't asked, or a replica unknown to control has it.
         if (std::none_of(this->view.endpoints.begin(), this->view.endpoints.end(), isHeld)) {
             this->unprotected.insert(id);
             continue;
