Tests of the acknowledged position have a file of their own

Ruled out: nothing. Change: the tests on what a promotion relies on move to AcknowledgedPositionTest.cpp; GroupSimulation.h has the two setups. The checks are the same. Conclusion: no behaviour changes.

--- a/libs/failover/tests/GroupSimulation.h
+++ b/libs/failover/tests/GroupSimulation.h
@@ -252,6 +252,24 @@
     group.endpoints["a"].reachable = false;
 }
 
+/// A group with a synchronous replica whose primary is about to leave.
+inline auto makeLeavingPrimary(GroupSimulation &group) -> void
+{
+    group.view.synchronousReplicas = 1;
+    group.view.endpoints[0].leaving = true;
+    group.coordinator->groupChanged(group.view, group.scheduler.now());
+}
+
+/// A group with a synchronous replica whose leases name a new term soon. `acknowledged` is how far
+/// its entries have acknowledged; nothing: they can't tell.
+inline auto makeSynchronous(GroupSimulation &group, std::optional<Position> acknowledged) -> void
+{
+    group.view.synchronousReplicas = 1;
+    group.leaseWait = std::chrono::milliseconds(60);
+    group.acknowledged = acknowledged;
+    group.coordinator->groupChanged(group.view, group.scheduler.now());
+}
+
 } // namespace auburnrail
 
 #endif
