--- a/tools/check.sh
+++ b/tools/check.sh
@@ -28,6 +28,13 @@
     local dir=$1
     shift
     ctest --timeout 300 --test-dir "$dir" -j "$jobs" --output-on-failure -E "^($known_red)\$" "$@"
+    # A program that can't list its tests would pass without one.
+    local empty
+    empty=$(find "$dir" -name '*_tests-*.cmake' -exec grep -L add_test {} +)
+    if [ -n "$empty" ]; then
+        echo "test programs that list no test: $empty"
+        exit 1
+    fi
 }
 
 step "format"
