An unused count goes, the hold for reports uses the failover's grace time, and a test speaks of demoting

Cause: a read of the whole change. AcknowledgedPosition::reportCount() was never called; HeartbeatService computed the grace time of FailoverLimits again; the explored servers' stepDown() is a word of the platform outside platform/. Change: the function and its include are gone; HeartbeatService uses FailoverLimits::acknowledgementGrace, the same value; the method is demote(). Conclusion: no behaviour changes.

--- a/libs/control/src/HeartbeatService.cpp
+++ b/libs/control/src/HeartbeatService.cpp
@@ -12,8 +12,6 @@
 /// Upper bound of the hold limit that an entry may request. Leaves an entry that renews its lease
 /// with each response more than a second to find another leader when this one falls silent.
 constexpr auto MAX_HOLD = LEASE_DURATION * 3 / 8;
-/// Upper bound while a failover waits for the entries' reports.
-constexpr auto REPORT_HOLD = ACKNOWLEDGEMENT_GRACE * (100 + LEASE_DRIFT_PERCENT) / 100;
 
 } // namespace
 
@@ -43,7 +41,9 @@
     const auto holdLimit =
         isKnown || !accepted.mayGrantShares ? heartbeat.holdLimit : Duration::zero();
     // An entry reports what it has acknowledged with its next heartbeat after the grace time.
-    const auto maxHold = this->tables.failover.awaitsReports() ? Duration(REPORT_HOLD) : MAX_HOLD;
+    const auto maxHold = this->tables.failover.awaitsReports()
+                             ? this->tables.settings.failover.acknowledgementGrace
+                             : MAX_HOLD;
     this->tables.heldResponses.hold(
         accepted.holder, accepted.appliedRevision,
         now + std::clamp<Duration>(holdLimit, Duration::zero(), maxHold),
--- a/libs/failover/include/failover/detail/AcknowledgedPosition.h
+++ b/libs/failover/include/failover/detail/AcknowledgedPosition.h
@@ -5,7 +5,6 @@
 
 #include <core/Position.h>
 
-#include <cstddef>
 #include <optional>
 #include <set>
 
@@ -31,9 +30,6 @@
     /// The position; nothing while it isn't known.
     [[nodiscard]] auto known() const -> std::optional<Position>;
 
-    /// Number of entries that have reported.
-    [[nodiscard]] auto reportCount() const -> std::size_t;
-
 private:
     [[nodiscard]] auto isMissing() const -> bool;
 
--- a/libs/failover/src/AcknowledgedPosition.cpp
+++ b/libs/failover/src/AcknowledgedPosition.cpp
@@ -29,11 +29,6 @@
     return this->highest;
 }
 
-auto AcknowledgedPosition::reportCount() const -> std::size_t
-{
-    return this->reported.size();
-}
-
 auto AcknowledgedPosition::isMissing() const -> bool
 {
     return !std::includes(this->reported.begin(), this->reported.end(), this->expected->begin(),
--- a/libs/failover/tests/ExploredServer.cpp
+++ b/libs/failover/tests/ExploredServer.cpp
@@ -53,7 +53,7 @@
     return this->term + 1;
 }
 
-auto ExploredServer::stepDown(std::uint64_t newTerm) -> void
+auto ExploredServer::demote(std::uint64_t newTerm) -> void
 {
     if (!this->isPrimary || newTerm <= this->term)
         return;
--- a/libs/failover/tests/ExploredServer.h
+++ b/libs/failover/tests/ExploredServer.h
@@ -63,7 +63,7 @@
     /// Orders of control, as a server of a platform handles them: it has terms of its own, and a
     /// pause lasts until it is told to resume, until a promotion, or until it restarts.
     [[nodiscard]] auto platformFenceTerm() const -> std::uint64_t;
-    auto stepDown(std::uint64_t newTerm) -> void;
+    auto demote(std::uint64_t newTerm) -> void;
     auto pause(std::uint64_t newTerm) -> void;
     auto resume() -> void;
 
--- a/libs/failover/tests/ExploredWorldPlatform.cpp
+++ b/libs/failover/tests/ExploredWorldPlatform.cpp
@@ -34,7 +34,7 @@
             const auto answers = this->carryOut(server, [this, serverTerm,
                                                          wasPrimary](ExploredServer &ordered) {
                 if (wasPrimary)
-                    ordered.stepDown(serverTerm);
+                    ordered.demote(serverTerm);
                 else
                     ordered.pause(serverTerm);
                 this->note(absl::StrCat(ordered.name, wasPrimary ? " steps down" : " pauses",
